Agree the shared parts: settings, documents, messages, links, HTTP, kernel

Cause: nothing stood yet; the work can only fan out over agreed shared modules. Excluded: pycapnp's own RPC and event loop (curio owns the loop; serialization alone suffices), runtime-free codecs (pycapnp installs and loads its schema without a compiler).

--- /dev/null
+++ b/src/ebonywheel/commands.py
@@ -0,0 +1,362 @@
+"""Commands of the replicated state, and their outcomes.
+
+Commands are stored in the log as MessagePack, tagged by type, so that log and snapshots outlive
+a change of the wire protocol. Fields are only ever added, with defaults.
+"""
+
+import typing
+
+import msgspec
+
+from ebonywheel import messages
+
+
+class Command(msgspec.Struct, tag=True, kw_only=True):
+    """Base of all commands.
+
+    Attributes:
+        operation: Unique id; a resend with the same id gets the first outcome.
+        actor: Operator or host that asked.
+        at_ms: Replicated time in milliseconds, stamped by the leader; never goes back.
+    """
+
+    operation: str = ""
+    actor: str = ""
+    at_ms: int = 0
+
+
+class Noop(Command):
+    """First entry of each leader's term."""
+
+
+class ApplyDocument(Command):
+    """Put an environment document in force.
+
+    Attributes:
+        base: Revision of the environment that the change was made from.
+        text: The document as TOML.
+    """
+
+    environment: str
+    base: int
+    text: str
+
+
+class PromoteDocument(Command):
+    """Put the document of one environment in force in another one, as a unit.
+
+    Attributes:
+        source_revision: Revision of the source that is promoted.
+        base: Revision of the target that the change was made from.
+    """
+
+    source: str
+    target: str
+    source_revision: int
+    base: int
+
+
+class SetDataCentre(Command):
+    """Take a data centre out of service for an environment, or bring it back.
+
+    Attributes:
+        base: Revision of the environment that the change was made from.
+    """
+
+    environment: str
+    data_centre: str
+    out: bool
+    base: int
+
+
+class JoinRoster(Command):
+    """An entry host started, or came back."""
+
+    host: str
+    incarnation: int
+    data_centre: str
+    address: str
+    environment: str
+
+
+class LeaveRoster(Command):
+    """An entry host's lease ran out, or it drains."""
+
+    host: str
+    incarnation: int
+
+
+class CallOutcome(msgspec.Struct):
+    """What became of a call that may not repeat.
+
+    Attributes:
+        kind: ``answered``, ``not_run`` or ``unknown``.
+        status: HTTP status of the answer.
+        content_type: Content type of the answer.
+        body: Body of the answer.
+        text: Why, when there is no answer.
+    """
+
+    kind: typing.Literal["answered", "not_run", "unknown"]
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+    text: str = ""
+
+
+class BeginCall(Command):
+    """Record the intent to run a call that may not repeat.
+
+    Attributes:
+        key: The caller's idempotency key.
+        digest: SHA-256 of method, path and body.
+        host: Entry host that will run it.
+        incarnation: Incarnation of that entry host's process.
+    """
+
+    environment: str
+    customer: str
+    service: str
+    key: str
+    digest: bytes
+    host: str
+    incarnation: int
+
+
+class EndCall(Command):
+    """Record the outcome of a call that may not repeat.
+
+    Attributes:
+        begun_by: Operation id of the `BeginCall`.
+    """
+
+    environment: str
+    customer: str
+    service: str
+    key: str
+    begun_by: str
+    outcome: CallOutcome
+
+
+class Suspect(msgspec.Struct):
+    """A request that was in flight when a backend server died."""
+
+    fingerprint: bytes
+    customer: str
+
+
+class ReportCrash(Command):
+    """A backend server's incarnation died with these requests in flight.
+
+    Attributes:
+        alone: True when a single request was in flight and no other could have been.
+    """
+
+    environment: str
+    server: str
+    incarnation: int
+    suspects: list[Suspect]
+    alone: bool = False
+
+
+class ClearSuspect(Command):
+    """A suspect request ran alone and finished."""
+
+    environment: str
+    fingerprint: bytes
+
+
+class ReleaseQuarantine(Command):
+    """An operator ends a request's quarantine."""
+
+    environment: str
+    fingerprint: bytes
+
+
+class IssueOrder(Command):
+    """Issue an order to a backend server; the outcome carries its fencing number.
+
+    Attributes:
+        kind: Registered order type, such as ``load_model``.
+        argument: What to load or which role to take.
+    """
+
+    environment: str
+    server: str
+    kind: str
+    argument: str
+
+
+class EndOrder(Command):
+    """Record what became of an order."""
+
+    environment: str
+    server: str
+    sequence: int
+    accepted: bool
+    text: str = ""
+
+
+class AddMember(Command):
+    """Add a control host as a learner, or make a caught-up learner a voter.
+
+    Attributes:
+        member: Id bound to the host's data folder.
+    """
+
+    host: str
+    member: str
+    data_centre: str
+    link: str
+    http: str = ""
+    voter: bool = False
+
+
+class RemoveMember(Command):
+    """Remove a control host."""
+
+    host: str
+    member: str
+
+
+AnyCommand = (
+    Noop
+    | ApplyDocument
+    | PromoteDocument
+    | SetDataCentre
+    | JoinRoster
+    | LeaveRoster
+    | BeginCall
+    | EndCall
+    | ReportCrash
+    | ClearSuspect
+    | ReleaseQuarantine
+    | IssueOrder
+    | EndOrder
+    | AddMember
+    | RemoveMember
+)
+
+
+class Outcome(msgspec.Struct, tag=True, kw_only=True):
+    """Base of all outcomes."""
+
+
+class Accepted(Outcome):
+    """The command took effect.
+
+    Attributes:
+        revision: New revision of the environment, where the command changes one.
+        previous: Revision before.
+        index: Log index of the command.
+    """
+
+    revision: int = 0
+    previous: int = 0
+    index: int = 0
+
+
+class Conflict(Outcome):
+    """Another change with the same base came first.
+
+    Attributes:
+        revision: Revision in force.
+        winner: Actor of the change that won.
+        operation: Operation id of the change that won.
+    """
+
+    revision: int
+    winner: str
+    operation: str
+
+
+class Refused(Outcome):
+    """The command is not acceptable; nothing changed."""
+
+    code: str
+    text: str
+
+
+class CallStarted(Outcome):
+    """The intent is durable: the asking entry host, and no other, may run the call."""
+
+
+class CallStored(Outcome):
+    """The call already has an outcome."""
+
+    outcome: CallOutcome
+
+
+class CallRunning(Outcome):
+    """The call is running elsewhere."""
+
+
+class CallMismatch(Outcome):
+    """The key was used for another request."""
+
+
+class CallExpired(Outcome):
+    """The key is older than the horizon; this resend was not run."""
+
+
+class OrderIssued(Outcome):
+    """The order's fencing number.
+
+    Attributes:
+        term: Term of the leader that issued it.
+        sequence: Grows with each order; together with the term the fencing number.
+    """
+
+    term: int
+    sequence: int
+
+
+class CrashRecorded(Outcome):
+    """Which suspects are quarantined after the report."""
+
+    quarantined: list[bytes]
+
+
+AnyOutcome = (
+    Accepted
+    | Conflict
+    | Refused
+    | CallStarted
+    | CallStored
+    | CallRunning
+    | CallMismatch
+    | CallExpired
+    | OrderIssued
+    | CrashRecorded
+)
+
+_command_decoder = msgspec.msgpack.Decoder(AnyCommand)
+_outcome_decoder = msgspec.msgpack.Decoder(AnyOutcome)
+
+
+def encode(value: Command | Outcome) -> bytes:
+    """Encode a command or an outcome."""
+    return msgspec.msgpack.encode(value)
+
+
+def decode(data: bytes) -> AnyCommand:
+    """Decode a command.
+
+    Raises:
+        msgspec.ValidationError: The data is not a command.
+    """
+    return _command_decoder.decode(data)
+
+
+def decode_outcome(data: bytes) -> AnyOutcome:
+    """Decode an outcome.
+
+    Raises:
+        msgspec.ValidationError: The data is not an outcome.
+    """
+    return _outcome_decoder.decode(data)
+
+
+def submit(command: Command) -> messages.Submit:
+    """Return the message that proposes a command."""
+    return messages.Submit(encode(command))
--- /dev/null
+++ b/src/ebonywheel/http.py
@@ -0,0 +1,486 @@
+"""HTTP/1.1 on both sides, by h11 over curio sockets.
+
+The server side serves one exchange after the other on each connection. The client side keeps
+track of how far an exchange came, so that a caller can tell "not sent" from "may have run".
+"""
+
+import collections.abc
+import typing
+import urllib.parse
+
+import curio
+import h11
+import msgspec
+
+from ebonywheel import exceptions, kernel, settings
+
+MAX_HEADER_BYTES = 16 * 1024
+READ_BYTES = 65536
+HEADER_TIMEOUT_S = 10.0
+IDLE_TIMEOUT_S = 75.0
+BODY_TIMEOUT_S = 30.0
+WRITE_TIMEOUT_S = 60.0
+ACCEPT_BACKLOG = 1024
+JSON = "application/json"
+EVENT_STREAM = "text/event-stream"
+
+Headers = list[tuple[str, str]]
+
+
+class Request(msgspec.Struct):
+    """A whole request as received."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    peer: str
+
+    def json(self) -> dict:
+        """Return the body as a JSON object.
+
+        Raises:
+            HttpError: The body is not a JSON object.
+        """
+        try:
+            return msgspec.json.decode(self.body, type=dict)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            raise exceptions.HttpError(
+                f"body is not a JSON object: {error}", "decode body", self.peer
+            ) from error
+
+    def decode(self, kind: type[typing.Any]) -> typing.Any:
+        """Return the body as a typed JSON value.
+
+        Raises:
+            HttpError: The body does not match the type; the text names the field.
+        """
+        try:
+            return msgspec.json.decode(self.body, type=kind)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            raise exceptions.HttpError(str(error), "decode body", self.peer) from error
+
+
+class Exchange:
+    """One request and the answer to it, on the server side."""
+
+    def __init__(self, connection: "ServerConnection", request: Request):
+        self.connection = connection
+        self.request = request
+        self.started = False
+
+    async def respond(
+        self,
+        status: int,
+        body: bytes = b"",
+        content_type: str = JSON,
+        headers: Headers | None = None,
+    ) -> None:
+        """Send a whole answer."""
+        fields = [
+            ("content-type", content_type),
+            ("content-length", str(len(body))),
+            *(headers or []),
+        ]
+        self.started = True
+        conn = self.connection
+        data = conn.encode_response(status, fields)
+        if body:
+            data += conn.encode_data(body)
+        await conn.send(data + conn.encode_end())
+
+    async def respond_json(
+        self, status: int, value: typing.Any, headers: Headers | None = None
+    ) -> None:
+        """Send a whole answer encoded as JSON."""
+        await self.respond(status, msgspec.json.encode(value), JSON, headers)
+
+    async def start_stream(self, content_type: str, headers: Headers | None = None) -> None:
+        """Send the head of a chunked answer."""
+        fields = [("content-type", content_type), ("cache-control", "no-store"), *(headers or [])]
+        self.started = True
+        await self.connection.send(self.connection.encode_response(200, fields))
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of a chunked answer."""
+        await self.connection.send(self.connection.encode_data(data))
+
+    async def end(self) -> None:
+        """End a chunked answer."""
+        await self.connection.send(self.connection.encode_end())
+
+    async def wait_hangup(self) -> None:
+        """Return once the caller has closed its side; keeps what it pipelined."""
+        await self.connection.read_until_closed()
+
+
+ExchangeHandler = typing.Callable[[Exchange], typing.Awaitable[None]]
+
+
+class ErrorBody(msgspec.Struct):
+    """JSON body of every error answer.
+
+    Attributes:
+        error: Code of the error.
+        text: What went wrong.
+        step: The step that failed.
+        peer: The peer concerned.
+        run: ``not run``, ``unknown`` or an empty string where it does not apply.
+    """
+
+    error: str
+    text: str
+    step: str = ""
+    peer: str = ""
+    run: str = ""
+
+
+class ServerConnection:
+    """One caller's connection."""
+
+    def __init__(self, sock: curio.io.Socket, peer: str, max_body_bytes: int):
+        self.sock = sock
+        self.peer = peer
+        self.max_body_bytes = max_body_bytes
+        self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+        self.pipelined_bytes = 0
+
+    def encode_response(self, status: int, headers: Headers) -> bytes:
+        """Encode the head of an answer."""
+        return self.conn.send(h11.Response(status_code=status, headers=headers))
+
+    def encode_data(self, data: bytes) -> bytes:
+        """Encode a part of an answer's body."""
+        return self.conn.send(h11.Data(data=data))
+
+    def encode_end(self) -> bytes:
+        """Encode the end of an answer."""
+        return self.conn.send(h11.EndOfMessage())
+
+    async def send(self, data: bytes) -> None:
+        """Write to the caller.
+
+        Raises:
+            HttpError: The caller has gone or reads nothing for `WRITE_TIMEOUT_S`.
+        """
+        try:
+            async with curio.timeout_after(WRITE_TIMEOUT_S):
+                await self.sock.sendall(data)
+        except curio.TaskTimeout as error:
+            raise exceptions.HttpError("caller does not read", "write", self.peer) from error
+        except OSError as error:
+            raise exceptions.HttpError(str(error), "write", self.peer) from error
+
+    async def next_event(self, timeout_s: float) -> typing.Any:
+        """Return the next h11 event.
+
+        Raises:
+            HttpError: The caller sent malformed HTTP or was too slow.
+        """
+        while True:
+            try:
+                event = self.conn.next_event()
+            except h11.RemoteProtocolError as error:
+                raise exceptions.HttpError(
+                    str(error), "parse request", self.peer, error.error_status_hint
+                ) from error
+            if event is not h11.NEED_DATA:
+                return event
+            self.conn.receive_data(await self._receive(timeout_s))
+
+    async def read_request(self) -> Request | None:
+        """Read a whole request, or return None at a clean end of the connection.
+
+        Raises:
+            HttpError: The request is malformed, too large or too slow.
+        """
+        head = await self.next_event(IDLE_TIMEOUT_S)
+        if isinstance(head, h11.ConnectionClosed):
+            return None
+        headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
+        if self.conn.they_are_waiting_for_100_continue:
+            await self.send(self.conn.send(h11.InformationalResponse(status_code=100, headers=[])))
+        body = await self._read_body()
+        url = urllib.parse.urlsplit(head.target.decode("latin-1"))
+        query = dict(urllib.parse.parse_qsl(url.query))
+        return Request(head.method.decode(), url.path, query, headers, body, self.peer)
+
+    async def read_until_closed(self) -> None:
+        """Read ahead until the caller closes, keeping a bounded number of bytes."""
+        while self.pipelined_bytes < MAX_HEADER_BYTES:
+            try:
+                data = await self.sock.recv(READ_BYTES)
+            except OSError:
+                return
+            self.conn.receive_data(data)
+            if not data:
+                return
+            self.pipelined_bytes += len(data)
+        await curio.sleep(float("inf"))
+
+    async def _read_body(self) -> bytes:
+        body = bytearray()
+        while True:
+            event = await self.next_event(BODY_TIMEOUT_S)
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if isinstance(event, h11.ConnectionClosed):
+                raise exceptions.HttpError("connection ended in a body", "read body", self.peer)
+            body += event.data
+            if len(body) > self.max_body_bytes:
+                raise exceptions.HttpError(
+                    f"body over {self.max_body_bytes} bytes", "read body", self.peer, 413
+                )
+
+    async def _receive(self, timeout_s: float) -> bytes:
+        try:
+            async with curio.timeout_after(timeout_s):
+                return await self.sock.recv(READ_BYTES)
+        except curio.TaskTimeout as error:
+            raise exceptions.HttpError("request too slow", "read", self.peer, 408) from error
+        except OSError as error:
+            raise exceptions.HttpError(str(error), "read", self.peer) from error
+
+
+class Server:
+    """Accepts HTTP connections and hands each exchange to a handler."""
+
+    def __init__(
+        self, core: kernel.Kernel, address: str, handler: ExchangeHandler, max_body_bytes: int
+    ):
+        self.core = core
+        self.address = address
+        self.handler = handler
+        self.max_body_bytes = max_body_bytes
+        self.busy = 0
+        self.open = 0
+
+    async def start(self) -> None:
+        """Bind the address and start accepting.
+
+        Raises:
+            SettingsError: The address cannot be bound.
+        """
+        host, port = settings.split_address(self.address)
+        try:
+            sock = curio.tcp_server_socket(host, port, backlog=ACCEPT_BACKLOG)
+        except OSError as error:
+            raise exceptions.SettingsError(str(error), "bind http", self.address) from error
+        self.core.stack.push_async_callback(sock.close)
+        await self.core.spawn(self._accept(sock), essential=True)
+
+    async def _accept(self, sock: curio.io.Socket) -> None:
+        while True:
+            client, address = await sock.accept()
+            await self.core.spawn(self._serve(client, f"{address[0]}:{address[1]}"))
+
+    async def _serve(self, sock: curio.io.Socket, peer: str) -> None:
+        connection = ServerConnection(sock, peer, self.max_body_bytes)
+        self.open += 1
+        try:
+            async with sock:
+                while await self._serve_one(connection):
+                    pass
+        finally:
+            self.open -= 1
+
+    async def _serve_one(self, connection: ServerConnection) -> bool:
+        try:
+            request = await connection.read_request()
+        except exceptions.HttpError as error:
+            self.core.metrics.count("http_bad_requests", status=str(error.status))
+            await _refuse(connection, error)
+            return False
+        if request is None:
+            return False
+        exchange = Exchange(connection, request)
+        self.busy += 1
+        try:
+            return await self._handle(connection, exchange)
+        finally:
+            self.busy -= 1
+
+    async def _handle(self, connection: ServerConnection, exchange: Exchange) -> bool:
+        try:
+            await self.handler(exchange)
+        except exceptions.EbonywheelError as error:
+            self.core.metrics.count("http_errors", code=error.code)
+            if exchange.started:
+                return False
+            status = getattr(error, "status", 500)
+            body = ErrorBody(error.code, error.text, error.step, error.peer)
+            await exchange.respond_json(status, body)
+        except h11.LocalProtocolError as error:
+            self.core.metrics.count("http_errors", code="protocol")
+            self.core.log.error("http_protocol", peer=connection.peer, error=error)
+            return False
+        except (OSError, curio.CurioError):
+            raise
+        except Exception as error:
+            self.core.metrics.count("http_errors", code="internal")
+            self.core.log.error("handler_failed", path=exchange.request.path, error=repr(error))
+            if exchange.started:
+                return False
+            await exchange.respond_json(500, ErrorBody("internal", "internal error"))
+        if connection.conn.our_state is not h11.DONE:
+            return False
+        if connection.conn.their_state is not h11.DONE:
+            return False
+        connection.conn.start_next_cycle()
+        connection.pipelined_bytes = 0
+        return not self.core.draining.is_set()
+
+
+async def _refuse(connection: ServerConnection, error: exceptions.HttpError) -> None:
+    if connection.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return
+    body = msgspec.json.encode(ErrorBody(error.code, error.text, error.step, error.peer))
+    fields = [
+        ("content-type", JSON),
+        ("content-length", str(len(body))),
+        ("connection", "close"),
+    ]
+    try:
+        head = connection.encode_response(error.status, fields)
+        await connection.send(head + connection.encode_data(body) + connection.encode_end())
+    except (exceptions.HttpError, h11.LocalProtocolError):
+        return
+
+
+class ResponseHead(msgspec.Struct):
+    """Status and headers of a backend server's answer."""
+
+    status: int
+    headers: dict[str, str]
+
+
+class ClientConnection:
+    """One connection to an HTTP server, used for one exchange at a time.
+
+    Attributes:
+        sent: True once any byte of the current request may have left.
+    """
+
+    def __init__(self, address: str):
+        self.address = address
+        self.sock: curio.io.Socket | None = None
+        self.conn = h11.Connection(h11.CLIENT)
+        self.sent = False
+
+    async def connect(self, timeout_s: float) -> None:
+        """Open the connection.
+
+        Raises:
+            UpstreamError: The server cannot be reached.
+        """
+        host, port = settings.split_address(self.address)
+        try:
+            async with curio.timeout_after(timeout_s):
+                self.sock = await curio.open_connection(host, port)
+        except curio.TaskTimeout as error:
+            raise self._error("no connection in time", "connect") from error
+        except OSError as error:
+            raise self._error(str(error), "connect") from error
+
+    async def request(
+        self, method: str, target: str, headers: Headers, body: bytes, timeout_s: float
+    ) -> None:
+        """Write a whole request.
+
+        Raises:
+            UpstreamError: The write failed; `sent` tells whether bytes may have left.
+        """
+        fields = [("host", self.address), ("content-length", str(len(body))), *headers]
+        data = self.conn.send(h11.Request(method=method, target=target, headers=fields))
+        if body:
+            data += self.conn.send(h11.Data(data=body))
+        data += self.conn.send(h11.EndOfMessage())
+        self.sent = True
+        try:
+            async with curio.timeout_after(timeout_s):
+                await self.sock.sendall(data)
+        except curio.TaskTimeout as error:
+            raise self._error("server does not read", "write") from error
+        except OSError as error:
+            raise self._error(str(error), "write") from error
+
+    async def response(self, timeout_s: float) -> ResponseHead:
+        """Read the head of the answer.
+
+        Raises:
+            UpstreamError: No valid head in time.
+        """
+        event = await self._next_event(timeout_s, "wait")
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event(timeout_s, "wait")
+        if not isinstance(event, h11.Response):
+            raise self._error("connection ended before the answer", "wait")
+        headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
+        return ResponseHead(event.status_code, headers)
+
+    async def read_chunk(self, timeout_s: float) -> bytes | None:
+        """Read some of the answer's body; None at its proper end.
+
+        Raises:
+            UpstreamError: The body broke off or nothing came in time.
+        """
+        event = await self._next_event(timeout_s, "read")
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise self._error("connection ended in the answer", "read")
+
+    async def chunks(self, timeout_s: float) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the parts of the answer's body."""
+        while (chunk := await self.read_chunk(timeout_s)) is not None:
+            yield chunk
+
+    async def body(self, timeout_s: float, limit: int) -> bytes:
+        """Read the whole answer's body.
+
+        Raises:
+            UpstreamError: The body broke off, was too slow or is over the limit.
+        """
+        whole = bytearray()
+        while (chunk := await self.read_chunk(timeout_s)) is not None:
+            whole += chunk
+            if len(whole) > limit:
+                raise self._error(f"answer over {limit} bytes", "read")
+        return bytes(whole)
+
+    def reusable(self) -> bool:
+        """Return whether the last exchange ended whole, so that another may follow."""
+        return self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE
+
+    def start_next(self) -> None:
+        """Make ready for the next exchange."""
+        self.conn.start_next_cycle()
+        self.sent = False
+
+    async def close(self) -> None:
+        """Close the connection."""
+        if self.sock is not None:
+            await self.sock.close()
+            self.sock = None
+
+    async def _next_event(self, timeout_s: float, step: str) -> typing.Any:
+        while True:
+            try:
+                event = self.conn.next_event()
+            except h11.RemoteProtocolError as error:
+                raise self._error(f"malformed answer: {error}", step) from error
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                async with curio.timeout_after(timeout_s):
+                    data = await self.sock.recv(READ_BYTES)
+            except curio.TaskTimeout as error:
+                raise self._error("nothing received in time", step) from error
+            except OSError as error:
+                raise self._error(str(error), step) from error
+            self.conn.receive_data(data)
+
+    def _error(self, text: str, step: str) -> exceptions.UpstreamError:
+        return exceptions.UpstreamError(text, step, self.address, self.sent)
--- /dev/null
+++ b/src/ebonywheel/link.py
@@ -0,0 +1,366 @@
+"""Links between the system's processes: framed messages over TCP, one task a connection.
+
+Both ends prove in the handshake that they hold the shared secret. A `Link` keeps one connection
+to one peer and opens it anew when it breaks; each request on it carries an exchange number, so
+answers may come in any order.
+"""
+
+import hashlib
+import hmac
+import secrets
+import socket
+import typing
+
+import curio
+import msgspec
+
+from ebonywheel import codec, exceptions, kernel, messages, settings
+
+CONNECT_TIMEOUT_S = 2.0
+HANDSHAKE_TIMEOUT_S = 2.0
+SEND_TIMEOUT_S = 5.0
+DEFAULT_CALL_TIMEOUT_S = 2.0
+IDLE_TIMEOUT_S = 300.0
+NONCE_BYTES = 16
+READ_BYTES = 65536
+ACCEPT_BACKLOG = 1024
+
+
+class PeerInfo(msgspec.Struct):
+    """The proven identity of the other end of a connection."""
+
+    role: str
+    host: str
+    data_centre: str
+
+    def __str__(self) -> str:
+        return f"{self.role}:{self.host}"
+
+
+Handler = typing.Callable[
+    [messages.Hello | msgspec.Struct, PeerInfo], typing.Awaitable[msgspec.Struct]
+]
+
+
+class FrameStream:
+    """Reads and writes frames on one socket."""
+
+    def __init__(self, sock: curio.io.Socket, name: str, delay_s: float = 0.0):
+        self.sock = sock
+        self.name = name
+        self.delay_s = delay_s
+        self.buffer = bytearray()
+        self.write_lock = curio.Lock()
+        self.bytes_in = 0
+        self.bytes_out = 0
+        self.frames_in = 0
+
+    async def write(self, frame: bytes) -> None:
+        """Write one whole frame.
+
+        Raises:
+            LinkError: The connection broke or the peer does not read.
+        """
+        if self.delay_s:
+            await curio.sleep(self.delay_s)
+        try:
+            async with curio.timeout_after(SEND_TIMEOUT_S):
+                async with self.write_lock:
+                    await self.sock.sendall(frame)
+        except curio.TaskTimeout as error:
+            await self.sock.close()
+            raise exceptions.LinkTimeout("peer does not read", "write", self.name) from error
+        except OSError as error:
+            raise exceptions.LinkError(str(error), "write", self.name) from error
+        self.bytes_out += len(frame)
+
+    async def read(self) -> tuple[codec.Header, msgspec.Struct]:
+        """Read one whole frame.
+
+        Raises:
+            FrameError: The frame is malformed.
+            LinkError: The connection ended.
+        """
+        header = codec.decode_header(await self._take(codec.HEADER.size))
+        body = await self._take(header.length)
+        self.frames_in += 1
+        return header, codec.decode_body(header, body)
+
+    def shutdown(self) -> None:
+        """Shut the socket down, so that its reading task sees the end and closes it."""
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    async def _take(self, size: int) -> bytes:
+        while len(self.buffer) < size:
+            try:
+                data = await self.sock.recv(READ_BYTES)
+            except OSError as error:
+                raise exceptions.LinkError(str(error), "read", self.name) from error
+            if not data:
+                raise exceptions.LinkError("connection closed", "read", self.name)
+            self.bytes_in += len(data)
+            self.buffer += data
+        taken = bytes(self.buffer[:size])
+        del self.buffer[:size]
+        return taken
+
+
+class Link:
+    """The connection to one peer, opened on first use and again after it breaks."""
+
+    def __init__(self, core: kernel.Kernel, name: str, address: str, delay_s: float = 0.0):
+        self.core = core
+        self.name = name
+        self.address = address
+        self.delay_s = delay_s
+        self.stream: FrameStream | None = None
+        self.peer: PeerInfo | None = None
+        self.pending: dict[int, _Pending] = {}
+        self.next_exchange = 1
+        self.connect_lock = curio.Lock()
+
+    async def call(
+        self, message: msgspec.Struct, timeout_s: float = DEFAULT_CALL_TIMEOUT_S
+    ) -> msgspec.Struct:
+        """Send a request and wait for its answer.
+
+        Raises:
+            LinkTimeout: No answer in time; the peer may have acted on the request.
+            RemoteError: The peer answered with an error.
+            LinkError: The connection failed.
+        """
+        exchange = self.next_exchange
+        self.next_exchange += 1
+        waiting = _Pending()
+        self.pending[exchange] = waiting
+        stream = None
+        try:
+            async with curio.timeout_after(timeout_s):
+                stream = await self._connected()
+                waiting.stream = stream
+                frames_before = stream.frames_in
+                await stream.write(codec.encode(message, exchange, codec.FLAG_REQUEST))
+                answer = await waiting.answer.unwrap()
+        except curio.TaskTimeout as error:
+            # A connection on which nothing at all arrived may have been forgotten by something
+            # between the two ends; the next call opens a new one.
+            if stream is not None and stream.frames_in == frames_before:
+                await self._drop(stream)
+            step = f"call {type(message).__name__}"
+            raise exceptions.LinkTimeout("no answer in time", step, self.name) from error
+        finally:
+            self.pending.pop(exchange, None)
+        if isinstance(answer, messages.Failure):
+            raise exceptions.RemoteError(
+                answer.text, answer.step, answer.peer or self.name, answer.code
+            )
+        return answer
+
+    async def send(self, message: msgspec.Struct) -> None:
+        """Send a message that has no answer.
+
+        Raises:
+            LinkError: The connection failed.
+        """
+        stream = await self._connected()
+        await stream.write(codec.encode(message, 0, codec.FLAG_ONE_WAY))
+
+    async def close(self) -> None:
+        """Close the connection; a later call opens a new one."""
+        if self.stream is not None:
+            await self._drop(self.stream)
+
+    async def _drop(self, stream: FrameStream) -> None:
+        if self.stream is not stream:
+            return
+        self.stream = None
+        self.core.metrics.count("link_drops", peer=self.name)
+        stream.shutdown()
+
+    async def _connected(self) -> FrameStream:
+        async with self.connect_lock:
+            if self.stream is None:
+                self.stream = await self._connect()
+                await self.core.spawn(self._read_answers(self.stream))
+            return self.stream
+
+    async def _connect(self) -> FrameStream:
+        host, port = settings.split_address(self.address)
+        try:
+            async with curio.timeout_after(CONNECT_TIMEOUT_S):
+                sock = await curio.open_connection(host, port)
+        except curio.TaskTimeout as error:
+            raise exceptions.LinkTimeout("no connection in time", "connect", self.name) from error
+        except OSError as error:
+            raise exceptions.LinkError(str(error), "connect", self.name) from error
+        stream = FrameStream(sock, self.name, self.delay_s)
+        try:
+            async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
+                self.peer = await _introduce(self.core, stream)
+        except curio.TaskTimeout as error:
+            await sock.close()
+            raise exceptions.LinkTimeout("no handshake in time", "handshake", self.name) from error
+        except BaseException:
+            await sock.close()
+            raise
+        self.core.metrics.count("link_connects", peer=self.name)
+        return stream
+
+    async def _read_answers(self, stream: FrameStream) -> None:
+        error: exceptions.LinkError = exceptions.LinkError("link closed", "read", self.name)
+        try:
+            while True:
+                header, message = await stream.read()
+                waiting = self.pending.get(header.exchange)
+                if waiting is None or header.flag != codec.FLAG_REPLY:
+                    self.core.metrics.count("link_late_answers", peer=self.name)
+                    continue
+                await waiting.answer.set_value(message)
+        except exceptions.LinkError as caught:
+            error = caught
+        finally:
+            if self.stream is stream:
+                self.stream = None
+            await self._fail_pending(stream, error)
+            self.core.metrics.count("link_bytes_in", stream.bytes_in, peer=self.name)
+            self.core.metrics.count("link_bytes_out", stream.bytes_out, peer=self.name)
+            await stream.sock.close()
+
+    async def _fail_pending(self, stream: FrameStream, error: exceptions.LinkError) -> None:
+        for waiting in list(self.pending.values()):
+            if waiting.stream is stream and not waiting.answer.is_set():
+                await waiting.answer.set_exception(error)
+
+
+class _Pending:
+    """A call that waits for its answer on one connection."""
+
+    __slots__ = ("answer", "stream")
+
+    def __init__(self):
+        self.answer = curio.Result()
+        self.stream: FrameStream | None = None
+
+
+class LinkServer:
+    """Accepts links from other processes and hands their messages to one handler."""
+
+    def __init__(self, core: kernel.Kernel, handler: Handler, delay_s: float = 0.0):
+        self.core = core
+        self.handler = handler
+        self.delay_s = delay_s
+
+    async def start(self) -> None:
+        """Bind the host's link address and start accepting.
+
+        Raises:
+            SettingsError: The address cannot be bound.
+        """
+        host, port = settings.split_address(self.core.host.link)
+        try:
+            sock = curio.tcp_server_socket(host, port, backlog=ACCEPT_BACKLOG)
+        except OSError as error:
+            raise exceptions.SettingsError(str(error), "bind link", self.core.host.link) from error
+        self.core.stack.push_async_callback(sock.close)
+        await self.core.spawn(self._accept(sock), essential=True)
+
+    async def _accept(self, sock: curio.io.Socket) -> None:
+        while True:
+            client, address = await sock.accept()
+            await self.core.spawn(self._serve(client, f"{address[0]}:{address[1]}"))
+
+    async def _serve(self, sock: curio.io.Socket, name: str) -> None:
+        stream = FrameStream(sock, name, self.delay_s)
+        async with sock:
+            try:
+                async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
+                    peer = await _admit(self.core, stream)
+            except (curio.TaskTimeout, exceptions.LinkError) as error:
+                self.core.metrics.count("link_refused", code=getattr(error, "code", "timeout"))
+                return
+            stream.name = str(peer)
+            try:
+                while True:
+                    async with curio.timeout_after(IDLE_TIMEOUT_S):
+                        header, message = await stream.read()
+                    await self._dispatch(stream, peer, header, message)
+            except exceptions.FrameError as error:
+                self.core.metrics.count("link_bad_frames")
+                self.core.log.warning("bad_frame", error=error.text, peer=peer)
+            except (curio.TaskTimeout, exceptions.LinkError):
+                self.core.metrics.count("link_closed")
+
+    async def _dispatch(
+        self,
+        stream: FrameStream,
+        peer: PeerInfo,
+        header: codec.Header,
+        message: msgspec.Struct,
+    ) -> None:
+        if header.flag == codec.FLAG_ONE_WAY:
+            await self._handle(peer, message)
+        elif header.flag == codec.FLAG_REQUEST:
+            await self.core.spawn(self._answer(stream, peer, header.exchange, message))
+        else:
+            raise exceptions.FrameError("answer without a request", "dispatch", str(peer))
+
+    async def _answer(
+        self, stream: FrameStream, peer: PeerInfo, exchange: int, message: msgspec.Struct
+    ) -> None:
+        answer = await self._handle(peer, message)
+        await stream.write(codec.encode(answer, exchange, codec.FLAG_REPLY))
+
+    async def _handle(self, peer: PeerInfo, message: msgspec.Struct) -> msgspec.Struct:
+        try:
+            return await self.handler(message, peer)
+        except exceptions.EbonywheelError as error:
+            self.core.metrics.count("link_failures", code=error.code)
+            return messages.Failure(error.code, error.text, error.step, error.peer)
+        except Exception as error:
+            self.core.metrics.count("link_failures", code="internal")
+            self.core.log.error(
+                "handler_failed", message=type(message).__name__, peer=peer, error=repr(error)
+            )
+            return messages.Failure("internal", "internal error", type(message).__name__)
+
+
+async def _introduce(core: kernel.Kernel, stream: FrameStream) -> PeerInfo:
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    hello = messages.Hello(core.role, core.host.name, core.host.data_centre, nonce)
+    await stream.write(codec.encode(hello, 0, codec.FLAG_REQUEST))
+    _, challenge = await stream.read()
+    if not isinstance(challenge, messages.Challenge):
+        raise exceptions.HandshakeError("unexpected answer", "handshake", stream.name)
+    accepting = _sign(core.secret, b"accept", challenge.host, nonce, challenge.nonce)
+    if not hmac.compare_digest(accepting, challenge.proof):
+        raise exceptions.HandshakeError("peer has another secret", "handshake", stream.name)
+    proof = _sign(core.secret, b"connect", core.host.name, challenge.nonce, nonce)
+    await stream.write(codec.encode(messages.Proof(proof), 0, codec.FLAG_REQUEST))
+    _, answer = await stream.read()
+    if not isinstance(answer, messages.Ack):
+        raise exceptions.HandshakeError("refused by peer", "handshake", stream.name)
+    return PeerInfo("", challenge.host, challenge.data_centre)
+
+
+async def _admit(core: kernel.Kernel, stream: FrameStream) -> PeerInfo:
+    _, hello = await stream.read()
+    if not isinstance(hello, messages.Hello):
+        raise exceptions.HandshakeError("expected Hello", "handshake", stream.name)
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    proof = _sign(core.secret, b"accept", core.host.name, hello.nonce, nonce)
+    challenge = messages.Challenge(core.host.name, core.host.data_centre, nonce, proof)
+    await stream.write(codec.encode(challenge, 0, codec.FLAG_REPLY))
+    _, answer = await stream.read()
+    connecting = _sign(core.secret, b"connect", hello.host, nonce, hello.nonce)
+    if not isinstance(answer, messages.Proof) or not hmac.compare_digest(answer.proof, connecting):
+        raise exceptions.HandshakeError("peer has another secret", "handshake", stream.name)
+    await stream.write(codec.encode(messages.Ack(), 0, codec.FLAG_REPLY))
+    return PeerInfo(hello.role, hello.host, hello.data_centre)
+
+
+def _sign(secret: bytes, side: bytes, host: str, first: bytes, second: bytes) -> bytes:
+    content = b"|".join((side, host.encode(), first.hex().encode(), second.hex().encode()))
+    return hmac.new(secret, content, hashlib.sha256).digest()
--- /dev/null
+++ b/src/ebonywheel/wire.capnp
@@ -0,0 +1,252 @@
+@0xd3c5a1e09b7f4e21;
+# Generated from messages.py by scripts/generate_wire.py.
+
+struct Hello {
+  role @0 :Text;
+  host @1 :Text;
+  dataCentre @2 :Text;
+  nonce @3 :Data;
+}
+
+struct Challenge {
+  host @0 :Text;
+  dataCentre @1 :Text;
+  nonce @2 :Data;
+  proof @3 :Data;
+}
+
+struct Proof {
+  proof @0 :Data;
+}
+
+struct Ack {
+}
+
+struct Failure {
+  code @0 :Text;
+  text @1 :Text;
+  step @2 :Text;
+  peer @3 :Text;
+}
+
+struct LogEntry {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  data @2 :Data;
+}
+
+struct VoteRequest {
+  term @0 :UInt64;
+  candidate @1 :Text;
+  lastIndex @2 :UInt64;
+  lastTerm @3 :UInt64;
+  pre @4 :Bool;
+  transfer @5 :Bool;
+}
+
+struct VoteReply {
+  term @0 :UInt64;
+  granted @1 :Bool;
+}
+
+struct AppendRequest {
+  term @0 :UInt64;
+  leader @1 :Text;
+  prevIndex @2 :UInt64;
+  prevTerm @3 :UInt64;
+  commit @4 :UInt64;
+  entries @5 :List(LogEntry);
+}
+
+struct AppendReply {
+  term @0 :UInt64;
+  ok @1 :Bool;
+  match @2 :UInt64;
+  hint @3 :UInt64;
+}
+
+struct SnapshotChunk {
+  term @0 :UInt64;
+  leader @1 :Text;
+  lastIndex @2 :UInt64;
+  lastTerm @3 :UInt64;
+  offset @4 :UInt64;
+  data @5 :Data;
+  done @6 :Bool;
+}
+
+struct SnapshotReply {
+  term @0 :UInt64;
+  offset @1 :UInt64;
+}
+
+struct TimeoutNow {
+  term @0 :UInt64;
+}
+
+struct Submit {
+  command @0 :Data;
+}
+
+struct SubmitReply {
+  index @0 :UInt64;
+  outcome @1 :Data;
+}
+
+struct Query {
+  name @0 :Text;
+  argument @1 :Data;
+}
+
+struct QueryReply {
+  index @0 :UInt64;
+  content @1 :Data;
+}
+
+struct ConfigItem {
+  key @0 :Text;
+  index @1 :UInt64;
+  value @2 :Data;
+  removed @3 :Bool;
+}
+
+struct LeaseRequest {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  dataCentre @2 :Text;
+  address @3 :Text;
+  environment @4 :Text;
+  have @5 :UInt64;
+  draining @6 :Bool;
+  load @7 :Data;
+}
+
+struct LeaseGrant {
+  index @0 :UInt64;
+  durationMs @1 :UInt64;
+  items @2 :List(ConfigItem);
+  full @3 :Bool;
+}
+
+struct ConfirmRequest {
+  leases @0 :List(LeaseRequest);
+}
+
+struct ConfirmReply {
+  index @0 :UInt64;
+  durationMs @1 :UInt64;
+}
+
+struct ServerState {
+  server @0 :Text;
+  incarnation @1 :UInt64;
+  environment @2 :Text;
+  dataCentre @3 :Text;
+  address @4 :Text;
+  engine @5 :Text;
+  state @6 :Text;
+  totalBlocks @7 :UInt64;
+  blockTokens @8 :UInt64;
+  sequence @9 :UInt64;
+}
+
+struct ServerLoad {
+  server @0 :Text;
+  incarnation @1 :UInt64;
+  running @2 :UInt64;
+  waiting @3 :UInt64;
+  usedBlocks @4 :UInt64;
+  stepUs @5 :UInt64;
+  preemptions @6 :UInt64;
+  ageMs @7 :UInt64;
+}
+
+struct CacheEvent {
+  prefix @0 :Text;
+  present @1 :Bool;
+  sequence @2 :UInt64;
+}
+
+struct Announce {
+  state @0 :ServerState;
+  load @1 :ServerLoad;
+  cache @2 :List(CacheEvent);
+}
+
+struct ServerView {
+  state @0 :ServerState;
+  load @1 :ServerLoad;
+  home @2 :Text;
+  limit @3 :UInt64;
+  used @4 :UInt64;
+  cold @5 :Bool;
+  prefixes @6 :List(Text);
+}
+
+struct FleetUpdate {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  rosterIndex @2 :UInt64;
+  servers @3 :List(ServerView);
+}
+
+struct Borrow {
+  loan @0 :Text;
+  host @1 :Text;
+  hostIncarnation @2 :UInt64;
+  server @3 :Text;
+  incarnation @4 :UInt64;
+  service @5 :Text;
+  customer @6 :Text;
+  promptTokens @7 :UInt64;
+  alone @8 :Bool;
+  fingerprint @9 :Data;
+}
+
+struct Loan {
+  loan @0 :Text;
+  server @1 :Text;
+  incarnation @2 :UInt64;
+  durationMs @3 :UInt64;
+}
+
+struct Holding {
+  loan @0 :Text;
+  server @1 :Text;
+  incarnation @2 :UInt64;
+  service @3 :Text;
+  customer @4 :Text;
+  promptTokens @5 :UInt64;
+  tokens @6 :UInt64;
+  fingerprint @7 :Data;
+  alone @8 :Bool;
+}
+
+struct Holdings {
+  host @0 :Text;
+  hostIncarnation @1 :UInt64;
+  holdings @2 :List(Holding);
+}
+
+struct Release {
+  loan @0 :Text;
+  server @1 :Text;
+  incarnation @2 :UInt64;
+  tokens @3 :UInt64;
+  outcome @4 :Text;
+}
+
+struct Handoff {
+  host @0 :Text;
+  rosterIndex @1 :UInt64;
+  state @2 :ServerState;
+  load @3 :ServerLoad;
+  limit @4 :UInt64;
+  warm @5 :Bool;
+  holdings @6 :List(Holding);
+}
+
+struct DeathNotice {
+  server @0 :Text;
+  incarnation @1 :UInt64;
+}
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,33 @@
+"""Environment documents: one wrong value each, with the place and what was expected."""
+
+import pytest
+
+from ebonywheel import documents
+from test_configuration import TEXT
+
+MISTAKES = [
+    ('kind = "stream"', 'kind = "streem"', "$.services"),
+    ('engine = "planner"', 'engine = "planer"', "services.plan.engine"),
+    ('priority = "normal"', 'priority = "high"', "customers.orchard.priority"),
+    ('services = ["plan"]', 'services = ["plans"]', "customers.orchard.services"),
+    ("cold_slots = 2", 'cold_slots = "two"', "$.engines"),
+    ("cold_slots = 2", "cold_slot = 2", "cold_slot"),
+    ("warm_slots = 8", "warm_slots = 0", "$.engines"),
+    ("normal = 10", "normal = 1000", "$.priorities"),
+    ('environment = "trial"', "", "environment"),
+    ("[priorities]", "[priorities", "line"),
+]
+
+
+class TestMistakes:
+    @pytest.mark.parametrize(("right", "wrong", "place"), MISTAKES)
+    def test_error_names_the_place(self, right, wrong, place):
+        assert right in TEXT
+        error = documents.parse(TEXT.replace(right, wrong), "trial.toml").unwrap_err()
+        assert place in error.text
+        assert error.peer == "trial.toml"
+
+    def test_two_customers_with_one_key_are_refused(self):
+        copy = TEXT[TEXT.index("[customers.orchard]") :].replace("orchard]", "press]")
+        error = documents.parse(TEXT + copy, "trial.toml").unwrap_err()
+        assert "same key" in error.text
