The whole path, thin, as separate processes

Cause: the shared parts stood, but no request could be served from end to end. Excluded: a home chosen by a log entry for each backend server (state for 2,200 servers in the log; the roster alone decides it by rendezvous hashing); operators' requests answered by any control host from its own state (a lagging one would answer stale reads). Change: control hosts with a replicated log, leases and an operators' interface; entry hosts with fleet, slots, streams and calls; stand-ins, load driver, command line, demo and contract tests against the real processes. Before: no program. Conclusion: the path stands; the promises behind it are to be proved under failure next.

--- /dev/null
+++ b/src/ebonywheel/admin.py
@@ -0,0 +1,116 @@
+"""The operators' HTTP interface of a control host."""
+
+import hmac
+import typing
+
+import msgspec
+
+from ebonywheel import commands, documents, exceptions, http, kernel, messages
+
+OPERATIONS_PATH = "/v1/operations"
+STATE_PREFIX = "/v1/state/"
+AUTHORIZATION_SCHEME = "Operator "
+STATUS_OF_OUTCOME = {commands.Conflict: 409, commands.Refused: 422}
+
+OperatorCommand = (
+    commands.ApplyDocument
+    | commands.PromoteDocument
+    | commands.SetDataCentre
+    | commands.ReleaseQuarantine
+    | commands.IssueOrder
+    | commands.AddMember
+    | commands.RemoveMember
+)
+
+
+class Backend(typing.Protocol):
+    """What the interface needs of the control host."""
+
+    async def submit(self, request: messages.Submit) -> messages.SubmitReply:
+        """Propose a command here or at the leader."""
+
+    async def query(self, request: messages.Query) -> messages.QueryReply:
+        """Read here or at the leader."""
+
+
+class Admin:
+    """Serves operators, the platform's health checks and /metrics."""
+
+    def __init__(self, core: kernel.Kernel, operators: dict[str, str], backend: Backend):
+        self.core = core
+        self.operators = operators
+        self.backend = backend
+        self.identity: typing.Any = None
+
+    async def handle(self, exchange: http.Exchange) -> None:
+        """Handle one request."""
+        request = exchange.request
+        if request.path == "/healthz":
+            await exchange.respond(200, b"ok\n", "text/plain")
+        elif request.path == "/readyz":
+            await self._ready(exchange)
+        elif request.path == "/metrics":
+            await exchange.respond(200, self.core.metrics.render().encode(), "text/plain")
+        elif request.path == "/v1/identity":
+            await exchange.respond_json(200, self.identity)
+        elif request.path == OPERATIONS_PATH and request.method == "POST":
+            await self._operate(exchange)
+        elif request.path.startswith(STATE_PREFIX) and request.method == "GET":
+            await self._read(exchange)
+        else:
+            raise exceptions.HttpError(
+                f"no {request.method} {request.path}", "route", request.peer, 404
+            )
+
+    async def _ready(self, exchange: http.Exchange) -> None:
+        if self.core.draining.is_set():
+            await exchange.respond(503, b"draining\n", "text/plain")
+        else:
+            await exchange.respond(200, b"ready\n", "text/plain")
+
+    async def _operate(self, exchange: http.Exchange) -> None:
+        operator = self._authenticate(exchange.request)
+        command = exchange.request.decode(OperatorCommand)
+        if not command.operation:
+            raise exceptions.HttpError("an operation id is required", "check", operator, 400)
+        command.actor = operator
+        try:
+            reply = await self.backend.submit(commands.submit(command))
+        except exceptions.EbonywheelError as error:
+            await self._report(exchange, error)
+            return
+        outcome = commands.decode_outcome(reply.outcome)
+        await exchange.respond_json(STATUS_OF_OUTCOME.get(type(outcome), 200), outcome)
+
+    async def _read(self, exchange: http.Exchange) -> None:
+        self._authenticate(exchange.request)
+        name = exchange.request.path.removeprefix(STATE_PREFIX)
+        argument = msgspec.json.encode(exchange.request.query)
+        try:
+            reply = await self.backend.query(messages.Query(name, argument))
+        except exceptions.EbonywheelError as error:
+            await self._report(exchange, error)
+            return
+        await exchange.respond(200, reply.content)
+
+    async def _report(self, exchange: http.Exchange, error: exceptions.EbonywheelError) -> None:
+        code = getattr(error, "remote_code", error.code)
+        if code in ("not_leader", "not_run"):
+            body = http.ErrorBody(code, error.text, error.step, error.peer, "not run")
+            await exchange.respond_json(503, body)
+        elif code == "http":
+            body = http.ErrorBody(code, error.text, error.step, error.peer)
+            await exchange.respond_json(getattr(error, "status", 404), body)
+        else:
+            body = http.ErrorBody(code, error.text, error.step, error.peer, "unknown")
+            await exchange.respond_json(504, body)
+
+    def _authenticate(self, request: http.Request) -> str:
+        header = request.headers.get("authorization", "")
+        name, _, token = header.removeprefix(AUTHORIZATION_SCHEME).partition(":")
+        expected = self.operators.get(name, "")
+        known = header.startswith(AUTHORIZATION_SCHEME) and bool(expected)
+        if not hmac.compare_digest(documents.key_digest(token), expected) or not known:
+            self.core.metrics.count("operator_refused")
+            raise exceptions.HttpError("operator not known", "authenticate", request.peer, 401)
+        return name
--- a/src/ebonywheel/commands.py
+++ b/src/ebonywheel/commands.py
@@ -300,14 +300,12 @@
 
 
 class OrderIssued(Outcome):
-    """The order's fencing number.
+    """The order is durable and may be sent.
 
     Attributes:
-        term: Term of the leader that issued it.
-        sequence: Grows with each order; together with the term the fencing number.
+        sequence: Fencing number: the order's log index, which grows with each order.
     """
 
-    term: int
     sequence: int
 
 
--- /dev/null
+++ b/src/ebonywheel/documentstate.py
@@ -0,0 +1,146 @@
+"""Replicated handling of environment documents, promotions and data centres."""
+
+import msgspec
+import result
+
+from ebonywheel import commands, configuration, documents, registry, state, statedata
+
+
+class DocumentHandler:
+    """What the handlers of environment changes share."""
+
+    def __init__(self, limits: state.Limits):
+        self.limits = limits
+
+    def target(self, command: commands.AnyCommand) -> str:
+        """Return the environment."""
+        return command.environment
+
+
+@registry.plugins.register("command", "ApplyDocument")
+class ApplyDocumentHandler(DocumentHandler):
+    """Puts a document in force."""
+
+    def apply(
+        self, data: statedata.StateData, index: int, command: commands.ApplyDocument
+    ) -> commands.Outcome:
+        """Check base and document, then replace the environment's items."""
+        conflict = _conflict(data, command.environment, command.base)
+        if conflict is not None:
+            return conflict
+        return _replace(data, index, command, command.environment, command.text)
+
+
+@registry.plugins.register("command", "PromoteDocument")
+class PromoteDocumentHandler(DocumentHandler):
+    """Puts one environment's document in force in another."""
+
+    def apply(
+        self, data: statedata.StateData, index: int, command: commands.PromoteDocument
+    ) -> commands.Outcome:
+        """Check both revisions, then copy the whole document."""
+        source = data.environments.get(command.source)
+        if source is None or not source.text:
+            return commands.Refused(
+                code="no_document", text=f"environment {command.source!r} has no document"
+            )
+        if source.revision != command.source_revision:
+            return commands.Conflict(
+                revision=source.revision, winner=source.changed_by, operation=source.operation
+            )
+        conflict = _conflict(data, command.target, command.base)
+        if conflict is not None:
+            return conflict
+        return _replace(data, index, command, command.target, source.text)
+
+    def target(self, command: commands.PromoteDocument) -> str:
+        """Return both environments."""
+        return f"{command.source}->{command.target}"
+
+
+@registry.plugins.register("command", "SetDataCentre")
+class SetDataCentreHandler(DocumentHandler):
+    """Takes a data centre out or brings it back."""
+
+    def apply(
+        self, data: statedata.StateData, index: int, command: commands.SetDataCentre
+    ) -> commands.Outcome:
+        """Check base and name, then set or remove the mark."""
+        environment = command.environment
+        conflict = _conflict(data, environment, command.base)
+        if conflict is not None:
+            return conflict
+        region = f"{environment}/document/regions/{command.data_centre}"
+        if data.present(region) is None:
+            return commands.Refused(
+                code="unknown_data_centre",
+                text=f"{command.data_centre!r} is not in the document of {environment!r}",
+            )
+        key = configuration.out_key(environment, command.data_centre)
+        if command.out:
+            data.put(key, index, b"true")
+        else:
+            data.remove(key, index)
+        return _advance(data, index, command, environment)
+
+    def target(self, command: commands.SetDataCentre) -> str:
+        """Return environment and data centre."""
+        direction = "out" if command.out else "in"
+        return f"{command.environment}/{command.data_centre} {direction}"
+
+
+def _conflict(data: statedata.StateData, environment: str, base: int) -> commands.Conflict | None:
+    held = data.environments.get(environment)
+    revision = 0 if held is None else held.revision
+    if revision == base:
+        return None
+    return commands.Conflict(
+        revision=revision,
+        winner="" if held is None else held.changed_by,
+        operation="" if held is None else held.operation,
+    )
+
+
+def _replace(
+    data: statedata.StateData, index: int, command: commands.Command, environment: str, text: str
+) -> commands.Outcome:
+    match documents.parse(text, environment):
+        case result.Err(error):
+            return commands.Refused(code=error.code, text=error.text)
+        case result.Ok(document):
+            pass
+    # A promoted document names its source environment; the target's name takes its place.
+    if isinstance(command, commands.PromoteDocument):
+        document = msgspec.structs.replace(document, environment=environment)
+    if document.environment != environment:
+        return commands.Refused(
+            code="document",
+            text=f"Expected environment {environment!r}, got {document.environment!r}",
+        )
+    _replace_items(data, index, environment, document)
+    data.environments.setdefault(environment, statedata.EnvironmentState()).text = text
+    return _advance(data, index, command, environment)
+
+
+def _replace_items(
+    data: statedata.StateData, index: int, environment: str, document: documents.Document
+) -> None:
+    wanted = configuration.split_document(environment, document)
+    prefix = f"{environment}/document/"
+    for key in [key for key in data.items if key.startswith(prefix)]:
+        if key not in wanted:
+            data.remove(key, index)
+    for key, value in wanted.items():
+        data.put(key, index, value)
+
+
+def _advance(
+    data: statedata.StateData, index: int, command: commands.Command, environment: str
+) -> commands.Accepted:
+    held = data.environments.setdefault(environment, statedata.EnvironmentState())
+    previous = held.revision
+    held.revision += 1
+    held.changed_by = command.actor
+    held.operation = command.operation
+    data.put(configuration.revision_key(environment), index, str(held.revision).encode())
+    return commands.Accepted(revision=held.revision, previous=previous, index=index)
--- /dev/null
+++ b/src/ebonywheel/entry.py
@@ -0,0 +1,136 @@
+"""The program ``ebonywheel-entry``: takes callers' requests and relays the answers."""
+
+import curio
+import msgspec
+
+from ebonywheel import (
+    callers,
+    calls,
+    feed,
+    fleet,
+    generations,
+    home,
+    http,
+    kernel,
+    link,
+    placement,
+    program,
+    registry,
+    services,
+    settings,
+)
+
+DRAIN_POLL_S = 0.1
+
+
+class EntryHost:
+    """All parts of an entry host."""
+
+    def __init__(self, core: kernel.Kernel, loaded: settings.EntrySettings):
+        self.core = core
+        self.settings = loaded
+        self.feed = feed.Feed(core, loaded)
+        self.home = home.Home(core, self.feed)
+        self.fleet = fleet.Fleet(core, self.feed, self.home)
+        self.placer = placement.Placer(core, self.feed, self.fleet)
+        parts = services.Parts(
+            core.secret,
+            core.host.data_centre,
+            generations.Generations(core, self.feed, self.fleet, self.placer),
+            calls.Calls(core, self.feed, self.fleet, self.placer),
+        )
+        secret = settings.read_secret(loaded.server_secret_file)
+        self.callers = callers.Callers(core, self.feed, self.fleet, parts, secret)
+        self.http = http.Server(core, core.host.http, self.callers.handle, loaded.max_body_bytes)
+
+    async def start(self) -> None:
+        """Start serving other processes, then callers."""
+        delay_s = self.settings.link_delay_ms / 1000
+        await link.LinkServer(self.core, self._handle, delay_s).start()
+        self.feed.report = self._report
+        await self.feed.start()
+        await self.fleet.start()
+        await self.http.start()
+
+    async def drain(self) -> None:
+        """End gracefully: report not ready, then refuse, then wait for all work to end."""
+        await curio.sleep(self.settings.drain_grace_s)
+        self.callers.refusing = True
+        while self.http.busy > 0:
+            await curio.sleep(DRAIN_POLL_S)
+        await self.feed.leave()
+
+    async def _handle(self, message: msgspec.Struct, peer: link.PeerInfo) -> msgspec.Struct:
+        return await self.fleet.handle(message)
+
+    def _report(self) -> bytes:
+        return msgspec.json.encode(
+            HostReport(
+                self.http.busy,
+                self.placer.waiting,
+                self.feed.current.revision,
+                [_server_report(view) for view in self.home.views()],
+            )
+        )
+
+
+class ServerReport(msgspec.Struct):
+    """A backend server on the status screen."""
+
+    server: str
+    incarnation: int
+    engine: str
+    data_centre: str
+    address: str
+    state: str
+    used: int
+    limit: int
+    cold: bool
+
+
+class HostReport(msgspec.Struct):
+    """An entry host on the status screen."""
+
+    busy: int
+    waiting: int
+    revision: int
+    servers: list[ServerReport]
+
+
+def _server_report(view) -> ServerReport:
+    state = view.state
+    return ServerReport(
+        state.server,
+        state.incarnation,
+        state.engine,
+        state.data_centre,
+        state.address,
+        state.state,
+        view.used,
+        view.limit,
+        view.cold,
+    )
+
+
+async def run(core: kernel.Kernel, loaded: settings.EntrySettings) -> None:
+    """Run an entry host until it has drained."""
+    registry.load_plugins()
+    host = EntryHost(core, loaded)
+    await host.start()
+    await core.draining.wait()
+    if loaded.drain_limit_s is None:
+        await host.drain()
+        return
+    async with curio.ignore_after(loaded.drain_limit_s):
+        await host.drain()
+
+
+main = program.server_main(
+    "ebonywheel-entry",
+    "Take callers' requests and relay the answers of backend servers.",
+    settings.EntrySettings,
+    run,
+)
+
+if __name__ == "__main__":
+    main()
--- a/src/ebonywheel/kernel.py
+++ b/src/ebonywheel/kernel.py
@@ -45,10 +45,11 @@
 
     async def __aenter__(self) -> "Kernel":
         await self.stack.__aenter__()
-        self.stack.push_async_callback(self.cancel_tasks)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
+        # Tasks go first: closing a socket that a task still waits on would leave it stuck.
+        await self.cancel_tasks()
         await self.stack.__aexit__(*exc_info)
 
     async def spawn(self, coro: typing.Coroutine, essential: bool = False) -> curio.Task:
--- a/src/ebonywheel/link.py
+++ b/src/ebonywheel/link.py
@@ -86,10 +86,10 @@
         self.frames_in += 1
         return header, codec.decode_body(header, body)
 
-    def shutdown(self) -> None:
+    async def shutdown(self) -> None:
         """Shut the socket down, so that its reading task sees the end and closes it."""
         try:
-            self.sock.shutdown(socket.SHUT_RDWR)
+            await self.sock.shutdown(socket.SHUT_RDWR)
         except OSError:
             return
 
@@ -178,7 +178,7 @@
             return
         self.stream = None
         self.core.metrics.count("link_drops", peer=self.name)
-        stream.shutdown()
+        await stream.shutdown()
 
     async def _connected(self) -> FrameStream:
         async with self.connect_lock:
--- a/src/ebonywheel/logs.py
+++ b/src/ebonywheel/logs.py
@@ -1,5 +1,6 @@
 """Log lines for changes of state, as ``key=value`` pairs on standard error."""
 
+import logging
 import sys
 
 import logbook
@@ -35,6 +36,8 @@
     Args:
         level: A logbook level name, such as ``INFO``.
     """
+    # The event loop prints the traceback of each failed task; whoever joins it reports it instead.
+    logging.getLogger("curio").setLevel(logging.CRITICAL)
     return logbook.StreamHandler(sys.stderr, level=level, format_string=FORMAT)
 
 
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -61,7 +61,13 @@
 
 
 class VoteRequest(msgspec.Struct):
-    """Ask for a vote, or with `pre` whether a vote would be granted."""
+    """Ask for a vote, or with `pre` whether a vote would be granted.
+
+    Attributes:
+        candidate: Member id of the sender.
+        transfer: True when the leader asked for this election.
+        target: Member id that the request is meant for.
+    """
 
     term: int = 0
     candidate: str = ""
@@ -69,6 +75,7 @@
     last_term: int = 0
     pre: bool = False
     transfer: bool = False
+    target: str = ""
 
 
 class VoteReply(msgspec.Struct):
@@ -87,6 +94,7 @@
     prev_term: int = 0
     commit: int = 0
     entries: list[LogEntry] = []
+    target: str = ""
 
 
 class AppendReply(msgspec.Struct):
@@ -113,6 +121,7 @@
     offset: int = 0
     data: bytes = b""
     done: bool = False
+    target: str = ""
 
 
 class SnapshotReply(msgspec.Struct):
@@ -126,6 +135,37 @@
     """Ask a follower to stand for election at once, for a graceful leader change."""
 
     term: int = 0
+    target: str = ""
+
+
+class MemberInfo(msgspec.Struct):
+    """A control host as the first configuration of a cluster lists it."""
+
+    host: str = ""
+    member: str = ""
+    data_centre: str = ""
+    link: str = ""
+    http: str = ""
+
+
+class IdentityRequest(msgspec.Struct):
+    """A control host without a cluster asks another one for its identity."""
+
+    info: MemberInfo = msgspec.field(default_factory=MemberInfo)
+
+
+class IdentityReply(msgspec.Struct):
+    """Answer to `IdentityRequest`.
+
+    Attributes:
+        info: The answering host.
+        formed: True when it already belongs to a cluster.
+        members: The first configuration of that cluster.
+    """
+
+    info: MemberInfo = msgspec.field(default_factory=MemberInfo)
+    formed: bool = False
+    members: list[MemberInfo] = []
 
 
 class Submit(msgspec.Struct):
@@ -432,4 +472,6 @@
     Release,
     Handoff,
     DeathNotice,
+    IdentityRequest,
+    IdentityReply,
 )
--- /dev/null
+++ b/src/ebonywheel/operator.py
@@ -0,0 +1,271 @@
+"""The program ``ebonywheel``: operators check, apply and promote documents and read the state."""
+
+import argparse
+import difflib
+import sys
+import typing
+import uuid
+
+import curio
+import msgspec
+
+from ebonywheel import adminclient, commands, exceptions, program, screens, settings
+
+DEFAULT_SETTINGS = "operator.toml"
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = program.parser("ebonywheel", "Drive the system by documents and data centres.")
+    parser.add_argument("--settings", default=DEFAULT_SETTINGS, help="operator's settings file")
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    actions = parser.add_subparsers(dest="action", required=True)
+    check = actions.add_parser("check", help="check documents offline")
+    check.add_argument("documents", nargs="+")
+    diff = actions.add_parser("diff", help="show what applying or promoting would change")
+    diff.add_argument("source", help="document file, or environment with --promote")
+    diff.add_argument("--promote", metavar="TARGET", help="environment to promote to")
+    apply = _changing(actions, "apply", "put a document in force")
+    apply.add_argument("document")
+    promote = _changing(actions, "promote", "put one environment's document in force in another")
+    promote.add_argument("source")
+    promote.add_argument("target")
+    promote.add_argument("--source-revision", type=int, help="default: the one in force")
+    for name, text in (
+        ("take-out", "take a data centre out of service"),
+        ("bring-back", "bring a data centre back"),
+    ):
+        moving = _changing(actions, name, text)
+        moving.add_argument("environment")
+        moving.add_argument("data_centre")
+    order = _changing(actions, "order", "order a backend server to load or change something")
+    order.add_argument("environment")
+    order.add_argument("server")
+    order.add_argument("kind")
+    order.add_argument("argument")
+    actions.add_parser("status", help="show the whole system in one screen")
+    audit = actions.add_parser("audit", help="show the audit trail")
+    audit.add_argument("--after", type=int, default=0, help="only entries after this index")
+    quarantine = _changing(actions, "quarantine", "list or release quarantined requests")
+    quarantine.add_argument("environment")
+    quarantine.add_argument("--release", metavar="FINGERPRINT")
+    members = _changing(actions, "members", "list, add or remove control hosts")
+    members.add_argument("change", nargs="?", choices=["add", "promote", "remove"])
+    members.add_argument("target", nargs="?", help="http address to add; host name otherwise")
+    return parser
+
+
+def _changing(actions, name: str, text: str) -> argparse.ArgumentParser:
+    made = actions.add_parser(name, help=text)
+    made.add_argument("--base", type=int, help="revision that the change is based on")
+    made.add_argument("--operation", help="operation id, to settle an unknown outcome")
+    return made
+
+
+class Operator:
+    """Carries out one command line."""
+
+    def __init__(self, parsed: argparse.Namespace):
+        self.parsed = parsed
+        self.client: adminclient.AdminClient | None = None
+        self.operation = getattr(parsed, "operation", None) or str(uuid.uuid4())
+
+    async def run(self) -> int:
+        """Carry out the action and return the exit code."""
+        action = self.parsed.action.replace("-", "_")
+        if action != "check":
+            self.client = adminclient.AdminClient(load_settings(self.parsed.settings))
+        return await getattr(self, f"_{action}")()
+
+    async def _check(self) -> int:
+        for path in self.parsed.documents:
+            adminclient.parse_document(path)
+            print(f"{path}: document is valid")
+        return program.EXIT_OK
+
+    async def _diff(self) -> int:
+        if self.parsed.promote:
+            new = (await self._environment(self.parsed.source))["text"]
+            target = self.parsed.promote
+        else:
+            document = adminclient.parse_document(self.parsed.source)
+            new = adminclient.read_text(self.parsed.source)
+            target = document.environment
+        held = await self._environment(target)
+        lines = difflib.unified_diff(
+            held["text"].splitlines(),
+            new.splitlines(),
+            f"{target} revision {held['revision']}",
+            f"{target} proposed",
+            lineterm="",
+        )
+        print("\n".join(lines) or "no difference")
+        return program.EXIT_OK
+
+    async def _apply(self) -> int:
+        document = adminclient.parse_document(self.parsed.document)
+        environment = document.environment
+        return await self._send(
+            commands.ApplyDocument(
+                operation=self.operation,
+                environment=environment,
+                base=await self._base(environment),
+                text=adminclient.read_text(self.parsed.document),
+            )
+        )
+
+    async def _promote(self) -> int:
+        source_revision = self.parsed.source_revision
+        if source_revision is None:
+            source_revision = (await self._environment(self.parsed.source))["revision"]
+        return await self._send(
+            commands.PromoteDocument(
+                operation=self.operation,
+                source=self.parsed.source,
+                target=self.parsed.target,
+                source_revision=source_revision,
+                base=await self._base(self.parsed.target),
+            )
+        )
+
+    async def _take_out(self) -> int:
+        return await self._move(out=True)
+
+    async def _bring_back(self) -> int:
+        return await self._move(out=False)
+
+    async def _move(self, out: bool) -> int:
+        environment = self.parsed.environment
+        return await self._send(
+            commands.SetDataCentre(
+                operation=self.operation,
+                environment=environment,
+                data_centre=self.parsed.data_centre,
+                out=out,
+                base=await self._base(environment),
+            )
+        )
+
+    async def _order(self) -> int:
+        return await self._send(
+            commands.IssueOrder(
+                operation=self.operation,
+                environment=self.parsed.environment,
+                server=self.parsed.server,
+                kind=self.parsed.kind,
+                argument=self.parsed.argument,
+            )
+        )
+
+    async def _status(self) -> int:
+        return self._show(await self.client.read("status"), screens.status)
+
+    async def _audit(self) -> int:
+        entries = await self.client.read("audit", after=str(self.parsed.after))
+        return self._show(entries, screens.audit)
+
+    async def _quarantine(self) -> int:
+        environment = self.parsed.environment
+        if self.parsed.release is None:
+            held = await self.client.read("quarantine", environment=environment)
+            return self._show(held, screens.quarantine)
+        try:
+            fingerprint = bytes.fromhex(self.parsed.release)
+        except ValueError as error:
+            raise exceptions.DocumentError(
+                "fingerprint must be hexadecimal", "check", self.parsed.release
+            ) from error
+        return await self._send(
+            commands.ReleaseQuarantine(
+                operation=self.operation, environment=environment, fingerprint=fingerprint
+            )
+        )
+
+    async def _members(self) -> int:
+        change, target = self.parsed.change, self.parsed.target
+        if change is None:
+            return self._show(await self.client.read("members"), screens.members)
+        if target is None:
+            raise exceptions.SettingsError("a host is required", "members", change)
+        if change == "add":
+            info = await self.client.identity(target)
+            return await self._send(
+                commands.AddMember(operation=self.operation, voter=False, **info)
+            )
+        held = await self._member(target)
+        if change == "remove":
+            return await self._send(
+                commands.RemoveMember(operation=self.operation, host=target, member=held["member"])
+            )
+        held["voter"] = True
+        return await self._send(commands.AddMember(operation=self.operation, **held))
+
+    async def _member(self, host: str) -> dict[str, typing.Any]:
+        for member in await self.client.read("members"):
+            if member["host"] == host:
+                return member
+        raise exceptions.SettingsError("no such control host", "members", host)
+
+    async def _environment(self, name: str) -> dict[str, typing.Any]:
+        try:
+            return await self.client.read("document", environment=name)
+        except exceptions.HttpError as error:
+            if error.status != 404:
+                raise
+            return {"revision": 0, "text": ""}
+
+    async def _base(self, environment: str) -> int:
+        if self.parsed.base is not None:
+            return self.parsed.base
+        return (await self._environment(environment))["revision"]
+
+    async def _send(self, command: commands.Command) -> int:
+        try:
+            outcome = await self.client.operate(command)
+        except exceptions.UnknownOutcomeError as error:
+            print(
+                f"outcome unknown: {error}\nto settle it, run the same command again with "
+                f"--operation {command.operation}{self._base_hint(command)}",
+                file=sys.stderr,
+            )
+            return program.EXIT_UNKNOWN
+        if self.parsed.json:
+            print(msgspec.json.encode(outcome).decode())
+        else:
+            print(screens.outcome(outcome))
+        return adminclient.outcome_exit_code(outcome)
+
+    def _base_hint(self, command: commands.Command) -> str:
+        base = getattr(command, "base", None)
+        return "" if base is None else f" --base {base}"
+
+    def _show(self, value: typing.Any, render: typing.Callable[[typing.Any], str]) -> int:
+        if self.parsed.json:
+            print(msgspec.json.encode(value).decode())
+        else:
+            print(render(value))
+        return program.EXIT_OK
+
+
+def load_settings(path: str) -> settings.OperatorSettings:
+    """Return the operator's settings.
+
+    Raises:
+        SettingsError: They are missing or wrong.
+    """
+    loaded = settings.load(path, settings.OperatorSettings)
+    if loaded.is_err():
+        raise loaded.unwrap_err()
+    return loaded.unwrap()
+
+
+def main() -> typing.NoReturn:
+    """Run the program."""
+    parsed = _parser().parse_args()
+    try:
+        sys.exit(curio.run(Operator(parsed).run))
+    except exceptions.EbonywheelError as error:
+        program.exit_with(error)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/ebonywheel/registry.py
+++ b/src/ebonywheel/registry.py
@@ -8,8 +8,13 @@
 Plugin = typing.TypeVar("Plugin", bound=type)
 
 PLUGIN_MODULES = (
-    "ebonywheel.services",
+    "ebonywheel.documentstate",
+    "ebonywheel.hoststate",
+    "ebonywheel.callstate",
+    "ebonywheel.suspectstate",
+    "ebonywheel.orderstate",
     "ebonywheel.policies",
+    "ebonywheel.services",
 )
 
 
--- /dev/null
+++ b/src/ebonywheel/services.py
@@ -0,0 +1,217 @@
+"""Service plug-ins: how each kind of service answers its callers."""
+
+import hashlib
+import typing
+
+import curio
+import msgspec
+
+from ebonywheel import (
+    calls,
+    configuration,
+    documents,
+    engineclient,
+    exceptions,
+    generations,
+    http,
+    placement,
+    policies,
+    registry,
+    sse,
+    streamid,
+)
+
+
+class Caller(msgspec.Struct):
+    """An authenticated request to a service.
+
+    Attributes:
+        current: Configuration under which it was taken.
+        name: Name of the service.
+        service: The service's definition.
+        customer: Name of the customer.
+    """
+
+    current: configuration.Configuration
+    name: str
+    service: documents.Service
+    customer: str
+
+
+class Parts(msgspec.Struct):
+    """What service plug-ins work with."""
+
+    secret: bytes
+    data_centre: str
+    generations: generations.Generations
+    calls: calls.Calls
+
+
+class ServiceHandler(typing.Protocol):
+    """Answers the requests of one kind of service."""
+
+    async def handle(self, caller: Caller, exchange: http.Exchange) -> None:
+        """Answer one request."""
+
+
+class StreamSink:
+    """Writes tokens to a caller as server-sent events."""
+
+    def __init__(self, exchange: http.Exchange, secret: bytes):
+        self.exchange = exchange
+        self.secret = secret
+        self.generation = ""
+
+    async def token(self, stream: streamid.StreamId, token: engineclient.Token) -> None:
+        """Write one token."""
+        if not self.exchange.started:
+            self.generation = streamid.encode(stream, self.secret)
+            headers = [("x-generation", self.generation)]
+            await self.exchange.start_stream(http.EVENT_STREAM, headers)
+        event_id = f"{self.generation}:{token.index}"
+        await self.exchange.write(sse.encode(event_id, msgspec.json.encode(token)))
+
+    async def finish(self, name: str, value: typing.Any) -> None:
+        """Write the final event and end the answer."""
+        if not self.exchange.started:
+            await self.exchange.start_stream(http.EVENT_STREAM)
+        await self.exchange.write(sse.encode("", msgspec.json.encode(value), name))
+        await self.exchange.end()
+
+
+class WholeSink:
+    """Collects tokens."""
+
+    def __init__(self):
+        self.texts: list[str] = []
+
+    async def token(self, stream: streamid.StreamId, token: engineclient.Token) -> None:
+        """Keep one token."""
+        self.texts.append(token.text)
+
+
+class WholeAnswer(msgspec.Struct):
+    """Answer of a service of kind ``whole``."""
+
+    text: str
+    tokens: int
+
+
+@registry.plugins.register("service", "stream")
+class StreamService:
+    """Streams a generation's tokens as they come."""
+
+    def __init__(self, parts: Parts):
+        self.parts = parts
+
+    async def handle(self, caller: Caller, exchange: http.Exchange) -> None:
+        """Run a generation for a caller, until it ends or the caller hangs up."""
+        last = exchange.request.headers.get("last-event-id")
+        if last:
+            generation, index = streamid.split_event_id(last)
+            await self.resume(caller.customer, generation, index + 1, exchange)
+            return
+        body = exchange.request.decode(generations.GenerationBody)
+        job = make_job(caller, body, self.parts.data_centre)
+        sink = StreamSink(exchange, self.parts.secret)
+        await self._relay(
+            exchange, sink, self.parts.generations.run(job, caller.service, body, sink)
+        )
+
+    async def resume(
+        self, customer: str, generation: str, index: int, exchange: http.Exchange
+    ) -> None:
+        """Go on with a generation from an index."""
+        stream = streamid.decode(generation, self.parts.secret)
+        if stream.customer != customer:
+            raise exceptions.HttpError("unknown generation", "resume", customer, 404)
+        sink = StreamSink(exchange, self.parts.secret)
+        await self._relay(
+            exchange, sink, self.parts.generations.resume(stream, index, sink), resumed=True
+        )
+
+    async def _relay(
+        self,
+        exchange: http.Exchange,
+        sink: StreamSink,
+        work: typing.Coroutine,
+        resumed: bool = False,
+    ) -> None:
+        task = await curio.spawn(work)
+        watcher = await curio.spawn(self._cancel_at_hangup(exchange, task), daemon=True)
+        try:
+            end = await task.join()
+        except curio.TaskError as error:
+            await self._report(exchange, sink, error.__cause__, resumed)
+        except curio.CancelledError:
+            await task.cancel()
+            raise
+        else:
+            await sink.finish("end", end)
+        finally:
+            await watcher.cancel()
+
+    async def _cancel_at_hangup(self, exchange: http.Exchange, task: curio.Task) -> None:
+        await exchange.wait_hangup()
+        await task.cancel()
+
+    async def _report(
+        self,
+        exchange: http.Exchange,
+        sink: StreamSink,
+        error: BaseException | None,
+        resumed: bool,
+    ) -> None:
+        if not isinstance(error, exceptions.EbonywheelError):
+            raise exceptions.HttpError("caller hung up", "relay", exchange.request.peer)
+        if isinstance(error, exceptions.HttpError):
+            raise error
+        if not exchange.started and not resumed:
+            raise error
+        await sink.finish(
+            "error", http.ErrorBody(error.code, error.text, error.step, error.peer, "lost")
+        )
+
+
+@registry.plugins.register("service", "whole")
+class WholeService:
+    """Answers a generation at once."""
+
+    def __init__(self, parts: Parts):
+        self.parts = parts
+
+    async def handle(self, caller: Caller, exchange: http.Exchange) -> None:
+        """Run a generation, again from the start where it is lost, and answer it whole."""
+        body = exchange.request.decode(generations.GenerationBody)
+        job = make_job(caller, body, self.parts.data_centre)
+        sink = WholeSink()
+        end = await self.parts.generations.run(job, caller.service, body, sink)
+        await exchange.respond_json(200, WholeAnswer("".join(sink.texts), end.tokens))
+
+
+@registry.plugins.register("service", "plain")
+class PlainService:
+    """Passes calls on to a plain service."""
+
+    def __init__(self, parts: Parts):
+        self.parts = parts
+
+    async def handle(self, caller: Caller, exchange: http.Exchange) -> None:
+        """Run one call."""
+        region = placement.region_of(caller.current, self.parts.data_centre)
+        job = policies.Job(caller.name, caller.customer, 0, "", region)
+        answer = await self.parts.calls.run(job, caller.service, exchange.request)
+        await exchange.respond(answer.status, answer.body, answer.content_type)
+
+
+def make_job(caller: Caller, body: generations.GenerationBody, data_centre: str) -> policies.Job:
+    """Return what the routing policy may know of a generation."""
+    head = body.prompt.encode()[: generations.PREFIX_BYTES]
+    return policies.Job(
+        caller.name,
+        caller.customer,
+        generations.estimate_tokens(body.prompt),
+        hashlib.blake2b(head, digest_size=8).hexdigest(),
+        placement.region_of(caller.current, data_centre),
+        body.length,
+    )
--- /dev/null
+++ b/src/ebonywheel/suspectstate.py
@@ -0,0 +1,114 @@
+"""Replicated suspicion of requests that were in flight when backend servers died."""
+
+import msgspec
+
+from ebonywheel import commands, configuration, registry, state, statedata
+
+QUARANTINE_DEATHS = 2
+
+
+class SuspectHandler:
+    """What the handlers of suspicion share."""
+
+    def __init__(self, limits: state.Limits):
+        self.limits = limits
+
+    def target(self, command: commands.AnyCommand) -> str:
+        """Return the fingerprint."""
+        return command.fingerprint.hex()
+
+
+@registry.plugins.register("command", "ReportCrash")
+class ReportCrashHandler(SuspectHandler):
+    """Counts a death against the requests that were in flight."""
+
+    def apply(
+        self, data: statedata.StateData, index: int, command: commands.ReportCrash
+    ) -> commands.Outcome:
+        """Count once for each incarnation and request; quarantine at the second death."""
+        _expire(data, index, command.environment)
+        key = f"{command.environment}/{command.server}/{command.incarnation}"
+        crash = data.crashes.setdefault(key, statedata.CrashRecord(data.at_ms))
+        quarantined = []
+        for suspect in command.suspects:
+            if suspect.fingerprint not in crash.fingerprints:
+                crash.fingerprints.append(suspect.fingerprint)
+                self._count(data, index, command, suspect)
+            held = _suspicion(data, command.environment, suspect.fingerprint)
+            if held is not None and held.quarantined:
+                quarantined.append(suspect.fingerprint)
+        return commands.CrashRecorded(quarantined=quarantined)
+
+    def target(self, command: commands.ReportCrash) -> str:
+        """Return the server and the fingerprints."""
+        listed = " ".join(suspect.fingerprint.hex()[:16] for suspect in command.suspects)
+        return f"{command.environment}/{command.server} {listed}"
+
+    def _count(
+        self,
+        data: statedata.StateData,
+        index: int,
+        command: commands.ReportCrash,
+        suspect: commands.Suspect,
+    ) -> None:
+        held = _suspicion(data, command.environment, suspect.fingerprint)
+        deaths = 1 if held is None else held.deaths + 1
+        # A second death counts against a request only when it ran alone.
+        if held is not None and not command.alone:
+            deaths = held.deaths
+        value = configuration.Suspicion(
+            suspect.customer,
+            deaths,
+            deaths >= QUARANTINE_DEATHS,
+            data.at_ms + self.limits.quarantine_ms,
+        )
+        key = configuration.suspect_key(command.environment, suspect.fingerprint)
+        data.put(key, index, msgspec.json.encode(value))
+
+
+@registry.plugins.register("command", "ClearSuspect")
+class ClearSuspectHandler(SuspectHandler):
+    """Ends the suspicion of a request that ran alone and finished."""
+
+    def apply(
+        self, data: statedata.StateData, index: int, command: commands.ClearSuspect
+    ) -> commands.Outcome:
+        """Remove the suspicion unless the request is quarantined."""
+        held = _suspicion(data, command.environment, command.fingerprint)
+        if held is not None and held.quarantined:
+            return commands.Refused(code="quarantined", text="only an operator can release it")
+        data.remove(configuration.suspect_key(command.environment, command.fingerprint), index)
+        return commands.Accepted(index=index)
+
+
+@registry.plugins.register("command", "ReleaseQuarantine")
+class ReleaseQuarantineHandler(SuspectHandler):
+    """Ends a quarantine."""
+
+    def apply(
+        self, data: statedata.StateData, index: int, command: commands.ReleaseQuarantine
+    ) -> commands.Outcome:
+        """Remove the suspicion."""
+        if _suspicion(data, command.environment, command.fingerprint) is None:
+            return commands.Refused(code="not_quarantined", text="no such request")
+        data.remove(configuration.suspect_key(command.environment, command.fingerprint), index)
+        return commands.Accepted(index=index)
+
+
+def _suspicion(
+    data: statedata.StateData, environment: str, fingerprint: bytes
+) -> configuration.Suspicion | None:
+    value = data.present(configuration.suspect_key(environment, fingerprint))
+    if value is None:
+        return None
+    return msgspec.json.decode(value, type=configuration.Suspicion)
+
+
+def _expire(data: statedata.StateData, index: int, environment: str) -> None:
+    prefix = f"{environment}/suspects/"
+    for key in [key for key in data.items if key.startswith(prefix)]:
+        value = data.present(key)
+        if value is None:
+            continue
+        if msgspec.json.decode(value, type=configuration.Suspicion).until_ms < data.at_ms:
+            data.remove(key, index)
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -42,6 +42,7 @@
   lastTerm @3 :UInt64;
   pre @4 :Bool;
   transfer @5 :Bool;
+  target @6 :Text;
 }
 
 struct VoteReply {
@@ -56,6 +57,7 @@
   prevTerm @3 :UInt64;
   commit @4 :UInt64;
   entries @5 :List(LogEntry);
+  target @6 :Text;
 }
 
 struct AppendReply {
@@ -73,6 +75,7 @@
   offset @4 :UInt64;
   data @5 :Data;
   done @6 :Bool;
+  target @7 :Text;
 }
 
 struct SnapshotReply {
@@ -82,6 +85,25 @@
 
 struct TimeoutNow {
   term @0 :UInt64;
+  target @1 :Text;
+}
+
+struct MemberInfo {
+  host @0 :Text;
+  member @1 :Text;
+  dataCentre @2 :Text;
+  link @3 :Text;
+  http @4 :Text;
+}
+
+struct IdentityRequest {
+  info @0 :MemberInfo;
+}
+
+struct IdentityReply {
+  info @0 :MemberInfo;
+  formed @1 :Bool;
+  members @2 :List(MemberInfo);
 }
 
 struct Submit {
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,41 @@
+"""Control hosts as real processes: the operators' interface and the promises behind it."""
+
+import pytest
+
+from cluster import Cluster
+from test_configuration import TEXT
+
+DOCUMENT = TEXT.replace('environment = "trial"', 'environment = "production"')
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory):
+    with Cluster(tmp_path_factory.mktemp("control"), entries=0).start() as made:
+        made.wait_for_leader()
+        yield made
+
+
+class TestOperations:
+    def test_one_of_two_equal_bases_wins(self, cluster):
+        first = cluster.apply(DOCUMENT)
+        assert (first.status, first.json()["revision"]) == (200, 1)
+        second = cluster.apply(DOCUMENT)
+        assert second.status == 409
+        assert second.json()["winner"] == "ann"
+
+    def test_resend_through_another_host_gets_the_first_answer(self, cluster):
+        command = {
+            "type": "SetDataCentre",
+            "operation": "op-out-1",
+            "environment": "production",
+            "data_centre": "puget",
+            "out": True,
+            "base": 1,
+        }
+        answers = [cluster.operate(command, host) for host in cluster.controls]
+        assert {answer.body for answer in answers} == {answers[0].body}
+        assert answers[0].json()["revision"] == 2
+
+    def test_unknown_operator_is_refused(self, cluster):
+        answer = cluster.operate({"type": "SetDataCentre"}, operator="eve")
+        assert answer.status == 401
