Set the seams for poison, retries and memory admission before the work fans out

Change: retry budgets, a fingerprint for each job, a memory gate and a poison reporter as modules of their own, called where they will act; tests use a loopback address of their own for each host. Conclusion: each concern now has one owner.

--- a/src/ebonywheel/calls.py
+++ b/src/ebonywheel/calls.py
@@ -15,7 +15,9 @@
     idempotency,
     kernel,
     placement,
+    poison,
     policies,
+    retries,
 )
 
 CONNECT_TIMEOUT_S = 1.0
@@ -50,11 +52,15 @@
         source: feed.Feed,
         servers: fleet.Fleet,
         placer: placement.Placer,
+        suspects: poison.Poison,
+        budgets: retries.RetryBudgets,
     ):
         self.core = core
         self.feed = source
         self.fleet = servers
         self.placer = placer
+        self.poison = suspects
+        self.budgets = budgets
 
     async def run(
         self, job: policies.Job, service: documents.Service, request: http.Request
--- a/src/ebonywheel/entry.py
+++ b/src/ebonywheel/entry.py
@@ -14,8 +14,10 @@
     kernel,
     link,
     placement,
+    poison,
     program,
     registry,
+    retries,
     services,
     settings,
 )
@@ -30,14 +32,16 @@
         self.core = core
         self.settings = loaded
         self.feed = feed.Feed(core, loaded)
-        self.home = home.Home(core, self.feed)
+        self.poison = poison.Poison(core, self.feed)
+        self.home = home.Home(core, self.feed, self.poison)
         self.fleet = fleet.Fleet(core, self.feed, self.home)
         self.placer = placement.Placer(core, self.feed, self.fleet)
+        shared = (core, self.feed, self.fleet, self.placer, self.poison, retries.RetryBudgets())
         parts = services.Parts(
             core.secret,
             core.host.data_centre,
-            generations.Generations(core, self.feed, self.fleet, self.placer),
-            calls.Calls(core, self.feed, self.fleet, self.placer),
+            generations.Generations(*shared),
+            calls.Calls(*shared),
         )
         secret = settings.read_secret(loaded.server_secret_file)
         self.callers = callers.Callers(core, self.feed, self.fleet, parts, secret)
--- a/src/ebonywheel/fleet.py
+++ b/src/ebonywheel/fleet.py
@@ -76,7 +76,7 @@
                 self.home.release(message)
                 await self._notify()
             case messages.DeathNotice():
-                self.home.died(message)
+                await self.home.died(message)
             case _:
                 raise exceptions.FrameError(f"unexpected {type(message).__name__}", "dispatch")
         return messages.Ack()
--- a/src/ebonywheel/generations.py
+++ b/src/ebonywheel/generations.py
@@ -19,7 +19,9 @@
     kernel,
     messages,
     placement,
+    poison,
     policies,
+    retries,
     streamid,
 )
 
@@ -84,11 +86,15 @@
         source: feed.Feed,
         servers: fleet.Fleet,
         placer: placement.Placer,
+        suspects: poison.Poison,
+        budgets: retries.RetryBudgets,
     ):
         self.core = core
         self.feed = source
         self.fleet = servers
         self.placer = placer
+        self.poison = suspects
+        self.budgets = budgets
 
     async def run(
         self, job: policies.Job, service: documents.Service, body: GenerationBody, sink: TokenSink
@@ -100,18 +106,24 @@
             UpstreamError: It was lost after tokens had reached the sink.
         """
         avoid: frozenset[str] = frozenset()
-        attempts = self.feed.require_lease().document.retries.attempts
+        limits = self.feed.require_lease().document.retries
+        budget = self.budgets.of(job.service)
+        budget.add_first_try(limits.budget)
+        attempts = limits.attempts
         while True:
+            job.alone = self.poison.admit(job.fingerprint)
             place = await self.placer.place(job, service.timeout_s, avoid)
             relay = Relay(self, place, sink)
             try:
-                return await relay.run(self._request(job, service, body, place))
+                end = await relay.run(self._request(job, service, body, place))
+                await self.poison.finished(job.fingerprint, job.alone)
+                return end
             except exceptions.UpstreamError as error:
                 attempts -= 1
                 self.core.metrics.count("generation_failures", step=error.step)
                 if relay.next_index > 0:
                     raise
-                if attempts <= 0:
+                if attempts <= 0 or not budget.take():
                     raise exceptions.NotRunError(
                         "no backend server could run it", error.step, error.peer, retry_after=1
                     ) from error
--- a/src/ebonywheel/home.py
+++ b/src/ebonywheel/home.py
@@ -8,7 +8,9 @@
     exceptions,
     feed,
     kernel,
+    memorygate,
     messages,
+    poison,
     rendezvous,
     slots,
 )
@@ -72,9 +74,11 @@
 class Home:
     """Lends the slots of the backend servers that the roster gives this entry host."""
 
-    def __init__(self, core: kernel.Kernel, source: feed.Feed):
+    def __init__(self, core: kernel.Kernel, source: feed.Feed, suspects: poison.Poison):
         self.core = core
         self.feed = source
+        self.poison = suspects
+        self.gate = memorygate.MemoryGate()
         self.servers: dict[str, HomeServer] = {}
         # Since when the roster has been as it is, as seen here.
         self.roster_epoch = -1
@@ -119,6 +123,7 @@
             raise exceptions.NotRunError("data centre is out", "lend", state.data_centre)
         if state.state != "ready":
             raise exceptions.NotRunError(f"server is {state.state}", "lend", state.server)
+        self.gate.check(held.ledger, request, now)
         return held.ledger.lend(request, now)
 
     def hold(self, message: messages.Holdings) -> None:
@@ -133,15 +138,18 @@
         """Take a slot back."""
         held = self.servers.get(message.server)
         if held is not None and held.ledger.state.incarnation == message.incarnation:
-            held.ledger.release(message, self.core.clock.monotonic())
+            record = held.ledger.release(message, self.core.clock.monotonic())
+            if record is not None:
+                self.gate.released(held.ledger, record.holding, message)
 
-    def died(self, message: messages.DeathNotice) -> None:
+    async def died(self, message: messages.DeathNotice) -> None:
         """Stop lending slots of an incarnation that a borrower saw die."""
         held = self.servers.get(message.server)
         if held is not None and held.ledger.state.incarnation == message.incarnation:
             self._bury(held)
             del self.servers[message.server]
             self.core.log.warning("server_died", server=message.server)
+            await self.poison.died(held.ledger.state, held.ledger.running())
 
     def views(self) -> list[messages.ServerView]:
         """Return what other entry hosts should know; drops servers gone silent."""
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -336,6 +336,7 @@
         used: Slots in use or lent now.
         cold: True while it ramps up.
         prefixes: Prompt prefixes lately reported in its cache, newest last, as a hint.
+        expected_blocks: Blocks of memory that the work in flight is expected to need at its most.
     """
 
     state: ServerState = msgspec.field(default_factory=ServerState)
@@ -345,6 +346,7 @@
     used: int = 0
     cold: bool = True
     prefixes: list[str] = []
+    expected_blocks: int = 0
 
 
 class FleetUpdate(msgspec.Struct):
--- a/src/ebonywheel/placement.py
+++ b/src/ebonywheel/placement.py
@@ -100,10 +100,20 @@
             job.service,
             job.customer,
             job.prompt_tokens,
+            job.alone,
+            job.fingerprint,
         )
         await self.fleet.borrow(request, view.home)
         holding = messages.Holding(
-            loan, state.server, state.incarnation, job.service, job.customer, job.prompt_tokens
+            loan,
+            state.server,
+            state.incarnation,
+            job.service,
+            job.customer,
+            job.prompt_tokens,
+            0,
+            job.fingerprint,
+            job.alone,
         )
         self.fleet.hold(holding)
         # The data centre may have been taken out while the loan was under way.
--- a/src/ebonywheel/policies.py
+++ b/src/ebonywheel/policies.py
@@ -18,6 +18,8 @@
         prefix: Digest of the prompt's first part, to find it in a cache.
         region: Region of the entry host.
         expected_tokens: Length when it is known, for the oracle; 0 otherwise.
+        fingerprint: Digest of the request, to attribute a crash.
+        alone: True when nothing else may run on the backend server beside it.
     """
 
     service: str
@@ -26,6 +28,8 @@
     prefix: str = ""
     region: str = ""
     expected_tokens: int = 0
+    fingerprint: bytes = b""
+    alone: bool = False
 
 
 class Candidate(msgspec.Struct):
--- /dev/null
+++ b/src/ebonywheel/retries.py
@@ -0,0 +1,36 @@
+"""Retry budgets: retries are a share of first tries, so that a failure cannot become a storm."""
+
+BURST_RETRIES = 10.0
+
+
+class RetryBudget:
+    """A budget that each first try adds to and each retry takes from.
+
+    Attributes:
+        held: Retries that may be made now.
+    """
+
+    def __init__(self):
+        self.held = BURST_RETRIES
+
+    def add_first_try(self, share: float) -> None:
+        """Note a first try; `share` is the part of a retry that it allows."""
+        self.held = min(BURST_RETRIES, self.held + share)
+
+    def take(self) -> bool:
+        """Take one retry from the budget; return whether there was one."""
+        if self.held < 1.0:
+            return False
+        self.held -= 1.0
+        return True
+
+
+class RetryBudgets:
+    """The budgets of all services."""
+
+    def __init__(self):
+        self.budgets: dict[str, RetryBudget] = {}
+
+    def of(self, service: str) -> RetryBudget:
+        """Return a service's budget."""
+        return self.budgets.setdefault(service, RetryBudget())
--- a/src/ebonywheel/services.py
+++ b/src/ebonywheel/services.py
@@ -15,6 +15,7 @@
     generations,
     http,
     placement,
+    poison,
     policies,
     registry,
     sse,
@@ -112,7 +113,7 @@
             await self.resume(caller.customer, generation, index + 1, exchange)
             return
         body = exchange.request.decode(generations.GenerationBody)
-        job = make_job(caller, body, self.parts.data_centre)
+        job = make_job(caller, body, exchange.request, self.parts.data_centre)
         sink = StreamSink(exchange, self.parts.secret)
         await self._relay(
             exchange, sink, self.parts.generations.run(job, caller.service, body, sink)
@@ -183,7 +184,7 @@
     async def handle(self, caller: Caller, exchange: http.Exchange) -> None:
         """Run a generation, again from the start where it is lost, and answer it whole."""
         body = exchange.request.decode(generations.GenerationBody)
-        job = make_job(caller, body, self.parts.data_centre)
+        job = make_job(caller, body, exchange.request, self.parts.data_centre)
         sink = WholeSink()
         end = await self.parts.generations.run(job, caller.service, body, sink)
         await exchange.respond_json(200, WholeAnswer("".join(sink.texts), end.tokens))
@@ -204,7 +205,12 @@
         await exchange.respond(answer.status, answer.body, answer.content_type)
 
 
-def make_job(caller: Caller, body: generations.GenerationBody, data_centre: str) -> policies.Job:
+def make_job(
+    caller: Caller,
+    body: generations.GenerationBody,
+    request: http.Request,
+    data_centre: str,
+) -> policies.Job:
     """Return what the routing policy may know of a generation."""
     head = body.prompt.encode()[: generations.PREFIX_BYTES]
     return policies.Job(
@@ -214,4 +220,5 @@
         hashlib.blake2b(head, digest_size=8).hexdigest(),
         placement.region_of(caller.current, data_centre),
         body.length,
+        poison.fingerprint(caller.customer, caller.name, request.body),
     )
--- a/src/ebonywheel/slots.py
+++ b/src/ebonywheel/slots.py
@@ -96,14 +96,19 @@
         record.host = host
         record.seen_at = now
 
-    def release(self, request: messages.Release, now: float) -> None:
-        """Take a slot back."""
+    def release(self, request: messages.Release, now: float) -> LoanRecord | None:
+        """Take a slot back; return its record, or None when it was not out."""
         record = self.records.get(request.loan)
         if record is None or record.released_at is not None:
-            return
+            return None
         record.released_at = now
         if request.outcome == "finished":
             self._earn()
+        return record
+
+    def running(self) -> list[messages.Holding]:
+        """Return the requests that may be in flight."""
+        return [record.holding for record in self.records.values() if record.released_at is None]
 
     def forget(self, now: float) -> None:
         """Drop records that no longer matter."""
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -203,6 +203,7 @@
   used @4 :UInt64;
   cold @5 :Bool;
   prefixes @6 :List(Text);
+  expectedBlocks @7 :UInt64;
 }
 
 struct FleetUpdate {
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -1,6 +1,8 @@
 """Starts real processes of the system on loopback addresses for tests."""
 
 import contextlib
+import hashlib
+import itertools
 import os
 import pathlib
 import signal
@@ -20,11 +22,15 @@
 DATA_CENTRES = ("puget", "yakima", "willamette")
 
 
-def free_port() -> int:
-    """Return a loopback port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+_addresses = itertools.count(1)
+
+
+def free_address() -> str:
+    """Return an ``ip:port`` that no other test, also of another run, uses."""
+    number = next(_addresses)
+    process = os.getpid()
+    ip = f"127.{16 + process % 200}.{process // 200 % 250}.{1 + number // 200 % 250}"
+    return f"{ip}:{20000 + number}"
 
 
 def wait_for(check, what: str, timeout_s: float = WAIT_S):
@@ -148,8 +154,8 @@
     def __init__(self, name: str, data_centre: str):
         self.name = name
         self.data_centre = data_centre
-        self.link = f"127.0.0.1:{free_port()}"
-        self.http = f"127.0.0.1:{free_port()}"
+        self.link = free_address()
+        self.http = free_address()
         self.process: Process | None = None
 
 
@@ -275,8 +281,6 @@
 
 
 def _digest(token: str) -> str:
-    import hashlib
-
     return hashlib.sha256(token.encode()).hexdigest()
 
 
@@ -292,7 +296,7 @@
         self.name = name
         self.kind = kind
         self.data_centre = data_centre
-        self.address = f"127.0.0.1:{free_port()}"
+        self.address = free_address()
         self.process: Process | None = None
 
 
