Check the programs' command lines, settings and metrics; count bytes as they pass

Cause: a link's bytes were counted only when its connection closed, so bytes/s could not be read from a running process; and no test held the settings' errors to file, key, expected and found. Excluded: counters for each peer (a family for each of 410 hosts on /metrics). Change: bytes counted at each frame; processor time and resident memory as gauges; tests for settings, metrics and programs. Conclusion: idle cost can be read from /metrics.

--- a/src/ebonywheel/link.py
+++ b/src/ebonywheel/link.py
@@ -45,14 +45,13 @@
 class FrameStream:
     """Reads and writes frames on one socket."""
 
-    def __init__(self, sock: curio.io.Socket, name: str, delay_s: float = 0.0):
+    def __init__(self, core: kernel.Kernel, sock: curio.io.Socket, name: str, delay_s: float = 0.0):
+        self.core = core
         self.sock = sock
         self.name = name
         self.delay_s = delay_s
         self.buffer = bytearray()
         self.write_lock = curio.Lock()
-        self.bytes_in = 0
-        self.bytes_out = 0
         self.frames_in = 0
 
     async def write(self, frame: bytes) -> None:
@@ -72,7 +71,7 @@
             raise exceptions.LinkTimeout("peer does not read", "write", self.name) from error
         except OSError as error:
             raise exceptions.LinkError(str(error), "write", self.name) from error
-        self.bytes_out += len(frame)
+        self.core.metrics.count("link_bytes_out", len(frame))
 
     async def read(self) -> tuple[codec.Header, msgspec.Struct]:
         """Read one whole frame.
@@ -101,7 +100,7 @@
                 raise exceptions.LinkError(str(error), "read", self.name) from error
             if not data:
                 raise exceptions.LinkError("connection closed", "read", self.name)
-            self.bytes_in += len(data)
+            self.core.metrics.count("link_bytes_in", len(data))
             self.buffer += data
         taken = bytes(self.buffer[:size])
         del self.buffer[:size]
@@ -196,7 +195,7 @@
             raise exceptions.LinkTimeout("no connection in time", "connect", self.name) from error
         except OSError as error:
             raise exceptions.LinkError(str(error), "connect", self.name) from error
-        stream = FrameStream(sock, self.name, self.delay_s)
+        stream = FrameStream(self.core, sock, self.name, self.delay_s)
         try:
             async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
                 self.peer = await _introduce(self.core, stream)
@@ -225,8 +224,6 @@
             if self.stream is stream:
                 self.stream = None
             await self._fail_pending(stream, error)
-            self.core.metrics.count("link_bytes_in", stream.bytes_in, peer=self.name)
-            self.core.metrics.count("link_bytes_out", stream.bytes_out, peer=self.name)
             await stream.sock.close()
 
     async def _fail_pending(self, stream: FrameStream, error: exceptions.LinkError) -> None:
@@ -273,7 +270,7 @@
             await self.core.spawn(self._serve(client, f"{address[0]}:{address[1]}"))
 
     async def _serve(self, sock: curio.io.Socket, name: str) -> None:
-        stream = FrameStream(sock, name, self.delay_s)
+        stream = FrameStream(self.core, sock, name, self.delay_s)
         async with sock:
             try:
                 async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
--- a/src/ebonywheel/metrics.py
+++ b/src/ebonywheel/metrics.py
@@ -1,6 +1,8 @@
 """Counters, gauges and latency histograms, and their exposition at /metrics."""
 
 import collections
+import os
+import time
 import typing
 
 from hdrh import histogram
@@ -9,6 +11,7 @@
 HIGHEST_US = 3_600_000_000
 SIGNIFICANT_DIGITS = 2
 QUANTILES = (50.0, 95.0, 99.0, 99.9)
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 Labels = tuple[tuple[str, str], ...]
 
@@ -20,6 +23,8 @@
         self.counters: collections.Counter[tuple[str, Labels]] = collections.Counter()
         self.gauges: dict[str, typing.Callable[[], float]] = {}
         self.histograms: dict[tuple[str, Labels], histogram.HdrHistogram] = {}
+        self.gauge("process_cpu_seconds", time.process_time)
+        self.gauge("process_resident_bytes", _resident_bytes)
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter."""
@@ -54,6 +59,11 @@
         return "\n".join(lines) + "\n"
 
 
+def _resident_bytes() -> float:
+    with open("/proc/self/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * PAGE_BYTES
+
+
 def _summary(name: str, labels: Labels, held: histogram.HdrHistogram) -> list[str]:
     base = f"ebonywheel_{name}_seconds"
     lines = []
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,80 @@
+"""The programs' command lines: help, version, checks and exit codes."""
+
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from cluster import Cluster, Host, Process, wait_for
+from ebonywheel import program
+
+PROGRAMS = ("entry", "control", "operator", "load")
+
+
+def run(module, *arguments):
+    command = [sys.executable, "-m", f"ebonywheel.{module}", *arguments]
+    return subprocess.run(command, capture_output=True, text=True, timeout=30)
+
+
+class TestCommandLine:
+    @pytest.mark.parametrize("module", PROGRAMS)
+    def test_help_and_version(self, module):
+        help_text = run(module, "--help")
+        assert (help_text.returncode, "exit codes" in help_text.stdout) == (0, True)
+        assert run(module, "--version").stdout.split()[1] == "0.1.0"
+
+    @pytest.mark.parametrize("module", PROGRAMS)
+    def test_wrong_usage(self, module):
+        assert run(module, "--nonsense").returncode == program.EXIT_USAGE
+
+
+class TestCheck:
+    @pytest.mark.parametrize("module", ["entry", "control"])
+    def test_valid_and_invalid_settings(self, module, tmp_path):
+        cluster = Cluster(tmp_path, controls=1, entries=1)
+        host = cluster.controls[0] if module == "control" else cluster.entries[0]
+        text = getattr(cluster, f"{module}_settings")(host)
+        path = tmp_path / "settings.toml"
+        path.write_text(text)
+        assert run(module, "check", str(path)).returncode == 0
+        path.write_text(text.replace("data_centre", "data_center"))
+        wrong = run(module, "check", str(path))
+        assert wrong.returncode == program.EXIT_BAD_INPUT
+        assert "data_cent" in wrong.stderr
+        assert str(path) in wrong.stderr
+
+
+class TestRun:
+    def start(self, tmp_path, host: Host | None = None) -> Process:
+        cluster = Cluster(tmp_path, controls=1, entries=1)
+        process = cluster.start_entry(host or cluster.entries[0])
+        wait_for(lambda: "event=started" in process.text(), "the process")
+        return process
+
+    def test_address_in_use_is_named(self, tmp_path):
+        cluster = Cluster(tmp_path, controls=1, entries=1)
+        host = cluster.entries[0]
+        first = cluster.start_entry(host)
+        try:
+            wait_for(lambda: "event=started" in first.text(), "the process")
+            second = cluster.start_entry(host)
+            assert second.popen.wait(20) == program.EXIT_BAD_INPUT
+            assert host.link in second.text()
+        finally:
+            first.kill()
+
+    def test_missing_secret_is_named(self, tmp_path):
+        cluster = Cluster(tmp_path, controls=1, entries=1)
+        (tmp_path / "secret").unlink()
+        process = cluster.start_entry(cluster.entries[0])
+        assert process.popen.wait(20) == program.EXIT_BAD_INPUT
+        assert "read secret" in process.text()
+
+    @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+    def test_second_signal_ends_at_once(self, tmp_path, number):
+        process = self.start(tmp_path)
+        process.signal(number)
+        wait_for(lambda: "event=draining" in process.text(), "the drain")
+        process.signal(number)
+        assert process.popen.wait(2) == 130
