Carry longest answer, priority and known length with a loan

Cause: a home cannot judge memory without knowing how long an answer may become. Excluded: looking the service up at the home (the borrower's configuration may be another). Change: fields appended to Borrow and Holding, passed on by placement and the ledger; cache events kept as prefixes of a server's view. Conclusion: admission by memory has what it needs.

--- a/src/ebonywheel/home.py
+++ b/src/ebonywheel/home.py
@@ -17,6 +17,7 @@
 
 ANNOUNCE_STALE_S = 3.0
 DEAD_INCARNATIONS_KEPT = 64
+PREFIXES_KEPT = 64
 SERVER_STATES = ("starting", "ready", "leaving")
 
 # A new home waits until no lease under the old roster and no loan of the old home can be left.
@@ -46,6 +47,15 @@
     return rendezvous.choose(server, near or roster)
 
 
+def _note_cache_events(held: HomeServer, events: list[messages.CacheEvent]) -> None:
+    for event in events:
+        if event.prefix in held.prefixes:
+            held.prefixes.remove(event.prefix)
+        if event.present:
+            held.prefixes.append(event.prefix)
+    del held.prefixes[:-PREFIXES_KEPT]
+
+
 def check_announcement(current: configuration.Configuration, state: messages.ServerState) -> None:
     """Check that an announcement agrees with the document in force.
 
@@ -108,6 +118,7 @@
             return
         held.heard_at = now
         held.ledger.report(message.load, now)
+        _note_cache_events(held, message.cache)
 
     def lend(self, request: messages.Borrow) -> messages.Loan:
         """Lend a slot.
@@ -173,6 +184,7 @@
             ledger.used(now),
             not ledger.warm(),
             held.prefixes,
+            self.gate.expected_blocks(ledger, now),
         )
 
     def _lending(self, server: str, now: float) -> HomeServer:
--- a/src/ebonywheel/memorygate.py
+++ b/src/ebonywheel/memorygate.py
@@ -13,6 +13,10 @@
             NotRunError: The request would probably fill the memory in the middle of a decode.
         """
 
+    def expected_blocks(self, ledger: slots.SlotLedger, now: float) -> int:
+        """Return the blocks that the work in flight is expected to need at its most."""
+        return 0
+
     def released(
         self, ledger: slots.SlotLedger, holding: messages.Holding, message: messages.Release
     ) -> None:
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -365,6 +365,9 @@
         loan: Unique name of the loan, chosen by the borrower; a resend is answered alike.
         alone: True when nothing else may run on the backend server beside it.
         fingerprint: Digest of the request, to attribute a crash.
+        max_tokens: Longest answer asked for, 0 when unknown.
+        priority: Level of the customer's priority.
+        expected_tokens: Length of the answer when it is known, 0 otherwise.
     """
 
     loan: str = ""
@@ -377,6 +380,9 @@
     prompt_tokens: int = 0
     alone: bool = False
     fingerprint: bytes = b""
+    max_tokens: int = 0
+    priority: int = 0
+    expected_tokens: int = 0
 
 
 class Loan(msgspec.Struct):
@@ -389,7 +395,12 @@
 
 
 class Holding(msgspec.Struct):
-    """A slot in use, with the tokens generated so far."""
+    """A slot in use, with the tokens generated so far.
+
+    Attributes:
+        max_tokens: Longest answer asked for, 0 when unknown.
+        expected_tokens: Length of the answer when it is known, 0 otherwise.
+    """
 
     loan: str = ""
     server: str = ""
@@ -400,6 +411,8 @@
     tokens: int = 0
     fingerprint: bytes = b""
     alone: bool = False
+    max_tokens: int = 0
+    expected_tokens: int = 0
 
 
 class Holdings(msgspec.Struct):
--- a/src/ebonywheel/placement.py
+++ b/src/ebonywheel/placement.py
@@ -102,6 +102,9 @@
             job.prompt_tokens,
             job.alone,
             job.fingerprint,
+            job.max_tokens,
+            job.priority,
+            job.expected_tokens,
         )
         await self.fleet.borrow(request, view.home)
         holding = messages.Holding(
@@ -114,6 +117,8 @@
             0,
             job.fingerprint,
             job.alone,
+            job.max_tokens,
+            job.expected_tokens,
         )
         self.fleet.hold(holding)
         # The data centre may have been taken out while the loan was under way.
--- a/src/ebonywheel/policies.py
+++ b/src/ebonywheel/policies.py
@@ -20,6 +20,8 @@
         expected_tokens: Length when it is known, for the oracle; 0 otherwise.
         fingerprint: Digest of the request, to attribute a crash.
         alone: True when nothing else may run on the backend server beside it.
+        max_tokens: Longest answer asked for, 0 when unknown.
+        priority: Level of the customer's priority.
     """
 
     service: str
@@ -30,6 +32,8 @@
     expected_tokens: int = 0
     fingerprint: bytes = b""
     alone: bool = False
+    max_tokens: int = 0
+    priority: int = 0
 
 
 class Candidate(msgspec.Struct):
--- a/src/ebonywheel/services.py
+++ b/src/ebonywheel/services.py
@@ -200,7 +200,7 @@
     async def handle(self, caller: Caller, exchange: http.Exchange) -> None:
         """Run one call."""
         region = placement.region_of(caller.current, self.parts.data_centre)
-        job = policies.Job(caller.name, caller.customer, 0, "", region)
+        job = policies.Job(caller.name, caller.customer, 0, "", region, priority=_priority(caller))
         answer = await self.parts.calls.run(job, caller.service, exchange.request)
         await exchange.respond(answer.status, answer.body, answer.content_type)
 
@@ -221,4 +221,11 @@
         placement.region_of(caller.current, data_centre),
         body.length,
         poison.fingerprint(caller.customer, caller.name, request.body),
+        max_tokens=min(body.max_tokens or caller.service.max_tokens, caller.service.max_tokens),
+        priority=_priority(caller),
     )
+
+
+def _priority(caller: Caller) -> int:
+    document = caller.current.document
+    return document.priorities[document.customers[caller.customer].priority]
--- a/src/ebonywheel/slots.py
+++ b/src/ebonywheel/slots.py
@@ -92,6 +92,11 @@
             record = self.records[holding.loan] = LoanRecord(holding, host, now)
         if record.released_at is not None:
             return
+        if not holding.prompt_tokens:
+            # The borrower resumed the stream and does not know what it was asked.
+            holding.prompt_tokens = record.holding.prompt_tokens
+            holding.max_tokens = record.holding.max_tokens
+            holding.expected_tokens = record.holding.expected_tokens
         record.holding = holding
         record.host = host
         record.seen_at = now
@@ -150,4 +155,6 @@
         0,
         request.fingerprint,
         request.alone,
+        request.max_tokens,
+        request.expected_tokens,
     )
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -224,6 +224,9 @@
   promptTokens @7 :UInt64;
   alone @8 :Bool;
   fingerprint @9 :Data;
+  maxTokens @10 :UInt64;
+  priority @11 :UInt64;
+  expectedTokens @12 :UInt64;
 }
 
 struct Loan {
@@ -243,6 +246,8 @@
   tokens @6 :UInt64;
   fingerprint @7 :Data;
   alone @8 :Bool;
+  maxTokens @9 :UInt64;
+  expectedTokens @10 :UInt64;
 }
 
 struct Holdings {
