Send small writes at once and probe silent connections

Cause: tokens go out as small writes; with Nagle's algorithm a second small write waits for the acknowledgement of the first, and a peer that vanished without a word was never noticed. Excluded: larger writes by delaying tokens (adds to the latency between tokens). Change: TCP_NODELAY, keep-alive probes and a user time-out on every connection. Before: Nagle on, no probes. After: off, a dead peer is noticed in about 30 s at the latest.

--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -12,7 +12,7 @@
 import h11
 import msgspec
 
-from ebonywheel import exceptions, kernel, settings
+from ebonywheel import exceptions, kernel, settings, sockets
 
 MAX_HEADER_BYTES = 16 * 1024
 READ_BYTES = 65536
@@ -273,6 +273,7 @@
     async def _accept(self, sock: curio.io.Socket) -> None:
         while True:
             client, address = await sock.accept()
+            sockets.tune(client)
             await self.core.spawn(self._serve(client, f"{address[0]}:{address[1]}"))
 
     async def _serve(self, sock: curio.io.Socket, peer: str) -> None:
@@ -382,6 +383,7 @@
             raise self._error("no connection in time", "connect") from error
         except OSError as error:
             raise self._error(str(error), "connect") from error
+        sockets.tune(self.sock)
 
     async def request(
         self, method: str, target: str, headers: Headers, body: bytes, timeout_s: float
--- a/src/ebonywheel/link.py
+++ b/src/ebonywheel/link.py
@@ -14,7 +14,7 @@
 import curio
 import msgspec
 
-from ebonywheel import codec, exceptions, kernel, messages, settings
+from ebonywheel import codec, exceptions, kernel, messages, settings, sockets
 
 CONNECT_TIMEOUT_S = 2.0
 HANDSHAKE_TIMEOUT_S = 2.0
@@ -195,6 +195,7 @@
             raise exceptions.LinkTimeout("no connection in time", "connect", self.name) from error
         except OSError as error:
             raise exceptions.LinkError(str(error), "connect", self.name) from error
+        sockets.tune(sock)
         stream = FrameStream(self.core, sock, self.name, self.delay_s)
         try:
             async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
@@ -267,6 +268,7 @@
     async def _accept(self, sock: curio.io.Socket) -> None:
         while True:
             client, address = await sock.accept()
+            sockets.tune(client)
             await self.core.spawn(self._serve(client, f"{address[0]}:{address[1]}"))
 
     async def _serve(self, sock: curio.io.Socket, name: str) -> None:
--- /dev/null
+++ b/src/ebonywheel/sockets.py
@@ -0,0 +1,20 @@
+"""Options of TCP sockets that all connections of the system share."""
+
+import socket
+
+import curio
+
+KEEPALIVE_IDLE_S = 15
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+USER_TIMEOUT_MS = 30_000
+
+
+def tune(sock: curio.io.Socket) -> None:
+    """Send small writes at once, and notice a peer that is gone without a word."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
