Keep configuration items in the order of change, and tell a resend from another command

Cause: changed_since read every item for each lease request, tombstones were never dropped, and an operation id used for a second, different command got the first one's answer. Shared fields for refused entry hosts and the weight store's limits go with it.

--- a/src/ebonywheel/documents.py
+++ b/src/ebonywheel/documents.py
@@ -111,6 +111,18 @@
     cross_region_cost: Share = 4.0
 
 
+class Weights(msgspec.Struct, forbid_unknown_fields=True):
+    """Limits of the weight store, kept for all backend servers together.
+
+    Attributes:
+        loads_per_minute: Most orders sent in a minute that make a backend server load something.
+        concurrent: Most such orders under way at one time.
+    """
+
+    loads_per_minute: Share = 30.0
+    concurrent: Slots = 2
+
+
 class Document(msgspec.Struct, forbid_unknown_fields=True):
     """The whole configuration of one environment.
 
@@ -127,6 +139,7 @@
     priorities: dict[settings.Name, Level]
     customers: dict[settings.Name, Customer]
     retries: Retries = msgspec.field(default_factory=Retries)
+    weights: Weights = msgspec.field(default_factory=Weights)
 
 
 def parse(text: str, name: str) -> result.Result[Document, exceptions.DocumentError]:
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -264,10 +264,15 @@
 
 
 class ConfirmReply(msgspec.Struct):
-    """The leader's committed index, read under its own lease."""
+    """The leader's committed index, read under its own lease.
+
+    Attributes:
+        refused: Entry hosts that get no lease: a newer process uses the name.
+    """
 
     index: int = 0
     duration_ms: int = 0
+    refused: list[str] = []
 
 
 class ServerState(msgspec.Struct):
--- a/src/ebonywheel/settings.py
+++ b/src/ebonywheel/settings.py
@@ -10,8 +10,8 @@
 
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
 Count = typing.Annotated[int, msgspec.Meta(ge=1)]
-Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")]
-Address = typing.Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}\Z")]
+Address = typing.Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}\Z")]
 Secret = typing.Annotated[str, msgspec.Meta(min_length=16)]
 
 MIN_SECRET_CHARS = 16
--- a/src/ebonywheel/state.py
+++ b/src/ebonywheel/state.py
@@ -4,6 +4,7 @@
 and the state, never a clock or a random number.
 """
 
+import hashlib
 import typing
 
 import msgspec
@@ -54,7 +55,7 @@
         self.data.at_ms = max(self.data.at_ms, command.at_ms)
         first = self.data.operations.get(command.operation)
         if first is not None:
-            return commands.decode_outcome(first.outcome)
+            return _first_outcome(first, command)
         outcome = self.handlers[type(command)].apply(self.data, entry.index, command)
         if not isinstance(command, UNAUDITED):
             self._remember(entry.index, command, outcome)
@@ -64,8 +65,8 @@
         """Return the environment's configuration items changed after an index."""
         return [
             messages.ConfigItem(key, item.index, item.value, item.removed)
-            for key, item in self.data.items.items()
-            if item.index > have and configuration.concerns(key, environment)
+            for key, item in self.data.changed_since(have).items()
+            if configuration.concerns(key, environment)
         ]
 
     def snapshot(self) -> bytes:
@@ -83,7 +84,9 @@
     ) -> None:
         at_ms = self.data.at_ms
         if command.operation:
-            record = statedata.OperationRecord(index, at_ms, commands.encode(outcome))
+            record = statedata.OperationRecord(
+                index, at_ms, commands.encode(outcome), _digest(command)
+            )
             self.data.operations[command.operation] = record
             self._forget_operations(at_ms - OPERATION_HORIZON_MS)
         target = self.handlers[type(command)].target(command)
@@ -113,6 +116,22 @@
     quarantine_ms: int
 
 
+def _first_outcome(
+    first: statedata.OperationRecord, command: commands.AnyCommand
+) -> commands.Outcome:
+    if first.digest and first.digest != _digest(command):
+        return commands.Refused(
+            code="operation_reused", text="the operation id was used for another command"
+        )
+    return commands.decode_outcome(first.outcome)
+
+
+def _digest(command: commands.AnyCommand) -> bytes:
+    # A resend has another time, and a colleague may settle an unknown outcome.
+    content = commands.encode(msgspec.structs.replace(command, at_ms=0, actor=""))
+    return hashlib.sha256(content).digest()
+
+
 def _audit_entry(
     index: int,
     at_ms: int,
--- a/src/ebonywheel/statedata.py
+++ b/src/ebonywheel/statedata.py
@@ -4,6 +4,9 @@
 
 from ebonywheel import commands, configuration
 
+# Marks of removed items that are kept for entry hosts that are behind.
+TOMBSTONES_KEPT = 2000
+
 
 class Item(msgspec.Struct):
     """A configuration item with the log index of its last change."""
@@ -30,11 +33,16 @@
 
 
 class OperationRecord(msgspec.Struct):
-    """First outcome of an operator's command."""
+    """First outcome of an operator's command.
+
+    Attributes:
+        digest: SHA-256 of what was asked, to tell a resend from another command.
+    """
 
     index: int
     at_ms: int
     outcome: bytes
+    digest: bytes = b""
 
 
 class AuditEntry(msgspec.Struct):
@@ -104,10 +112,18 @@
 
 
 class StateData(msgspec.Struct):
-    """Everything that the control hosts keep for good."""
+    """Everything that the control hosts keep for good.
+
+    Attributes:
+        items: Configuration items in the order of their last change.
+        tombstones: Index at which each removed item was removed, oldest first.
+        complete_from: Differences from an older index than this are no longer complete.
+    """
 
     at_ms: int = 0
     items: dict[str, Item] = {}
+    tombstones: dict[str, int] = {}
+    complete_from: int = 0
     environments: dict[str, EnvironmentState] = {}
     operations: dict[str, OperationRecord] = {}
     audit: list[AuditEntry] = []
@@ -121,15 +137,37 @@
         """Set a configuration item if its value changes."""
         held = self.items.get(key)
         if held is None or held.removed or held.value != value:
-            self.items[key] = Item(index, value)
+            self.tombstones.pop(key, None)
+            self._change(key, Item(index, value))
 
     def remove(self, key: str, index: int) -> None:
         """Remove a configuration item, leaving a mark for those that hold it."""
         held = self.items.get(key)
         if held is not None and not held.removed:
-            self.items[key] = Item(index, b"", True)
+            self.tombstones[key] = index
+            self._change(key, Item(index, b"", True))
+            self._drop_old_tombstones()
+
+    def changed_since(self, have: int) -> dict[str, Item]:
+        """Return the items changed after an index, newest first."""
+        changed: dict[str, Item] = {}
+        for key, item in reversed(self.items.items()):
+            if item.index <= have:
+                break
+            changed[key] = item
+        return changed
 
     def present(self, key: str) -> bytes | None:
         """Return an item's value, or None when it is not there."""
         held = self.items.get(key)
         return None if held is None or held.removed else held.value
+
+    def _change(self, key: str, item: Item) -> None:
+        self.items.pop(key, None)
+        self.items[key] = item
+
+    def _drop_old_tombstones(self) -> None:
+        while len(self.tombstones) > TOMBSTONES_KEPT:
+            oldest = next(iter(self.tombstones))
+            self.complete_from = max(self.complete_from, self.tombstones.pop(oldest))
+            del self.items[oldest]
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -157,6 +157,7 @@
 struct ConfirmReply {
   index @0 :UInt64;
   durationMs @1 :UInt64;
+  refused @2 :List(Text);
 }
 
 struct ServerState {
