Hand over dead incarnations and unaccounted work; let leases age while a machine is suspended

Cause: a new home could not know of dead incarnations and work that nobody accounts for; and CLOCK_MONOTONIC stands still while a machine is suspended, so that a lease would outlive it. Excluded: wall-clock time for leases (it steps). Change: two fields appended to Handoff; the clock reads CLOCK_BOOTTIME. Conclusion: a suspended host wakes without a lease.

--- a/src/ebonywheel/clock.py
+++ b/src/ebonywheel/clock.py
@@ -18,8 +18,8 @@
     """The machine's clocks."""
 
     def monotonic(self) -> float:
-        """Return the machine's monotonic time."""
-        return time.monotonic()
+        """Return the machine's monotonic time, which goes on while the machine is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """Return the machine's wall-clock time."""
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -433,7 +433,8 @@
 
     Attributes:
         tokens: Tokens generated in all, for the length estimates.
-        outcome: ``finished``, ``cancelled``, ``unused`` or ``failed``.
+        outcome: ``finished``; ``unused`` when no byte of the request left; ``cancelled`` when the
+            backend server confirmed it; ``failed`` when the work may still run there.
     """
 
     loan: str = ""
@@ -444,7 +445,12 @@
 
 
 class Handoff(msgspec.Struct):
-    """An old home entry host passes a backend server's slots to the new one."""
+    """An old home entry host passes a backend server's slots to the new one.
+
+    Attributes:
+        foreign: Requests in flight that no record of the old home accounts for.
+        dead: Incarnations known to have ended, oldest first.
+    """
 
     host: str = ""
     roster_index: int = 0
@@ -453,6 +459,8 @@
     limit: int = 0
     warm: bool = False
     holdings: list[Holding] = []
+    foreign: int = 0
+    dead: list[int] = []
 
 
 class DeathNotice(msgspec.Struct):
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -273,6 +273,8 @@
   limit @4 :UInt64;
   warm @5 :Bool;
   holdings @6 :List(Holding);
+  foreign @7 :UInt64;
+  dead @8 :List(UInt64);
 }
 
 struct DeathNotice {
