Calls that may not repeat: an intent that is withdrawn, a key that is never stuck or run twice

Cause: reading calls and callstate found that (1) an intent whose answer was lost stayed 'running' for as long as its host lived, (2) an outcome that could not be recorded within 30 s likewise, (3) a late copy of a begin re-opened a key that had ended as not run, (4) a key from the future outlived its record and could run again after the horizon, (5) a host that froze between its intent and the first byte sent without looking at its lease, (6) an answer that ends with the connection looked whole, (7) a content type outside ASCII broke the exchange off without an outcome, (8) the query was dropped, (9) a 409 for another incarnation was taken for an answer. Excluded: placing before the intent (a resend would need a slot to hear its stored answer). Change: ledger records a withdrawn intent and refuses late copies, future keys, hosts outside the roster; outcomes are recorded until accepted; lease, data centre and slot are checked right before the first byte; deadlines passed on (x-timeout-ms); retries with budget and jitter; drain limit tells calls in flight the truth. HTTP: whole-head and whole-body deadlines, HEAD, bounded connections, accept errors, lingering close, answers without an end refused. Suspicion: reports with retries, in force everywhere before the caller is told, second death by isolation or only common request. Customers by digest.

--- a/src/ebonywheel/callers.py
+++ b/src/ebonywheel/callers.py
@@ -6,7 +6,9 @@
 import msgspec
 
 from ebonywheel import (
+    callledger,
     configuration,
+    customers,
     documents,
     exceptions,
     feed,
@@ -24,6 +26,8 @@
 SERVER_SCHEME = "Server "
 STATUS_UNKNOWN_OUTCOME = 504
 STATUS_UPSTREAM = 502
+STATUS_RUNNING = 409
+RUNNING_RETRY_S = 1.0
 
 
 class Announced(msgspec.Struct):
@@ -49,6 +53,7 @@
         self.parts = parts
         self.server_secret = server_secret
         self.refusing = False
+        self.customers = customers.CustomerIndex()
         self.handlers: dict[documents.ServiceKind, services.ServiceHandler] = {
             kind: core.plugins.find("service", kind)(parts) for kind in documents.ServiceKind
         }
@@ -59,6 +64,8 @@
             await self._route(exchange)
         except exceptions.NotRunError as error:
             await self._refuse(exchange, error, error.status, "not run", error.retry_after)
+        except callledger.RunningError as error:
+            await self._refuse(exchange, error, STATUS_RUNNING, "running", RUNNING_RETRY_S)
         except exceptions.UnknownOutcomeError as error:
             await self._refuse(exchange, error, STATUS_UNKNOWN_OUTCOME, "unknown", None)
         except exceptions.UpstreamError as error:
@@ -138,7 +145,7 @@
         customer = None
         if header.startswith(BEARER):
             key = header.removeprefix(BEARER)
-            customer = documents.find_customer(current.document, key)
+            customer = self.customers.find(current.document, key)
         if customer is None:
             self.core.metrics.count("caller_refused")
             raise exceptions.HttpError("customer not known", "authenticate", request.peer, 401)
--- a/src/ebonywheel/calls.py
+++ b/src/ebonywheel/calls.py
@@ -3,10 +3,13 @@
 import hashlib
 import uuid
 
+import curio
 import msgspec
 
 from ebonywheel import (
+    callledger,
     commands,
+    deadlines,
     documents,
     exceptions,
     feed,
@@ -15,32 +18,30 @@
     idempotency,
     kernel,
     placement,
+    plainclient,
     poison,
     policies,
     retries,
+    slots,
 )
 
-CONNECT_TIMEOUT_S = 1.0
-WRITE_TIMEOUT_S = 5.0
-LEDGER_TIMEOUT_S = 5.0
-OUTCOME_TIMEOUT_S = 30.0
-MAX_ANSWER_BYTES = 1024 * 1024
+MAX_LEDGER_ANSWER_BYTES = 64 * 1024
 KEY_HEADER = "idempotency-key"
-INCARNATION_HEADER = "x-incarnation"
 CALLS_SEGMENT = "/calls"
 
-STATUS_RUNNING = 409
-STATUS_MISMATCH = 422
-STATUS_EXPIRED = 410
-STATUS_UNKNOWN = 504
 
+class Attempt(msgspec.Struct):
+    """One try of a call.
 
-class CallAnswer(msgspec.Struct):
-    """A plain service's whole answer."""
+    Attributes:
+        sent: True once any byte of it may have left.
+    """
 
-    status: int
-    content_type: str
-    body: bytes
+    job: policies.Job
+    call: documents.Call
+    request: http.Request
+    deadline: deadlines.Deadline
+    sent: bool = False
 
 
 class Calls:
@@ -61,16 +62,20 @@
         self.placer = placer
         self.poison = suspects
         self.budgets = budgets
+        self.ledger = callledger.CallLedger(core, source)
+        self.attempts: set[curio.Task] = set()
+        self.handing_over = False
 
     async def run(
         self, job: policies.Job, service: documents.Service, request: http.Request
-    ) -> CallAnswer:
+    ) -> plainclient.Answer:
         """Run one call.
 
         Raises:
             NotRunError: It did not run.
+            RunningError: It is running already.
             UnknownOutcomeError: It may have run.
-            HttpError: The document has no such call.
+            HttpError: The document has no such call, or a header is malformed.
         """
         path = request.path.partition(CALLS_SEGMENT)[2]
         call = documents.find_call(service, request.method, path)
@@ -78,157 +83,179 @@
             raise exceptions.HttpError(
                 f"service has no call {request.method} {path}", "find call", job.service, 404
             )
+        digest = _digest(request)
+        job.fingerprint = poison.fingerprint(job.customer, job.service, digest)
+        deadline = deadlines.of_request(request, self.core.clock, service.timeout_s)
+        attempt = Attempt(job, call, request, deadline)
         if call.repeatable:
-            return await self._run_repeatable(job, service, call, request)
-        return await self._run_once(job, service, call, request)
+            return await self._run_repeatable(attempt)
+        return await self._run_once(attempt, digest)
 
-    async def _run_repeatable(
-        self,
-        job: policies.Job,
-        service: documents.Service,
-        call: documents.Call,
-        request: http.Request,
-    ) -> CallAnswer:
+    async def hand_over(self) -> None:
+        """End the calls in flight: each caller is told whether its call may have run."""
+        self.handing_over = True
+        for task in list(self.attempts):
+            await task.cancel(blocking=False)
+
+    def unfinished(self) -> int:
+        """Return the outcomes that are not durable yet."""
+        return self.ledger.unrecorded
+
+    # -- calls that may repeat -------------------------------------------------------------
+
+    async def _run_repeatable(self, attempt: Attempt) -> plainclient.Answer:
+        try:
+            return await self._try_often(attempt)
+        except exceptions.NotRunError as error:
+            if attempt.sent:
+                # An earlier try may have run.
+                raise exceptions.UnknownOutcomeError(error.text, error.step, error.peer) from error
+            raise
+
+    async def _try_often(self, attempt: Attempt) -> plainclient.Answer:
+        limits = self.feed.require_lease().document.retries
+        budget = self.budgets.of(attempt.job.service)
+        budget.add_first_try(limits.budget)
         avoid: frozenset[str] = frozenset()
-        attempts = self.feed.require_lease().document.retries.attempts
+        tries = 0
         while True:
-            place = await self.placer.place(job, service.timeout_s, avoid)
+            attempt.job.alone = self.poison.admit(attempt.job.fingerprint)
+            place = await self.placer.place(attempt.job, attempt.deadline.left(), avoid)
             try:
-                return await self._exchange(place, service, call, request)
+                answer = await self._exchange(attempt, place)
+                await self.poison.finished(attempt.job.fingerprint, attempt.job.alone)
+                return answer
             except exceptions.UpstreamError as error:
-                attempts -= 1
-                if attempts <= 0:
-                    raise exceptions.UnknownOutcomeError(
-                        error.text, error.step, error.peer
-                    ) from error
-                avoid = avoid | {place.view.state.server}
-
-    async def _run_once(
-        self,
-        job: policies.Job,
-        service: documents.Service,
-        call: documents.Call,
-        request: http.Request,
-    ) -> CallAnswer:
-        key = idempotency.parse(request.headers.get(KEY_HEADER, ""))
+                tries += 1
+                await self.poison.broke(place.view.state, place.holding, error)
+                spent = tries >= limits.attempts or attempt.deadline.passed()
+                if spent or not budget.take():
+                    raise _final(attempt, error) from error
+            self.core.metrics.count("call_retries", service=attempt.job.service)
+            avoid = avoid | {place.view.state.server}
+            await curio.sleep(min(retries.pause_s(tries), attempt.deadline.left()))
+
+    # -- calls that may not repeat ---------------------------------------------------------
+
+    async def _run_once(self, attempt: Attempt, digest: bytes) -> plainclient.Answer:
+        key = idempotency.parse(attempt.request.headers.get(KEY_HEADER, ""))
         if key.is_err():
             raise key.unwrap_err()
         begin = commands.BeginCall(
             operation=str(uuid.uuid4()),
             actor=self.core.host.name,
             environment=self.feed.settings.environment,
-            customer=job.customer,
-            service=job.service,
+            customer=attempt.job.customer,
+            service=attempt.job.service,
             key=key.unwrap(),
-            digest=_digest(request),
+            digest=digest,
             host=self.core.host.name,
             incarnation=self.feed.incarnation,
         )
-        stored = await self._begin(begin)
+        stored = await self.ledger.begin(begin)
         if stored is not None:
             return _replay(stored)
-        outcome = await self._attempt(job, service, call, request)
-        await self._end(begin, outcome)
+        outcome = await self._attempt_apart(attempt)
+        await self.ledger.end(begin, _kept(outcome))
         return _replay(outcome)
 
-    async def _begin(self, begin: commands.BeginCall) -> commands.CallOutcome | None:
+    async def _attempt_apart(self, attempt: Attempt) -> commands.CallOutcome:
+        # A task of its own, so that a drain limit can end it and still have its outcome.
+        task = await curio.spawn(self._attempt(attempt))
+        self.attempts.add(task)
         try:
-            outcome = await self.feed.submit(begin, LEDGER_TIMEOUT_S)
-        except exceptions.UnknownOutcomeError as error:
-            # The intent may be recorded, but nothing was sent and nothing will be.
-            raise exceptions.NotRunError(
-                error.text, "record intent", error.peer, retry_after=1
-            ) from error
-        match outcome:
-            case commands.CallStarted():
-                return None
-            case commands.CallStored():
-                return outcome.outcome
-            case commands.CallRunning():
-                raise exceptions.NotRunError(
-                    "the call with this key is still running",
-                    "record intent",
-                    status=STATUS_RUNNING,
-                    retry_after=1,
-                )
-            case commands.CallMismatch():
-                raise exceptions.NotRunError(
-                    "the key was used for another request", "record intent", status=STATUS_MISMATCH
-                )
-            case commands.CallExpired():
-                raise exceptions.NotRunError(
-                    "the key is older than the horizon", "record intent", status=STATUS_EXPIRED
-                )
-        raise exceptions.NotRunError("unexpected outcome", "record intent")
-
-    async def _attempt(
-        self,
-        job: policies.Job,
-        service: documents.Service,
-        call: documents.Call,
-        request: http.Request,
-    ) -> commands.CallOutcome:
+            return await task.join()
+        except curio.TaskError as error:
+            return _broken_off(attempt, repr(error.__cause__))
+        except curio.CancelledError:
+            await task.cancel()
+            raise
+        finally:
+            self.attempts.discard(task)
+
+    async def _attempt(self, attempt: Attempt) -> commands.CallOutcome:
+        job = attempt.job
         try:
-            place = await self.placer.place(job, service.timeout_s)
-            answer = await self._exchange(place, service, call, request)
+            job.alone = self.poison.admit(job.fingerprint)
+            place = await self.placer.place(job, attempt.deadline.left())
+            answer = await self._exchange(attempt, place)
         except exceptions.NotRunError as error:
             return commands.CallOutcome("not_run", text=str(error))
         except exceptions.UpstreamError as error:
-            kind = "unknown" if error.sent else "not_run"
-            return commands.CallOutcome(kind, text=str(error))
+            await self.poison.broke(place.view.state, place.holding, error)
+            return _broken_off(attempt, str(error))
+        except curio.CancelledError:
+            if not self.handing_over:
+                raise
+            return _broken_off(attempt, "the host is shutting down")
+        await self.poison.finished(job.fingerprint, job.alone)
         return commands.CallOutcome("answered", answer.status, answer.content_type, answer.body)
 
-    async def _end(self, begin: commands.BeginCall, outcome: commands.CallOutcome) -> None:
-        end = commands.EndCall(
-            actor=begin.actor,
-            environment=begin.environment,
-            customer=begin.customer,
-            service=begin.service,
-            key=begin.key,
-            begun_by=begin.operation,
-            outcome=outcome,
-        )
-        try:
-            await self.feed.submit(end, OUTCOME_TIMEOUT_S)
-        except (exceptions.NotRunError, exceptions.UnknownOutcomeError):
-            # The caller still gets the answer; a resend is told "unknown".
-            self.core.metrics.count("outcomes_not_recorded")
+    # -- both ------------------------------------------------------------------------------
 
-    async def _exchange(
-        self,
-        place: placement.Placement,
-        service: documents.Service,
-        call: documents.Call,
-        request: http.Request,
-    ) -> CallAnswer:
-        state = place.view.state
-        connection = http.ClientConnection(state.address)
-        headers = [
-            (INCARNATION_HEADER, str(state.incarnation)),
-            ("content-type", request.headers.get("content-type", http.JSON)),
-        ]
+    async def _exchange(self, attempt: Attempt, place: placement.Placement) -> plainclient.Answer:
+        got_at = self.core.clock.monotonic()
+        client = plainclient.PlainClient(place.view.state)
         outcome = "failed"
         try:
-            await connection.connect(CONNECT_TIMEOUT_S)
-            await connection.request(call.method, call.path, headers, request.body, WRITE_TIMEOUT_S)
-            head = await connection.response(service.timeout_s)
-            body = await connection.body(service.timeout_s, MAX_ANSWER_BYTES)
+            await client.connect(attempt.deadline)
+            self._check_still_allowed(place, got_at)
+            if attempt.deadline.passed():
+                raise exceptions.NotRunError("no time left", "send", retry_after=1)
+            answer = await client.exchange(attempt.call, attempt.request, attempt.deadline)
             outcome = "finished"
+            return answer
+        except exceptions.NotRunError:
+            outcome = "unused"
+            raise
         finally:
-            await connection.close()
-            await self.fleet.release(place.holding, outcome)
-        content_type = head.headers.get("content-type", "application/octet-stream")
-        return CallAnswer(head.status, content_type, body)
+            attempt.sent = attempt.sent or client.sent
+            async with curio.disable_cancellation():
+                await client.close()
+                await self.fleet.release(place.holding, outcome)
+
+    def _check_still_allowed(self, place: placement.Placement, got_at: float) -> None:
+        # The process may have been frozen since it got the intent and the slot.
+        current = self.feed.require_lease()
+        state = place.view.state
+        if self.core.clock.monotonic() > got_at + slots.HOLDING_STALE_S:
+            raise exceptions.NotRunError("slot has lapsed", "send", state.server, retry_after=1)
+        if state.data_centre in current.out:
+            raise exceptions.NotRunError(
+                "data centre was taken out", "send", state.data_centre, retry_after=1
+            )
+
+
+def _final(attempt: Attempt, error: exceptions.UpstreamError) -> exceptions.EbonywheelError:
+    if attempt.sent:
+        return exceptions.UnknownOutcomeError(error.text, error.step, error.peer)
+    return exceptions.NotRunError(error.text, error.step, error.peer, retry_after=1)
+
+
+def _broken_off(attempt: Attempt, text: str) -> commands.CallOutcome:
+    return commands.CallOutcome("unknown" if attempt.sent else "not_run", text=text)
+
+
+def _kept(outcome: commands.CallOutcome) -> commands.CallOutcome:
+    """Return what the ledger keeps of an outcome."""
+    if len(outcome.body) <= MAX_LEDGER_ANSWER_BYTES:
+        return outcome
+    text = (
+        f"the call ran and was answered with status {outcome.status}, but the answer of "
+        f"{len(outcome.body)} bytes was too large to be kept"
+    )
+    return commands.CallOutcome("unknown", text=text)
 
 
-def _replay(outcome: commands.CallOutcome) -> CallAnswer:
+def _replay(outcome: commands.CallOutcome) -> plainclient.Answer:
     if outcome.kind == "answered":
-        return CallAnswer(outcome.status, outcome.content_type, outcome.body)
+        return plainclient.Answer(outcome.status, outcome.content_type, outcome.body)
     if outcome.kind == "not_run":
         raise exceptions.NotRunError(outcome.text, "run call", retry_after=1)
     raise exceptions.UnknownOutcomeError(outcome.text, "run call")
 
 
 def _digest(request: http.Request) -> bytes:
-    content = b"\0".join((request.method.encode(), request.path.encode(), request.body))
+    target = f"{request.path}?{request.raw_query}"
+    content = b"\0".join((request.method.encode(), target.encode(), request.body))
     return hashlib.sha256(content).digest()
--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import socket
 import typing
 import urllib.parse
 
@@ -15,12 +16,17 @@
 from ebonywheel import exceptions, kernel, settings, sockets
 
 MAX_HEADER_BYTES = 16 * 1024
+MAX_CONNECTIONS = 8192
 READ_BYTES = 65536
 HEADER_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
-BODY_TIMEOUT_S = 30.0
+BODY_TIMEOUT_S = 60.0
 WRITE_TIMEOUT_S = 60.0
+LINGER_S = 1.0
+LINGER_BYTES = 256 * 1024
 ACCEPT_BACKLOG = 1024
+ACCEPT_PAUSE_S = 0.05
+STATUSES_WITHOUT_BODY = (204, 304)
 JSON = "application/json"
 EVENT_STREAM = "text/event-stream"
 
@@ -28,7 +34,11 @@
 
 
 class Request(msgspec.Struct):
-    """A whole request as received."""
+    """A whole request as received.
+
+    Attributes:
+        raw_query: The query as it was sent, without the question mark.
+    """
 
     method: str
     path: str
@@ -36,6 +46,7 @@
     headers: dict[str, str]
     body: bytes
     peer: str
+    raw_query: str = ""
 
     def json(self) -> dict:
         """Return the body as a JSON object.
@@ -78,18 +89,19 @@
         headers: Headers | None = None,
     ) -> None:
         """Send a whole answer."""
-        fields = [
-            ("content-type", content_type),
-            ("content-length", str(len(body))),
-            *(headers or []),
-        ]
+        fields = [("content-type", content_type), *(headers or [])]
+        if status not in STATUSES_WITHOUT_BODY:
+            fields.append(("content-length", str(len(body))))
         self.started = True
         conn = self.connection
         data = conn.encode_response(status, fields)
-        if body:
+        if body and self._has_body(status):
             data += conn.encode_data(body)
         await conn.send(data + conn.encode_end())
 
+    def _has_body(self, status: int) -> bool:
+        return self.request.method != "HEAD" and status not in STATUSES_WITHOUT_BODY
+
     async def respond_json(
         self, status: int, value: typing.Any, headers: Headers | None = None
     ) -> None:
@@ -139,15 +151,17 @@
 class ServerConnection:
     """One caller's connection."""
 
-    def __init__(self, sock: curio.io.Socket, peer: str, max_body_bytes: int):
+    def __init__(self, server: "Server", sock: curio.io.Socket, peer: str):
+        self.server = server
         self.sock = sock
         self.peer = peer
-        self.max_body_bytes = max_body_bytes
         self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
         self.pipelined_bytes = 0
 
     def encode_response(self, status: int, headers: Headers) -> bytes:
-        """Encode the head of an answer."""
+        """Encode the head of an answer; while draining it is the connection's last one."""
+        if self.server.core.draining.is_set():
+            headers = [*headers, ("connection", "close")]
         return self.conn.send(h11.Response(status_code=status, headers=headers))
 
     def encode_data(self, data: bytes) -> bytes:
@@ -164,30 +178,30 @@
         Raises:
             HttpError: The caller has gone or reads nothing for `WRITE_TIMEOUT_S`.
         """
+        left = memoryview(data)
         try:
-            async with curio.timeout_after(WRITE_TIMEOUT_S):
-                await self.sock.sendall(data)
+            while left:
+                async with curio.timeout_after(WRITE_TIMEOUT_S):
+                    left = left[await self.sock.send(left) :]
         except curio.TaskTimeout as error:
             raise exceptions.HttpError("caller does not read", "write", self.peer) from error
         except OSError as error:
             raise exceptions.HttpError(str(error), "write", self.peer) from error
 
-    async def next_event(self, timeout_s: float) -> typing.Any:
-        """Return the next h11 event.
+    async def wait_request(self) -> bool:
+        """Wait for the first byte of the next request; False at the end of the connection.
 
         Raises:
-            HttpError: The caller sent malformed HTTP or was too slow.
+            HttpError: The connection broke or was idle for `IDLE_TIMEOUT_S`.
         """
-        while True:
-            try:
-                event = self.conn.next_event()
-            except h11.RemoteProtocolError as error:
-                raise exceptions.HttpError(
-                    str(error), "parse request", self.peer, error.error_status_hint
-                ) from error
-            if event is not h11.NEED_DATA:
-                return event
-            self.conn.receive_data(await self._receive(timeout_s))
+        if self.conn.trailing_data[0]:
+            return True
+        try:
+            data = await self._receive(IDLE_TIMEOUT_S)
+        except curio.TaskTimeout as error:
+            raise exceptions.HttpError("idle for too long", "read", self.peer, 408) from error
+        self.conn.receive_data(data)
+        return bool(data)
 
     async def read_request(self) -> Request | None:
         """Read a whole request, or return None at a clean end of the connection.
@@ -195,16 +209,32 @@
         Raises:
             HttpError: The request is malformed, too large or too slow.
         """
-        head = await self.next_event(IDLE_TIMEOUT_S)
+        head = await self._in_time(self._next_event(), HEADER_TIMEOUT_S)
         if isinstance(head, h11.ConnectionClosed):
             return None
         headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
+        path, raw_query = _split_target(head.target.decode("latin-1"), self.peer)
+        self._check_length(headers)
         if self.conn.they_are_waiting_for_100_continue:
             await self.send(self.conn.send(h11.InformationalResponse(status_code=100, headers=[])))
-        body = await self._read_body()
-        url = urllib.parse.urlsplit(head.target.decode("latin-1"))
-        query = dict(urllib.parse.parse_qsl(url.query))
-        return Request(head.method.decode(), url.path, query, headers, body, self.peer)
+        body = await self._in_time(self._read_body(), BODY_TIMEOUT_S)
+        query = dict(urllib.parse.parse_qsl(raw_query))
+        return Request(head.method.decode(), path, query, headers, body, self.peer, raw_query)
+
+    async def linger(self) -> None:
+        """Close without cutting off what the caller has still to read.
+
+        Closing with unread input makes the kernel reset the connection, which can destroy an
+        answer under way.
+        """
+        try:
+            await self.sock.shutdown(socket.SHUT_WR)
+            async with curio.ignore_after(LINGER_S):
+                taken = 0
+                while taken < LINGER_BYTES and (data := await self.sock.recv(READ_BYTES)):
+                    taken += len(data)
+        except OSError:
+            return
 
     async def read_until_closed(self) -> None:
         """Read ahead until the caller closes, keeping a bounded number of bytes."""
@@ -219,30 +249,65 @@
             self.pipelined_bytes += len(data)
         await curio.sleep(float("inf"))
 
+    def _check_length(self, headers: dict[str, str]) -> None:
+        length = headers.get("content-length", "")
+        if length.isdecimal() and int(length) > self.server.max_body_bytes:
+            raise self._too_large()
+
+    async def _in_time(self, work: typing.Coroutine, timeout_s: float) -> typing.Any:
+        try:
+            async with curio.timeout_after(timeout_s):
+                return await work
+        except curio.TaskTimeout as error:
+            raise exceptions.HttpError("request too slow", "read", self.peer, 408) from error
+
+    async def _next_event(self) -> typing.Any:
+        while True:
+            try:
+                event = self.conn.next_event()
+            except h11.RemoteProtocolError as error:
+                raise exceptions.HttpError(
+                    str(error), "parse request", self.peer, error.error_status_hint
+                ) from error
+            if event is not h11.NEED_DATA:
+                return event
+            self.conn.receive_data(await self._receive(None))
+
     async def _read_body(self) -> bytes:
         body = bytearray()
         while True:
-            event = await self.next_event(BODY_TIMEOUT_S)
+            event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
-            if isinstance(event, h11.ConnectionClosed):
+            if not isinstance(event, h11.Data):
                 raise exceptions.HttpError("connection ended in a body", "read body", self.peer)
             body += event.data
-            if len(body) > self.max_body_bytes:
-                raise exceptions.HttpError(
-                    f"body over {self.max_body_bytes} bytes", "read body", self.peer, 413
-                )
+            if len(body) > self.server.max_body_bytes:
+                raise self._too_large()
 
-    async def _receive(self, timeout_s: float) -> bytes:
+    def _too_large(self) -> exceptions.HttpError:
+        text = f"body over {self.server.max_body_bytes} bytes"
+        return exceptions.HttpError(text, "read body", self.peer, 413)
+
+    async def _receive(self, timeout_s: float | None) -> bytes:
         try:
             async with curio.timeout_after(timeout_s):
                 return await self.sock.recv(READ_BYTES)
-        except curio.TaskTimeout as error:
-            raise exceptions.HttpError("request too slow", "read", self.peer, 408) from error
         except OSError as error:
             raise exceptions.HttpError(str(error), "read", self.peer) from error
 
 
+def _split_target(target: str, peer: str) -> tuple[str, str]:
+    if target.startswith("/"):
+        path, _, raw_query = target.partition("?")
+        return path, raw_query
+    try:
+        url = urllib.parse.urlsplit(target)
+    except ValueError as error:
+        raise exceptions.HttpError(str(error), "parse target", peer) from error
+    return url.path, url.query
+
+
 class Server:
     """Accepts HTTP connections and hands each exchange to a handler."""
 
@@ -255,6 +320,7 @@
         self.max_body_bytes = max_body_bytes
         self.busy = 0
         self.open = 0
+        self.accepting: curio.Task | None = None
 
     async def start(self) -> None:
         """Bind the address and start accepting.
@@ -268,24 +334,48 @@
         except OSError as error:
             raise exceptions.SettingsError(str(error), "bind http", self.address) from error
         self.core.stack.push_async_callback(sock.close)
-        await self.core.spawn(self._accept(sock), essential=True)
+        self.accepting = await self.core.spawn(self._accept(sock), essential=True)
 
     async def _accept(self, sock: curio.io.Socket) -> None:
         while True:
-            client, address = await sock.accept()
+            try:
+                client, address = await sock.accept()
+            except OSError:
+                # The caller gave up again, or no descriptor is free: others may go on.
+                self.core.metrics.count("http_accept_errors")
+                await curio.sleep(ACCEPT_PAUSE_S)
+                continue
+            if self.open >= MAX_CONNECTIONS:
+                self.core.metrics.count("http_connections_refused")
+                await client.close()
+                continue
+            self.open += 1
             sockets.tune(client)
             await self.core.spawn(self._serve(client, f"{address[0]}:{address[1]}"))
 
     async def _serve(self, sock: curio.io.Socket, peer: str) -> None:
-        connection = ServerConnection(sock, peer, self.max_body_bytes)
-        self.open += 1
+        connection = ServerConnection(self, sock, peer)
         try:
             async with sock:
-                while await self._serve_one(connection):
+                while await self._serve_next(connection):
                     pass
+                await connection.linger()
         finally:
             self.open -= 1
 
+    async def _serve_next(self, connection: ServerConnection) -> bool:
+        try:
+            if not await connection.wait_request():
+                return False
+        except exceptions.HttpError:
+            self.core.metrics.count("http_idle_closed")
+            return False
+        self.busy += 1
+        try:
+            return await self._serve_one(connection)
+        finally:
+            self.busy -= 1
+
     async def _serve_one(self, connection: ServerConnection) -> bool:
         try:
             request = await connection.read_request()
@@ -295,12 +385,7 @@
             return False
         if request is None:
             return False
-        exchange = Exchange(connection, request)
-        self.busy += 1
-        try:
-            return await self._handle(connection, exchange)
-        finally:
-            self.busy -= 1
+        return await self._handle(connection, Exchange(connection, request))
 
     async def _handle(self, connection: ServerConnection, exchange: Exchange) -> bool:
         try:
@@ -330,7 +415,7 @@
             return False
         connection.conn.start_next_cycle()
         connection.pipelined_bytes = 0
-        return not self.core.draining.is_set()
+        return True
 
 
 async def _refuse(connection: ServerConnection, error: exceptions.HttpError) -> None:
@@ -368,6 +453,7 @@
         self.sock: curio.io.Socket | None = None
         self.conn = h11.Connection(h11.CLIENT)
         self.sent = False
+        self.method = ""
 
     async def connect(self, timeout_s: float) -> None:
         """Open the connection.
@@ -398,6 +484,7 @@
         if body:
             data += self.conn.send(h11.Data(data=body))
         data += self.conn.send(h11.EndOfMessage())
+        self.method = method
         self.sent = True
         try:
             async with curio.timeout_after(timeout_s):
@@ -411,16 +498,28 @@
         """Read the head of the answer.
 
         Raises:
-            UpstreamError: No valid head in time.
+            UpstreamError: No valid head in time, or the end of its body could not be told from
+                the end of the connection.
         """
-        event = await self._next_event(timeout_s, "wait")
-        while isinstance(event, h11.InformationalResponse):
-            event = await self._next_event(timeout_s, "wait")
+        try:
+            async with curio.timeout_after(timeout_s):
+                event = await self._next_event(timeout_s, "wait")
+                while isinstance(event, h11.InformationalResponse):
+                    event = await self._next_event(timeout_s, "wait")
+        except curio.TaskTimeout as error:
+            raise self._error("no answer in time", "wait") from error
         if not isinstance(event, h11.Response):
             raise self._error("connection ended before the answer", "wait")
         headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
+        if not self._has_end(event.status_code, headers):
+            raise self._error("answer has neither a length nor chunks", "wait")
         return ResponseHead(event.status_code, headers)
 
+    def _has_end(self, status: int, headers: dict[str, str]) -> bool:
+        if self.method == "HEAD" or status in STATUSES_WITHOUT_BODY:
+            return True
+        return "content-length" in headers or "transfer-encoding" in headers
+
     async def read_chunk(self, timeout_s: float) -> bytes | None:
         """Read some of the answer's body; None at its proper end.
 
@@ -445,6 +544,13 @@
         Raises:
             UpstreamError: The body broke off, was too slow or is over the limit.
         """
+        try:
+            async with curio.timeout_after(timeout_s):
+                return await self._read_whole(timeout_s, limit)
+        except curio.TaskTimeout as error:
+            raise self._error("no whole answer in time", "read") from error
+
+    async def _read_whole(self, timeout_s: float, limit: int) -> bytes:
         whole = bytearray()
         while (chunk := await self.read_chunk(timeout_s)) is not None:
             whole += chunk
--- /dev/null
+++ b/src/ebonywheel/plainclient.py
@@ -0,0 +1,88 @@
+"""The plain services' HTTP interface: one call on a connection of its own."""
+
+import msgspec
+
+from ebonywheel import deadlines, documents, exceptions, http, messages
+
+CONNECT_TIMEOUT_S = 1.0
+WRITE_TIMEOUT_S = 5.0
+MAX_ANSWER_BYTES = 1024 * 1024
+INCARNATION_HEADER = "x-incarnation"
+STATUS_OTHER_INCARNATION = 409
+DEFAULT_CONTENT_TYPE = "application/octet-stream"
+
+
+class Answer(msgspec.Struct):
+    """A plain service's whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class PlainClient:
+    """A connection to a plain service for one call."""
+
+    def __init__(self, state: messages.ServerState):
+        self.state = state
+        self.connection = http.ClientConnection(state.address)
+        self.refused = False
+
+    @property
+    def sent(self) -> bool:
+        """Whether any byte of the call may have reached the service."""
+        return self.connection.sent and not self.refused
+
+    async def connect(self, deadline: deadlines.Deadline) -> None:
+        """Open the connection.
+
+        Raises:
+            UpstreamError: The service cannot be reached.
+        """
+        await self.connection.connect(min(CONNECT_TIMEOUT_S, deadline.left()))
+
+    async def exchange(
+        self, call: documents.Call, request: http.Request, deadline: deadlines.Deadline
+    ) -> Answer:
+        """Send the call and read the whole answer; any status is an answer.
+
+        Raises:
+            UpstreamError: There is no whole answer; `sent` tells whether the call may have run.
+        """
+        target = f"{call.path}?{request.raw_query}" if request.raw_query else call.path
+        await self.connection.request(
+            call.method,
+            target,
+            self._headers(request, deadline),
+            request.body,
+            min(WRITE_TIMEOUT_S, deadline.left()),
+        )
+        head = await self.connection.response(deadline.left())
+        self._check_incarnation(head)
+        body = await self.connection.body(deadline.left(), MAX_ANSWER_BYTES)
+        return Answer(head.status, _content_type(head.headers, DEFAULT_CONTENT_TYPE), body)
+
+    async def close(self) -> None:
+        """Close the connection, which is never used again."""
+        await self.connection.close()
+
+    def _headers(self, request: http.Request, deadline: deadlines.Deadline) -> http.Headers:
+        left_ms = max(1, int(deadline.left() * deadlines.MS_PER_S))
+        return [
+            (INCARNATION_HEADER, str(self.state.incarnation)),
+            (deadlines.TIMEOUT_HEADER, str(left_ms)),
+            ("content-type", _content_type(request.headers, http.JSON)),
+        ]
+
+    def _check_incarnation(self, head: http.ResponseHead) -> None:
+        # A 409 that names another incarnation did nothing; any other 409 is an answer.
+        named = head.headers.get(INCARNATION_HEADER, "")
+        if head.status == STATUS_OTHER_INCARNATION and named.isdecimal():
+            if int(named) != self.state.incarnation:
+                self.refused = True
+                raise exceptions.UpstreamError("another incarnation", "wait", self.state.server)
+
+
+def _content_type(headers: dict[str, str], default: str) -> str:
+    value = headers.get("content-type", default)
+    return value if value.isascii() and value.isprintable() else default
--- a/src/ebonywheel/retries.py
+++ b/src/ebonywheel/retries.py
@@ -1,6 +1,15 @@
 """Retry budgets: retries are a share of first tries, so that a failure cannot become a storm."""
 
+import random
+
 BURST_RETRIES = 10.0
+FIRST_PAUSE_S = 0.02
+LONGEST_PAUSE_S = 0.5
+
+
+def pause_s(tries: int) -> float:
+    """Return a random pause before the next try, longer with each one (full jitter)."""
+    return random.uniform(0.0, min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**tries))
 
 
 class RetryBudget:
--- a/src/ebonywheel/standinplain.py
+++ b/src/ebonywheel/standinplain.py
@@ -1,12 +1,16 @@
 """Stand-in for a plain service that books slots and counts how often each booking ran."""
 
 import collections
+import os
 
 import curio
 import msgspec
 
 from ebonywheel import exceptions, http, kernel, messages, standin
 
+POISON_TEXT = "poison"
+EXIT_FELL_OVER = 70
+
 
 class Booking(msgspec.Struct):
     """Body of a booking: what is booked, how long it takes, and what shall go wrong.
@@ -56,8 +60,13 @@
         if request.path == "/runs":
             await exchange.respond_json(200, dict(self.runs))
             return
-        self.check_incarnation(request)
-        if request.path == "/orders" and request.method == "POST":
+        if request.headers.get(standin.INCARNATION_HEADER, self._incarnation()) != (
+            self._incarnation()
+        ):
+            # Naming its own incarnation says that this server did nothing.
+            headers = [(standin.INCARNATION_HEADER, self._incarnation())]
+            await exchange.respond(409, b"{}", headers=headers)
+        elif request.path == "/orders" and request.method == "POST":
             await self.order(exchange, fencing=False)
         elif request.method == "POST":
             await self._book(exchange)
@@ -66,8 +75,14 @@
         else:
             raise exceptions.HttpError(f"no {request.method} {request.path}", "route", status=404)
 
+    def _incarnation(self) -> str:
+        return str(self.state.incarnation)
+
     async def _book(self, exchange: http.Exchange) -> None:
         booking = exchange.request.decode(Booking)
+        if POISON_TEXT in booking.slot:
+            self.core.log.error("fell_over", server=self.settings.name, why="poison")
+            os._exit(EXIT_FELL_OVER)
         self.runs[booking.slot] += 1
         run = self.runs[booking.slot]
         self.busy += 1
--- a/src/ebonywheel/suspectstate.py
+++ b/src/ebonywheel/suspectstate.py
@@ -27,17 +27,14 @@
     ) -> commands.Outcome:
         """Count once for each incarnation and request; quarantine at the second death."""
         _expire(data, index, command.environment)
-        key = f"{command.environment}/{command.server}/{command.incarnation}"
+        _forget_crashes(data, data.at_ms - self.limits.quarantine_ms)
+        key = _crash_key(command.environment, command.server, command.incarnation)
         crash = data.crashes.setdefault(key, statedata.CrashRecord(data.at_ms))
-        quarantined = []
-        for suspect in command.suspects:
-            if suspect.fingerprint not in crash.fingerprints:
-                crash.fingerprints.append(suspect.fingerprint)
-                self._count(data, index, command, suspect)
-            held = _suspicion(data, command.environment, suspect.fingerprint)
-            if held is not None and held.quarantined:
-                quarantined.append(suspect.fingerprint)
-        return commands.CrashRecorded(quarantined=quarantined)
+        new = [one for one in command.suspects if one.fingerprint not in crash.fingerprints]
+        crash.fingerprints.extend(one.fingerprint for one in new)
+        for suspect in new:
+            self._count(data, index, command, suspect)
+        return commands.CrashRecorded(quarantined=_quarantined(data, command))
 
     def target(self, command: commands.ReportCrash) -> str:
         """Return the server and the fingerprints."""
@@ -53,13 +50,14 @@
     ) -> None:
         held = _suspicion(data, command.environment, suspect.fingerprint)
         deaths = 1 if held is None else held.deaths + 1
-        # A second death counts against a request only when it ran alone.
+        # In a second death that others shared it is one suspect among many.
         if held is not None and not command.alone:
-            deaths = held.deaths
+            if not _is_only_common(data, command, suspect.fingerprint):
+                deaths = held.deaths
         value = configuration.Suspicion(
             suspect.customer,
             deaths,
-            deaths >= QUARANTINE_DEATHS,
+            deaths >= QUARANTINE_DEATHS or (held is not None and held.quarantined),
             data.at_ms + self.limits.quarantine_ms,
         )
         key = configuration.suspect_key(command.environment, suspect.fingerprint)
@@ -74,6 +72,7 @@
         self, data: statedata.StateData, index: int, command: commands.ClearSuspect
     ) -> commands.Outcome:
         """Remove the suspicion unless the request is quarantined."""
+        _expire(data, index, command.environment)
         held = _suspicion(data, command.environment, command.fingerprint)
         if held is not None and held.quarantined:
             return commands.Refused(code="quarantined", text="only an operator can release it")
@@ -104,6 +103,43 @@
     return msgspec.json.decode(value, type=configuration.Suspicion)
 
 
+def _quarantined(data: statedata.StateData, command: commands.ReportCrash) -> list[bytes]:
+    found = []
+    for suspect in command.suspects:
+        held = _suspicion(data, command.environment, suspect.fingerprint)
+        if held is not None and held.quarantined:
+            found.append(suspect.fingerprint)
+    return found
+
+
+def _crash_key(environment: str, server: str, incarnation: int) -> str:
+    return f"{environment}/{server}/{incarnation}"
+
+
+def _is_only_common(
+    data: statedata.StateData, command: commands.ReportCrash, fingerprint: bytes
+) -> bool:
+    """Return whether a request is all that an earlier death and this one have in common.
+
+    A death known with one request only may have been reported in part, and proves nothing here.
+    """
+    own = _crash_key(command.environment, command.server, command.incarnation)
+    here = set(data.crashes[own].fingerprints)
+    if len(here) < 2:
+        return False
+    for key, crash in data.crashes.items():
+        if key == own or not key.startswith(f"{command.environment}/"):
+            continue
+        if len(crash.fingerprints) >= 2 and here.intersection(crash.fingerprints) == {fingerprint}:
+            return True
+    return False
+
+
+def _forget_crashes(data: statedata.StateData, before_ms: int) -> None:
+    for key in [key for key, crash in data.crashes.items() if crash.at_ms < before_ms]:
+        del data.crashes[key]
+
+
 def _expire(data: statedata.StateData, index: int, environment: str) -> None:
     prefix = f"{environment}/suspects/"
     for key in [key for key in data.items if key.startswith(prefix)]:
