--- /dev/null
+++ b/src/ebonywheel/durable.py
@@ -0,0 +1,91 @@
+"""Durable files: written whole, synced, then put in place under their name."""
+
+import fcntl
+import os
+import pathlib
+import struct
+import typing
+import zlib
+
+from ebonywheel import exceptions
+
+TEMPORARY_SUFFIX = ".tmp"
+CHECKSUM = struct.Struct("!I")
+
+
+def fsync(descriptor: int) -> None:
+    """Sync an open file."""
+    os.fsync(descriptor)
+
+
+def replace(path: pathlib.Path, data: bytes) -> None:
+    """Put new content in the place of a file, or leave the old one whole.
+
+    Raises:
+        OSError: It could not be written or synced.
+    """
+    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
+    with open(temporary, "wb", buffering=0) as file:
+        write_all(file.fileno(), data)
+        fsync(file.fileno())
+    os.replace(temporary, path)
+    sync_folder(path.parent)
+
+
+def replace_checked(path: pathlib.Path, body: bytes) -> None:
+    """Replace a file by a checksum and a body.
+
+    Raises:
+        OSError: It could not be written or synced.
+    """
+    replace(path, CHECKSUM.pack(zlib.crc32(body)) + body)
+
+
+def read_checked(path: pathlib.Path) -> bytes | None:
+    """Return the body of a checked file, or None when there is no such file.
+
+    Raises:
+        StorageError: The checksum does not fit the body.
+    """
+    if not path.exists():
+        return None
+    data = path.read_bytes()
+    body = data[CHECKSUM.size :]
+    if len(data) < CHECKSUM.size or CHECKSUM.unpack_from(data)[0] != zlib.crc32(body):
+        raise exceptions.StorageError("bad checksum", "read", str(path))
+    return body
+
+
+def write_all(descriptor: int, data: bytes | bytearray) -> None:
+    """Write all bytes at the file's position.
+
+    Raises:
+        OSError: They could not all be written.
+    """
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+def sync_folder(folder: pathlib.Path) -> None:
+    """Make names in a folder durable."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def lock(path: pathlib.Path) -> typing.IO[bytes]:
+    """Lock a file for this process until the returned object is closed.
+
+    Raises:
+        StorageError: Another process holds the lock.
+    """
+    file = open(path, "wb")
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as error:
+        file.close()
+        raise exceptions.StorageError("in use by another process", "lock", str(path)) from error
+    return file
--- a/src/ebonywheel/fleet.py
+++ b/src/ebonywheel/fleet.py
@@ -8,7 +8,12 @@
 UPDATE_S = 0.25
 VIEW_STALE_S = 3.0
 BORROW_TIMEOUT_S = 0.5
+FORMER_KEPT_S = 120.0
 HOLDINGS_S = 0.5
+RELEASE_TRIES = 5
+RELEASE_RETRY_S = 0.5
+HANDOFF_RETRY_S = 0.1
+HANDOFF_TRIES = 20
 
 
 class KnownServer(msgspec.Struct):
@@ -24,6 +29,7 @@
 
     Attributes:
         servers: All backend servers lately heard of.
+        former: Those not heard of for a while, for streams that go on there.
         holdings: Slots that this host has in use, by loan.
         changed: Notified whenever a slot may have come free.
     """
@@ -33,14 +39,19 @@
         self.feed = source
         self.home = own
         self.servers: dict[str, KnownServer] = {}
+        self.former: dict[str, KnownServer] = {}
         self.holdings: dict[str, messages.Holding] = {}
         self.links: dict[str, link.Link] = {}
         self.changed = curio.Condition()
+        # Until when a loan that is not in use yet may be used.
+        self.loan_until: dict[str, float] = {}
 
     async def start(self) -> None:
         """Start telling other entry hosts and homes."""
         await self.core.spawn(self._tell_views(), essential=True)
         await self.core.spawn(self._tell_holdings(), essential=True)
+        await self.core.spawn(self._hand_over_servers(), essential=True)
+        await self.core.spawn(self.home.reclaim_often(), essential=True)
 
     def candidates(
         self, engine: str, current: configuration.Configuration
@@ -61,6 +72,11 @@
         known = self.servers.get(server)
         return None if known is None else known.view
 
+    def locate(self, server: str) -> messages.ServerState | None:
+        """Return where a backend server was last known to be, though its home may be gone."""
+        known = self.servers.get(server) or self.former.get(server)
+        return None if known is None else known.view.state
+
     async def handle(self, message: msgspec.Struct) -> msgspec.Struct:
         """Answer one message from another entry host."""
         match message:
@@ -73,8 +89,9 @@
             case messages.Holdings():
                 self.home.hold(message)
             case messages.Release():
-                self.home.release(message)
-                await self._notify()
+                await self._take_release(message)
+            case messages.Handoff():
+                self.home.take_over(message)
             case messages.DeathNotice():
                 await self.home.died(message)
             case _:
@@ -110,28 +127,102 @@
         if home_host == self.core.host.name:
             loan = self.home.lend(request)
         else:
-            try:
-                loan = await self._link(home_host).call(request, BORROW_TIMEOUT_S)
-            except exceptions.LinkError as error:
-                raise exceptions.NotRunError(error.text, "borrow", error.peer) from error
+            loan = await self._borrow_from(home_host, request)
         # The loan counts from the asking, on this host's own monotonic clock.
-        if self.core.clock.monotonic() > asked_at + loan.duration_ms / 1000:
+        until = asked_at + loan.duration_ms / 1000
+        if self.core.clock.monotonic() > until:
+            await self._give_back(home_host, request)
             raise exceptions.NotRunError("loan came too late", "borrow", home_host)
+        self.loan_until[request.loan] = until
         return loan
 
+    def check_loan(self, holding: messages.Holding) -> None:
+        """Check, right before work is sent under a loan, that the loan may still be used.
+
+        Raises:
+            NotRunError: It ran out, as after a pause of this process.
+        """
+        until = self.loan_until.pop(holding.loan, float("-inf"))
+        if self.core.clock.monotonic() >= until:
+            raise exceptions.NotRunError("the loan ran out before its use", "use loan")
+
+    async def _borrow_from(self, home_host: str, request: messages.Borrow) -> messages.Loan:
+        try:
+            return await self._link(home_host).call(request, BORROW_TIMEOUT_S)
+        except exceptions.RemoteError as error:
+            raise exceptions.NotRunError(error.text, "borrow", error.peer) from error
+        except exceptions.LinkError as error:
+            await self._give_back(home_host, request)
+            raise exceptions.NotRunError(error.text, "borrow", error.peer) from error
+
+    async def _give_back(self, home_host: str, request: messages.Borrow) -> None:
+        message = messages.Release(request.loan, request.server, request.incarnation, 0, "unused")
+        await self.core.spawn(self._tell_release(home_host, message))
+
     def hold(self, holding: messages.Holding) -> None:
         """Note a slot as in use."""
         self.holdings[holding.loan] = holding
 
+    async def adopt(self, holding: messages.Holding) -> None:
+        """Note a slot as in use that another entry host had, and tell the server's home at once."""
+        self.hold(holding)
+        known = self.servers.get(holding.server)
+        if known is None:
+            return
+        if known.view.home == self.core.host.name:
+            self.home.adopt(self.core.host.name, holding)
+            return
+        message = messages.Holdings(self.core.host.name, self.feed.incarnation, [holding])
+        await self._send(known.view.home, message)
+
     async def release(self, holding: messages.Holding, outcome: str) -> None:
-        """Give a slot back."""
+        """Give a slot back.
+
+        Args:
+            holding: The slot.
+            outcome: ``finished``, ``cancelled``, ``unused``, ``detached`` when its reader may
+                come back for it, or ``failed`` when the work may still run at the backend server.
+        """
         self.holdings.pop(holding.loan, None)
+        self.loan_until.pop(holding.loan, None)
         message = messages.Release(
             holding.loan, holding.server, holding.incarnation, holding.tokens, outcome
         )
-        await self._tell_home(holding.server, message)
+        known = self.servers.get(holding.server)
+        if known is not None and known.view.home == self.core.host.name:
+            await self._take_release(message)
+        elif known is not None:
+            await self.core.spawn(self._tell_release(known.view.home, message))
+        await self._notify()
+
+    async def _tell_release(self, home_host: str, message: messages.Release) -> None:
+        for _ in range(RELEASE_TRIES):
+            try:
+                await self._link(home_host).call(message)
+                return
+            except exceptions.RemoteError:
+                return
+            except exceptions.LinkError:
+                self.core.metrics.count("home_unreachable")
+            await curio.sleep(RELEASE_RETRY_S)
+            known = self.servers.get(message.server)
+            home_host = known.view.home if known is not None else home_host
+
+    async def _take_release(self, message: messages.Release) -> None:
+        target = self._home_by_roster(message.server)
+        if message.server not in self.home.servers and target not in ("", self.core.host.name):
+            await self._send(target, message)
+            return
+        self.home.release(message)
         await self._notify()
 
+    def _home_by_roster(self, server: str) -> str:
+        known = self.servers.get(server)
+        if known is None:
+            return ""
+        data_centre = known.view.state.data_centre
+        return home.home_of(server, data_centre, self.feed.current.roster)
+
     async def report_death(self, server: str, incarnation: int) -> None:
         """Tell everybody that a backend server's incarnation has died."""
         known = self.servers.get(server)
@@ -168,6 +259,8 @@
             if known is not None and known.roster_epoch > message.roster_index:
                 continue
             self.servers[view.state.server] = KnownServer(view, message.roster_index, now)
+            if view.limit and view.home != self.core.host.name:
+                self.home.hint(view)
         await self._notify()
 
     async def _notify(self) -> None:
@@ -193,7 +286,10 @@
         before = self.core.clock.monotonic() - VIEW_STALE_S
         for name, known in list(self.servers.items()):
             if known.heard_at < before:
-                del self.servers[name]
+                self.former[name] = self.servers.pop(name)
+        for name, known in list(self.former.items()):
+            if known.heard_at < before - FORMER_KEPT_S or name in self.servers:
+                del self.former[name]
 
     async def _tell_holdings(self) -> None:
         while True:
@@ -210,6 +306,22 @@
                 else:
                     await self.core.spawn(self._send(host, message))
 
+    async def _hand_over_servers(self) -> None:
+        while True:
+            target, message = await self.home.handoffs.get()
+            await self.core.spawn(self._hand_over(target, message))
+
+    async def _hand_over(self, target: str, message: messages.Handoff) -> None:
+        # The new home may see the new roster a little later than this host.
+        for _ in range(HANDOFF_TRIES):
+            try:
+                await self._link(target).call(message, BORROW_TIMEOUT_S)
+                self.core.metrics.count("servers_handed_over")
+                return
+            except exceptions.LinkError:
+                await curio.sleep(HANDOFF_RETRY_S)
+        self.core.metrics.count("handoffs_failed")
+
     async def _send(self, host: str, message: msgspec.Struct) -> None:
         try:
             await self._link(host).send(message)
--- a/src/ebonywheel/generations.py
+++ b/src/ebonywheel/generations.py
@@ -1,4 +1,4 @@
-"""Generations: start one on a backend server, relay its tokens once and in order.
+"""Generations: start one on a backend server, or go on with one, and hand its tokens on.
 
 Until the first token has reached the reader, another backend server may start the work anew.
 After that only the same generation may go on: its connection is opened again from the next index,
@@ -21,19 +21,16 @@
     placement,
     poison,
     policies,
+    relay,
     retries,
     streamid,
 )
 
-HEAD_TIMEOUT_S = 10.0
-FIRST_SILENCE_S = 3.0
-MIN_SILENCE_S = 1.0
-SILENCE_GAPS = 20
-PACE_DECAY = 0.1
-RESUME_PAUSE_S = 0.2
-RESUME_WINDOW_S = 5.0
 BYTES_PER_TOKEN = 4
 PREFIX_BYTES = 256
+LOCATE_S = 5.0
+LOCATE_POLL_S = 0.1
+HAND_OVER_POLL_S = 0.02
 
 
 class GenerationBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -50,31 +47,26 @@
     length: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
-class TokenSink(typing.Protocol):
-    """Where a generation's tokens go."""
+class MovableSink(relay.TokenSink, typing.Protocol):
+    """A sink whose reader can be sent to another entry host.
 
-    async def token(self, stream: streamid.StreamId, token: engineclient.Token) -> None:
-        """Take the next token."""
+    Attributes:
+        moving: True once the reader is to go on through another entry host.
+    """
 
+    moving: bool
 
-class Pace:
-    """How long a stream's silence may be, judged by its own gaps."""
 
-    def __init__(self):
-        self.gap_s: float | None = None
+class Stream(msgspec.Struct, eq=False):
+    """One reader's stream in progress.
 
-    def observe(self, gap_s: float) -> None:
-        """Take in the gap before a sign of life."""
-        if self.gap_s is None:
-            self.gap_s = gap_s
-        else:
-            self.gap_s += PACE_DECAY * (gap_s - self.gap_s)
+    Attributes:
+        task: The task that relays it.
+        sink: Where its tokens go.
+    """
 
-    def silence_s(self) -> float:
-        """Return the silence after which the connection is doubted."""
-        if self.gap_s is None:
-            return FIRST_SILENCE_S
-        return max(MIN_SILENCE_S, SILENCE_GAPS * self.gap_s)
+    task: curio.Task
+    sink: MovableSink
 
 
 class Generations:
@@ -95,51 +87,61 @@
         self.placer = placer
         self.poison = suspects
         self.budgets = budgets
+        self.streams: set[Stream] = set()
 
     async def run(
-        self, job: policies.Job, service: documents.Service, body: GenerationBody, sink: TokenSink
+        self,
+        job: policies.Job,
+        service: documents.Service,
+        body: GenerationBody,
+        sink: relay.TokenSink,
     ) -> engineclient.End:
         """Run a generation from its start and hand its tokens to the sink.
 
         Raises:
             NotRunError: No backend server took it.
-            UpstreamError: It was lost after tokens had reached the sink.
+            UpstreamError: It was lost after tokens had reached the reader.
         """
         avoid: frozenset[str] = frozenset()
         limits = self.feed.require_lease().document.retries
         budget = self.budgets.of(job.service)
         budget.add_first_try(limits.budget)
         attempts = limits.attempts
+        started = False
         while True:
-            job.alone = self.poison.admit(job.fingerprint)
-            place = await self.placer.place(job, service.timeout_s, avoid)
-            relay = Relay(self, place, sink)
             try:
-                end = await relay.run(self._request(job, service, body, place))
+                job.alone = self.poison.admit(job.fingerprint)
+                place = await self.placer.place(job, service.timeout_s, avoid)
+            except exceptions.NotRunError as error:
+                raise _outcome(error, started) from error
+            carrier = relay.Relay(self.core, self.fleet, self.feed, place, sink)
+            try:
+                end = await carrier.run(self._request(job, service, body, place))
                 await self.poison.finished(job.fingerprint, job.alone)
                 return end
+            except exceptions.NotRunError as error:
+                attempts -= 1
+                if attempts <= 0:
+                    raise _outcome(error, started) from error
             except exceptions.UpstreamError as error:
                 attempts -= 1
-                self.core.metrics.count("generation_failures", step=error.step)
-                if relay.next_index > 0:
+                started = started or carrier.sent
+                await self._note_failure(carrier, error)
+                if not sink.restart():
                     raise
                 if attempts <= 0 or not budget.take():
-                    raise exceptions.NotRunError(
-                        "no backend server could run it", error.step, error.peer, retry_after=1
-                    ) from error
+                    raise _outcome(error, started) from error
                 avoid = avoid | {place.view.state.server}
 
     async def resume(
-        self, stream: streamid.StreamId, index: int, sink: TokenSink
+        self, stream: streamid.StreamId, index: int, sink: relay.TokenSink
     ) -> engineclient.End:
         """Go on with a generation from an index, on the backend server that runs it.
 
         Raises:
             UpstreamError: The generation is lost.
         """
-        view = self.fleet.find(stream.server)
-        if view is None or view.state.incarnation != stream.incarnation:
-            raise exceptions.UpstreamError("the generation is lost", "resume", stream.server)
+        state = await self._locate(stream)
         holding = messages.Holding(
             stream.loan,
             stream.server,
@@ -149,10 +151,42 @@
             0,
             index,
         )
-        self.fleet.hold(holding)
-        relay = Relay(self, placement.Placement(view, holding), sink)
-        relay.next_index = index
-        return await relay.run(None)
+        await self.fleet.adopt(holding)
+        place = placement.Placement(messages.ServerView(state), holding)
+        carrier = relay.Relay(self.core, self.fleet, self.feed, place, sink, index)
+        try:
+            return await carrier.run(None)
+        except exceptions.UpstreamError as error:
+            await self._note_failure(carrier, error)
+            raise
+
+    async def hand_over(self) -> None:
+        """End all streams so that their readers go on through another entry host.
+
+        The backend servers' work goes on; each reader gets a final event ``moved`` with the
+        generation and the next index. Returns when no stream is left.
+        """
+        for stream in list(self.streams):
+            stream.sink.moving = True
+            await stream.task.cancel(blocking=False)
+        while self.streams:
+            await curio.sleep(HAND_OVER_POLL_S)
+
+    async def _locate(self, stream: streamid.StreamId) -> messages.ServerState:
+        deadline = self.core.clock.monotonic() + LOCATE_S
+        while (state := self.fleet.locate(stream.server)) is None:
+            if self.core.clock.monotonic() >= deadline:
+                raise _lost(stream)
+            await curio.sleep(LOCATE_POLL_S)
+        if state.incarnation != stream.incarnation:
+            raise _lost(stream)
+        return state
+
+    async def _note_failure(self, carrier: relay.Relay, error: exceptions.UpstreamError) -> None:
+        self.core.metrics.count("generation_failures", step=error.step)
+        if carrier.engine_died:
+            stream = carrier.stream
+            await self.core.spawn(self.fleet.report_death(stream.server, stream.incarnation))
 
     def _request(
         self,
@@ -173,121 +207,19 @@
         )
 
 
-class Relay:
-    """Carries one generation from one backend server to one sink.
+def _outcome(
+    error: exceptions.NotRunError | exceptions.UpstreamError, started: bool
+) -> exceptions.EbonywheelError:
+    # "Not run" is said only where no engine can have begun the work.
+    if started:
+        return exceptions.UpstreamError(error.text, error.step, error.peer, True)
+    if isinstance(error, exceptions.NotRunError):
+        return error
+    return exceptions.NotRunError(error.text, error.step, error.peer, retry_after=1)
 
-    Attributes:
-        next_index: Index of the token that the sink needs next.
-    """
 
-    def __init__(self, owner: Generations, place: placement.Placement, sink: TokenSink):
-        self.core = owner.core
-        self.fleet = owner.fleet
-        self.place = place
-        self.sink = sink
-        self.next_index = 0
-        self.pace = Pace()
-        self.stream = streamid.StreamId(
-            place.holding.server,
-            place.holding.incarnation,
-            place.holding.loan,
-            place.holding.service,
-            place.holding.customer,
-        )
-
-    async def run(self, request: engineclient.GenerateRequest | None) -> engineclient.End:
-        """Relay until the end; without a request, resume.
-
-        Raises:
-            UpstreamError: The generation is lost.
-        """
-        outcome = "failed"
-        try:
-            end = await self._relay(request)
-            outcome = "finished"
-            return end
-        except curio.CancelledError:
-            outcome = "cancelled"
-            raise
-        finally:
-            async with curio.disable_cancellation():
-                if outcome != "finished":
-                    await engineclient.cancel(self.place.view.state, self.stream.loan)
-                await self.fleet.release(self.place.holding, outcome)
-
-    async def _relay(self, request: engineclient.GenerateRequest | None) -> engineclient.End:
-        try:
-            return await self._read_once(request)
-        except exceptions.UpstreamError as error:
-            if self.next_index == 0 and request is not None:
-                raise
-            return await self._reopen(error)
-
-    async def _reopen(self, error: exceptions.UpstreamError) -> engineclient.End:
-        deadline = self.core.clock.monotonic() + RESUME_WINDOW_S
-        while True:
-            if isinstance(error, engineclient.RefusedByEngine):
-                raise error
-            if self.core.clock.monotonic() >= deadline:
-                raise error
-            self.core.metrics.count("stream_resumes", step=error.step)
-            before = self.next_index
-            try:
-                return await self._read_once(None)
-            except exceptions.UpstreamError as again:
-                error = again
-            if self.next_index > before:
-                deadline = self.core.clock.monotonic() + RESUME_WINDOW_S
-            await curio.sleep(RESUME_PAUSE_S)
-
-    async def _read_once(self, request: engineclient.GenerateRequest | None) -> engineclient.End:
-        engine = engineclient.EngineStream(self.place.view.state)
-        try:
-            if request is not None:
-                await engine.generate(request, HEAD_TIMEOUT_S)
-            else:
-                await engine.resume(self.stream.loan, self.next_index, HEAD_TIMEOUT_S)
-            return await self._pump(engine)
-        finally:
-            await engine.close()
-
-    async def _pump(self, engine: engineclient.EngineStream) -> engineclient.End:
-        last = self.core.clock.monotonic()
-        while True:
-            events = await engine.read(self.pace.silence_s())
-            now = self.core.clock.monotonic()
-            self.pace.observe(now - last)
-            last = now
-            for event in events:
-                if isinstance(event, engineclient.End):
-                    self._check_end(event)
-                    return event
-                if isinstance(event, engineclient.Token):
-                    await self._take(event)
-
-    async def _take(self, token: engineclient.Token) -> None:
-        if token.index < self.next_index:
-            self.core.metrics.count("duplicate_tokens")
-            return
-        if token.index > self.next_index:
-            raise exceptions.UpstreamError(
-                f"token {token.index} where {self.next_index} was expected",
-                "order tokens",
-                self.stream.server,
-                True,
-            )
-        self.next_index += 1
-        self.place.holding.tokens = self.next_index
-        await self.sink.token(self.stream, token)
-
-    def _check_end(self, end: engineclient.End) -> None:
-        if end.tokens != self.next_index:
-            raise exceptions.UpstreamError(
-                f"ended at {end.tokens} tokens where {self.next_index} were relayed",
-                "check end",
-                self.stream.server,
-                True,
-            )
+def _lost(stream: streamid.StreamId) -> exceptions.UpstreamError:
+    return exceptions.UpstreamError("the generation is lost", "resume", stream.server)
 
 
 def estimate_tokens(text: str) -> int:
--- a/src/ebonywheel/services.py
+++ b/src/ebonywheel/services.py
@@ -56,39 +56,96 @@
 
 
 class StreamSink:
-    """Writes tokens to a caller as server-sent events."""
+    """Writes tokens to a caller as server-sent events.
 
-    def __init__(self, exchange: http.Exchange, secret: bytes):
+    Attributes:
+        generation: Id of the generation that runs for the caller, once one does.
+        next_index: Index of the token that the caller needs next.
+        writing: True while a part of the answer is being written.
+        moving: True once the caller is to go on through another entry host.
+    """
+
+    def __init__(self, exchange: http.Exchange, secret: bytes, next_index: int = 0):
         self.exchange = exchange
         self.secret = secret
         self.generation = ""
-
-    async def token(self, stream: streamid.StreamId, token: engineclient.Token) -> None:
-        """Write one token."""
+        self.id_prefix = b""
+        self.next_index = next_index
+        self.writing = False
+        self.moving = False
+
+    @property
+    def resumable(self) -> bool:
+        """Whether the caller knows, or will be told, the generation's id."""
+        return self.exchange.started or self.moving
+
+    def started(self, stream: streamid.StreamId) -> None:
+        """Note the generation that was started for the caller."""
+        self.generation = streamid.encode(stream, self.secret)
+
+    async def tokens(self, stream: streamid.StreamId, first: int, data: list[bytes]) -> None:
+        """Write tokens."""
+        self.writing = True
         if not self.exchange.started:
-            self.generation = streamid.encode(stream, self.secret)
-            headers = [("x-generation", self.generation)]
-            await self.exchange.start_stream(http.EVENT_STREAM, headers)
-        event_id = f"{self.generation}:{token.index}"
-        await self.exchange.write(sse.encode(event_id, msgspec.json.encode(token)))
+            await self._start()
+        prefix = self.id_prefix
+        events = [
+            b"%b%d\ndata: %b\n\n" % (prefix, index, token)
+            for index, token in enumerate(data, first)
+        ]
+        await self.exchange.write(b"".join(events))
+        self.next_index = first + len(data)
+        self.writing = False
+
+    def restart(self) -> bool:
+        """Return whether the caller has seen nothing yet."""
+        return not self.exchange.started
 
     async def finish(self, name: str, value: typing.Any) -> None:
         """Write the final event and end the answer."""
         if not self.exchange.started:
-            await self.exchange.start_stream(http.EVENT_STREAM)
+            await self._start()
         await self.exchange.write(sse.encode("", msgspec.json.encode(value), name))
         await self.exchange.end()
 
+    async def _start(self) -> None:
+        self.id_prefix = f"id: {self.generation}:".encode()
+        headers = [("x-generation", self.generation)] if self.generation else []
+        await self.exchange.start_stream(http.EVENT_STREAM, headers)
+
 
 class WholeSink:
     """Collects tokens."""
 
+    resumable = False
+
+    def started(self, stream: streamid.StreamId) -> None:
+        """Nothing to note: the caller never learns the generation's id."""
+
     def __init__(self):
         self.texts: list[str] = []
 
-    async def token(self, stream: streamid.StreamId, token: engineclient.Token) -> None:
-        """Keep one token."""
-        self.texts.append(token.text)
+    async def tokens(self, stream: streamid.StreamId, first: int, data: list[bytes]) -> None:
+        """Keep tokens."""
+        for token in data:
+            self.texts.append(msgspec.json.decode(token, type=engineclient.Token).text)
+
+    def restart(self) -> bool:
+        """Drop what was collected: nothing of it has reached the caller."""
+        self.texts.clear()
+        return True
+
+
+class Moved(msgspec.Struct):
+    """Final event of a stream that goes on through another entry host.
+
+    Attributes:
+        generation: Id to go on with.
+        next: Index of the next token.
+    """
+
+    generation: str
+    next: int
 
 
 class WholeAnswer(msgspec.Struct):
@@ -126,7 +183,8 @@
         stream = streamid.decode(generation, self.parts.secret)
         if stream.customer != customer:
             raise exceptions.HttpError("unknown generation", "resume", customer, 404)
-        sink = StreamSink(exchange, self.parts.secret)
+        sink = StreamSink(exchange, self.parts.secret, index)
+        sink.generation = generation
         await self._relay(
             exchange, sink, self.parts.generations.resume(stream, index, sink), resumed=True
         )
@@ -139,22 +197,33 @@
         resumed: bool = False,
     ) -> None:
         task = await curio.spawn(work)
-        watcher = await curio.spawn(self._cancel_at_hangup(exchange, task), daemon=True)
+        stream = generations.Stream(task, sink)
+        self.parts.generations.streams.add(stream)
+        watcher = await curio.spawn(_cancel_at_hangup(exchange, task), daemon=True)
         try:
             end = await task.join()
         except curio.TaskError as error:
-            await self._report(exchange, sink, error.__cause__, resumed)
+            if sink.moving and isinstance(error.__cause__, curio.CancelledError):
+                await self._move(sink)
+            else:
+                await self._report(exchange, sink, error.__cause__, resumed)
         except curio.CancelledError:
             await task.cancel()
             raise
         else:
             await sink.finish("end", end)
         finally:
+            self.parts.generations.streams.discard(stream)
             await watcher.cancel()
 
-    async def _cancel_at_hangup(self, exchange: http.Exchange, task: curio.Task) -> None:
-        await exchange.wait_hangup()
-        await task.cancel()
+    async def _move(self, sink: StreamSink) -> None:
+        if not sink.generation and not sink.writing:
+            raise exceptions.NotRunError("host is shutting down", "hand over", retry_after=1)
+        if sink.writing:
+            # Cut off inside a part of the answer: nothing well-formed can follow. The caller
+            # goes on from the last event that it has.
+            raise exceptions.HttpError("cut off in a write", "hand over")
+        await sink.finish("moved", Moved(sink.generation, sink.next_index))
 
     async def _report(
         self,
@@ -174,6 +243,27 @@
         )
 
 
+async def _join_or_hangup(exchange: http.Exchange, work: typing.Coroutine) -> typing.Any:
+    task = await curio.spawn(work)
+    watcher = await curio.spawn(_cancel_at_hangup(exchange, task), daemon=True)
+    try:
+        return await task.join()
+    except curio.TaskError as error:
+        if isinstance(error.__cause__, exceptions.EbonywheelError):
+            raise error.__cause__ from None
+        raise exceptions.HttpError("caller hung up", "wait", exchange.request.peer) from error
+    except curio.CancelledError:
+        await task.cancel()
+        raise
+    finally:
+        await watcher.cancel()
+
+
+async def _cancel_at_hangup(exchange: http.Exchange, task: curio.Task) -> None:
+    await exchange.wait_hangup()
+    await task.cancel()
+
+
 @registry.plugins.register("service", "whole")
 class WholeService:
     """Answers a generation at once."""
@@ -186,7 +276,8 @@
         body = exchange.request.decode(generations.GenerationBody)
         job = make_job(caller, body, exchange.request, self.parts.data_centre)
         sink = WholeSink()
-        end = await self.parts.generations.run(job, caller.service, body, sink)
+        work = self.parts.generations.run(job, caller.service, body, sink)
+        end = await _join_or_hangup(exchange, work)
         await exchange.respond_json(200, WholeAnswer("".join(sink.texts), end.tokens))
 
 
--- a/src/ebonywheel/standinengine.py
+++ b/src/ebonywheel/standinengine.py
@@ -19,6 +19,8 @@
 KEEP_ALIVE_S = 0.5
 DETACHED_KEPT_S = 30.0
 FINISHED_KEPT_S = 30.0
+CANCELLED_KEPT = 10_000
+CHILLED_STEP_FACTOR = 5.0
 IDLE_S = 0.005
 DEFAULT_LENGTH = 32
 BYTES_PER_TOKEN = 4
@@ -62,6 +64,9 @@
         self.fencing = fencing
         self.generations: dict[str, Generation] = {}
         self.step_s = 0.0
+        self.chilled = False
+        # Names of cancelled generations, oldest first: none of them may start later.
+        self.cancelled: dict[str, None] = {}
 
     async def start(self) -> None:
         """Start stepping, serving and announcing."""
@@ -101,6 +106,7 @@
             await self.order(exchange, self.fencing)
         elif path == "/chill" and request.method == "POST":
             self.model.chill()
+            self.chilled = True
             await exchange.respond(200)
         elif path == "/incarnation":
             await exchange.respond_json(200, self.state)
@@ -109,6 +115,8 @@
 
     async def _generate(self, exchange: http.Exchange) -> None:
         body = exchange.request.decode(engineclient.GenerateRequest)
+        if body.generation in self.cancelled:
+            raise exceptions.HttpError("cancelled before", "generate", body.generation, 404)
         generation = self.generations.get(body.generation)
         if generation is None:
             self.core.metrics.count("generations_started")
@@ -141,6 +149,9 @@
     async def _cancel(self, exchange: http.Exchange) -> None:
         name = exchange.request.path.removeprefix("/generate/")
         generation = self.generations.pop(name, None)
+        self.cancelled[name] = None
+        if len(self.cancelled) > CANCELLED_KEPT:
+            del self.cancelled[next(iter(self.cancelled))]
         if generation is not None:
             self.model.cancel(generation.sequence)
             generation.reader += 1
@@ -154,7 +165,8 @@
         async with generation.changed:
             await generation.changed.notify_all()
         generation.attached = True
-        await exchange.start_stream(http.EVENT_STREAM)
+        headers = [(engineclient.GENERATION_HEADER, generation.sequence.name)]
+        await exchange.start_stream(http.EVENT_STREAM, headers)
         try:
             await self._send_tokens(exchange, generation, reader, index)
             await exchange.end()
@@ -178,6 +190,7 @@
                 return
             else:
                 await self._wait(exchange, generation, reader, index)
+        await exchange.write(sse.encode("", b"{}", "replaced"))
 
     async def _wait(
         self, exchange: http.Exchange, generation: Generation, reader: int, index: int
@@ -197,6 +210,9 @@
                 self._forget()
                 continue
             self.step_s, advanced = self.model.step()
+            self.chilled = self.chilled and self.model.cold()
+            if self.chilled:
+                self.step_s *= CHILLED_STEP_FACTOR
             await curio.sleep(self.step_s)
             for sequence in advanced:
                 generation = self.generations.get(sequence.name)
--- a/src/ebonywheel/state.py
+++ b/src/ebonywheel/state.py
@@ -12,6 +12,8 @@
 from ebonywheel import commands, configuration, messages, registry, statedata
 
 OPERATION_HORIZON_MS = 7 * 86_400_000
+# Kept however old they look, so that a step of the wall clock forgets none of the recent ones.
+MIN_OPERATIONS = 20_000
 AUDIT_ENTRIES = 20_000
 
 # Commands of hosts that come too often to be audited; they change nothing an operator decides.
@@ -97,7 +99,7 @@
     def _forget_operations(self, before_ms: int) -> None:
         operations = self.data.operations
         # Records are in order of time, so only the oldest need a look.
-        while operations:
+        while len(operations) > MIN_OPERATIONS:
             oldest = next(iter(operations))
             if operations[oldest].at_ms >= before_ms:
                 return
--- a/src/ebonywheel/storage.py
+++ b/src/ebonywheel/storage.py
@@ -1,31 +1,25 @@
 """Durable state of a control host: identity, term and vote, log and snapshot in one folder.
 
-Log records carry a checksum. A torn last record is cut when the log is opened; a bad record with
-good ones behind it refuses to open. Whatever could not be synced is never acknowledged.
+After a failed write or sync nothing more is written or acknowledged: whether the data reached the
+disk is unknown from then on, also when a later sync succeeds.
 """
 
-import os
 import pathlib
 import secrets
-import struct
-import zlib
+import typing
 
 import curio
 import msgspec
 
-from ebonywheel import exceptions, messages
+from ebonywheel import durable, exceptions, logfile, messages
 
-IDENTITY_FILE = "identity.json"
-VOTE_FILE = "vote.json"
-LOG_FILE = "log.bin"
-SNAPSHOT_FILE = "snapshot.bin"
+IDENTITY_FILE = "identity"
+VOTE_FILE = "vote"
+LOG_FILE = "log"
+SNAPSHOT_FILE = "snapshot"
 LOCK_FILE = "lock"
-TEMPORARY_SUFFIX = ".tmp"
 MEMBER_ID_BYTES = 8
-
-# Checksum of all that follows, length of the data, log index, term.
-RECORD = struct.Struct("!IIQQ")
-CHECKSUM = struct.Struct("!I")
+TRAILING_BYTES = 4 * 1024 * 1024
 
 
 class Identity(msgspec.Struct):
@@ -57,267 +51,331 @@
     state: bytes = b""
 
 
+class Mark(msgspec.Struct):
+    """A position in the log."""
+
+    index: int = 0
+    term: int = 0
+
+
 class Storage:
     """The data folder of one control host.
 
+    The log may begin before the snapshot's index, so that hosts that are a little behind need no
+    snapshot.
+
     Attributes:
         identity: Owner of the folder.
-        vote: Durable term and vote.
-        snapshot: Latest snapshot.
-        entries: Log entries after the snapshot, in order.
+        vote: Term and vote, durable after `save_vote`.
+        snapshot: Position of the latest snapshot.
+        base: Position before the first entry of the log; its term is -1 when not known.
         synced: Highest log index that is durable.
+        failed: The fault after which nothing is written any more, or None.
     """
 
     def __init__(self, folder: str, host: str):
         self.folder = pathlib.Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
-        self.identity = self._open_identity(host)
-        self.vote = self._read(VOTE_FILE, Vote) or Vote()
-        self.snapshot = self._open_snapshot()
-        self.entries: list[messages.LogEntry] = []
-        self.offsets: list[int] = []
-        self.log = self._open_log()
-        self.synced = self.last_index()
+        self.lock = durable.lock(self.folder / LOCK_FILE)
+        self.failed: exceptions.StorageError | None = None
         self.sync_lock = curio.Lock()
         self.vote_lock = curio.Lock()
+        try:
+            self._open(host)
+        except OSError as error:
+            self.lock.close()
+            raise exceptions.StorageError(str(error), "open", folder) from error
+        except BaseException:
+            self.lock.close()
+            raise
+
+    # -- questions -------------------------------------------------------------------------
 
     def last_index(self) -> int:
         """Return the index of the last entry."""
-        return self.snapshot.index + len(self.entries)
+        return self.base.index + len(self.log.entries)
 
     def last_term(self) -> int:
         """Return the term of the last entry."""
-        return self.entries[-1].term if self.entries else self.snapshot.term
+        entries = self.log.entries
+        return entries[-1].term if entries else self.snapshot.term
+
+    def last_entry(self) -> messages.LogEntry | None:
+        """Return the last entry that the log still holds."""
+        return self.log.entries[-1] if self.log.entries else None
 
     def term_at(self, index: int) -> int | None:
-        """Return the term of an entry, or None where the log does not hold it."""
+        """Return the term of an entry, or None where it is not known."""
         if index == self.snapshot.index:
             return self.snapshot.term
-        position = index - self.snapshot.index - 1
-        if 0 <= position < len(self.entries):
-            return self.entries[position].term
+        if index == self.base.index:
+            return self.base.term if self.base.term >= 0 else None
+        position = index - self.base.index - 1
+        if 0 <= position < len(self.log.entries):
+            return self.log.entries[position].term
         return None
 
-    def entries_from(self, index: int, most: int) -> list[messages.LogEntry]:
-        """Return up to `most` entries starting at an index after the snapshot."""
-        position = index - self.snapshot.index - 1
-        return self.entries[position : position + most]
+    def entry(self, index: int) -> messages.LogEntry:
+        """Return an entry that the log holds."""
+        return self.log.entries[index - self.base.index - 1]
+
+    def entries_from(self, index: int, most: int, most_bytes: int) -> list[messages.LogEntry]:
+        """Return entries from an index on: at least one, if there is one, and within limits."""
+        position = index - self.base.index - 1
+        found: list[messages.LogEntry] = []
+        size = 0
+        for entry in self.log.entries[position : position + most]:
+            size += len(entry.data)
+            if found and size > most_bytes:
+                break
+            found.append(entry)
+        return found
+
+    # -- log -------------------------------------------------------------------------------
 
     def append(self, entries: list[messages.LogEntry]) -> None:
         """Append entries to the log; durable only after `sync`.
 
         Raises:
-            StorageError: The log cannot be written.
+            StorageError: The log cannot be written; the process must end.
         """
-        offset = self.log.seek(0, os.SEEK_END)
-        data = bytearray()
-        for entry in entries:
-            self.offsets.append(offset + len(data))
-            data += _encode_record(entry)
+        self.check()
         try:
-            _write_all(self.log.fileno(), data)
+            self.log.append(entries)
         except OSError as error:
-            raise exceptions.StorageError(str(error), "append", str(self.folder)) from error
-        self.entries.extend(entries)
+            raise self._fail("append", error) from error
 
     def truncate(self, index: int) -> None:
-        """Drop the entry at an index and all after it."""
-        position = index - self.snapshot.index - 1
-        self.log.truncate(self.offsets[position])
-        del self.entries[position:]
-        del self.offsets[position:]
+        """Drop the entry at an index and all after it, durably.
+
+        Raises:
+            StorageError: The log cannot be written; the process must end.
+        """
+        self.check()
         self.synced = min(self.synced, index - 1)
+        try:
+            self.log.cut(index - self.base.index - 1)
+        except OSError as error:
+            raise self._fail("truncate", error) from error
 
     async def sync(self) -> None:
-        """Make all entries appended so far durable.
+        """Make all entries appended so far durable; callers share one sync.
 
         Raises:
             StorageError: The log could not be synced; the process must end.
         """
+        self.check()
         wanted = self.last_index()
         async with self.sync_lock:
-            if self.synced >= wanted:
-                return
-            target, term = self.last_index(), self.last_term()
-            try:
-                await curio.run_in_thread(os.fsync, self.log.fileno())
-            except OSError as error:
-                raise exceptions.StorageError(str(error), "sync log", str(self.folder)) from error
-            # Entries cut away during the sync must not count as durable.
-            if self.term_at(target) == term:
-                self.synced = max(self.synced, target)
+            while self.synced < min(wanted, self.last_index()):
+                target, term = self.last_index(), self.last_term()
+                await self._run("sync log", self.log.sync)
+                # Entries cut away during the sync must not count as durable.
+                if self.term_at(target) == term:
+                    self.synced = max(self.synced, target)
+
+    # -- vote, identity, snapshot ----------------------------------------------------------
 
     async def save_vote(self) -> None:
-        """Make the current term and vote durable.
+        """Make the current term and vote durable, if they are not yet.
 
         Raises:
-            StorageError: They could not be written.
+            StorageError: They could not be written; the process must end.
         """
+        self.check()
         async with self.vote_lock:
-            await curio.run_in_thread(self._replace, VOTE_FILE, msgspec.json.encode(self.vote))
+            if self.vote == self.saved_vote:
+                return
+            saving = Vote(self.vote.term, self.vote.voted_for)
+            content = msgspec.json.encode(saving)
+            await self._run("write vote", durable.replace_checked, self.folder / VOTE_FILE, content)
+            self.saved_vote = saving
 
     def save_formed(self, members: list[messages.MemberInfo]) -> None:
-        """Record the first configuration of the cluster."""
+        """Record the first configuration of the cluster.
+
+        Raises:
+            StorageError: It could not be written; the process must end.
+        """
+        self.check()
         self.identity.formed = members
-        self._replace(IDENTITY_FILE, msgspec.json.encode(self.identity))
+        try:
+            self._write_identity()
+        except OSError as error:
+            raise self._fail("write identity", error) from error
 
-    async def save_snapshot(self, snapshot: Snapshot) -> None:
+    async def save_snapshot(self, snapshot: Snapshot, trailing: int) -> None:
         """Make a snapshot durable and drop the log entries that it covers.
 
+        Args:
+            snapshot: The snapshot; one that is older than the saved one is ignored.
+            trailing: How many covered entries to keep for hosts that are a little behind.
+
         Raises:
-            StorageError: It could not be written; log and old snapshot stay.
+            StorageError: It could not be written; the process must end.
         """
-        body = msgspec.msgpack.encode(snapshot)
-        data = CHECKSUM.pack(zlib.crc32(body)) + body
+        self.check()
         async with self.sync_lock:
-            await curio.run_in_thread(self._replace, SNAPSHOT_FILE, data)
-            self._drop_covered(snapshot)
+            if snapshot.index <= self.snapshot.index:
+                return
+            await self._run("write snapshot", _write_snapshot, self.folder, snapshot)
+            matches = self.term_at(snapshot.index) == snapshot.term
+            self.snapshot = Mark(snapshot.index, snapshot.term)
+            try:
+                self._drop_covered(trailing if matches else None)
+            except OSError as error:
+                raise self._fail("drop log", error) from error
 
-    def close(self) -> None:
-        """Close the log file."""
-        self.log.close()
+    async def read_snapshot(self) -> Snapshot:
+        """Read the saved snapshot.
 
-    def _drop_covered(self, snapshot: Snapshot) -> None:
-        if self.term_at(snapshot.index) == snapshot.term:
-            kept = self.entries[snapshot.index - self.snapshot.index :]
-        else:
-            kept = []
-        self.snapshot = snapshot
-        records = [_encode_record(entry) for entry in kept]
-        self._replace(LOG_FILE, b"".join(records))
-        self.log.close()
-        self.log = _open_for_update(self.folder / LOG_FILE)
-        self.entries = kept
-        self.offsets = []
-        offset = 0
-        for record in records:
-            self.offsets.append(offset)
-            offset += len(record)
-        self.synced = self.last_index()
+        Raises:
+            StorageError: It cannot be read.
+        """
+        async with curio.disable_cancellation():
+            return await curio.run_in_thread(_read_snapshot, self.folder)
+
+    def load_snapshot(self) -> Snapshot:
+        """Read the saved snapshot at the start of the process.
+
+        Raises:
+            StorageError: It cannot be read.
+        """
+        return _read_snapshot(self.folder)
+
+    def check(self) -> None:
+        """Check that nothing has failed.
+
+        Raises:
+            StorageError: A write or sync has failed before.
+        """
+        if self.failed is not None:
+            raise self.failed
 
-    def _open_identity(self, host: str) -> Identity:
-        found = self._read(IDENTITY_FILE, Identity)
-        if found is None:
-            if (self.folder / LOG_FILE).exists() or (self.folder / SNAPSHOT_FILE).exists():
-                raise exceptions.StorageError("no identity", "open identity", str(self.folder))
-            found = Identity(host, secrets.token_hex(MEMBER_ID_BYTES))
-            self._replace(IDENTITY_FILE, msgspec.json.encode(found))
-        if found.host != host:
+    def close(self) -> None:
+        """Close the log and let another process use the folder."""
+        self.log.close()
+        self.lock.close()
+
+    # -- private ---------------------------------------------------------------------------
+
+    def _open(self, host: str) -> None:
+        fresh = not (self.folder / IDENTITY_FILE).exists()
+        if fresh:
+            self._check_unused()
+            durable.replace(self.folder / LOG_FILE, b"")
+            self.identity = Identity(host, secrets.token_hex(MEMBER_ID_BYTES))
+            self._write_identity()
+        self.identity = self._read(IDENTITY_FILE, Identity)
+        if self.identity.host != host:
             raise exceptions.StorageError(
-                f"data folder belongs to host {found.host!r}, not {host!r}",
+                f"data folder belongs to host {self.identity.host!r}, not {host!r}",
                 "open identity",
                 str(self.folder),
             )
-        return found
+        self._open_log()
+        self.vote = self._read(VOTE_FILE, Vote) or Vote()
+        self.saved_vote = Vote(self.vote.term, self.vote.voted_for)
+        if self.vote.term < self.last_term():
+            raise exceptions.StorageError(
+                f"vote of term {self.vote.term} is older than the log's term {self.last_term()}",
+                "open vote",
+                str(self.folder),
+            )
 
-    def _open_snapshot(self) -> Snapshot:
-        path = self.folder / SNAPSHOT_FILE
-        if not path.exists():
-            return Snapshot()
-        data = path.read_bytes()
-        body = data[CHECKSUM.size :]
-        if len(data) < CHECKSUM.size or CHECKSUM.unpack_from(data)[0] != zlib.crc32(body):
-            raise exceptions.StorageError("bad checksum", "open snapshot", str(path))
-        return msgspec.msgpack.decode(body, type=Snapshot)
+    def _check_unused(self) -> None:
+        log = self.folder / LOG_FILE
+        used = log.exists() and log.stat().st_size > 0
+        if used or any((self.folder / name).exists() for name in (SNAPSHOT_FILE, VOTE_FILE)):
+            raise exceptions.StorageError("no identity", "open identity", str(self.folder))
 
-    def _open_log(self):
+    def _open_log(self) -> None:
         path = self.folder / LOG_FILE
         if not path.exists():
-            self._replace(LOG_FILE, b"")
-        data = path.read_bytes()
-        good = self._load_records(data, path)
-        log = _open_for_update(path)
-        if good < len(data):
-            log.truncate(good)
-            os.fsync(log.fileno())
-        return log
-
-    def _load_records(self, data: bytes, path: pathlib.Path) -> int:
-        offset = 0
-        while (record := _decode_record(data, offset)) is not None:
-            entry, end = record
-            # A snapshot may be newer than the log it was to replace.
-            if entry.index > self.snapshot.index:
-                self._take_loaded(entry, offset, path)
-            offset = end
-        if offset < len(data) and _has_record_after(data, offset):
+            raise exceptions.StorageError("no log", "open log", str(path))
+        snapshot = _read_snapshot(self.folder)
+        self.snapshot = Mark(snapshot.index, snapshot.term)
+        self.log = logfile.LogFile(path)
+        entries = self.log.entries
+        first = entries[0].index if entries else self.snapshot.index + 1
+        if first > self.snapshot.index + 1:
             raise exceptions.CorruptLogError(
-                f"bad record at byte {offset} with good ones behind it", "open log", str(path)
-            )
-        return offset
-
-    def _take_loaded(self, entry: messages.LogEntry, offset: int, path: pathlib.Path) -> None:
-        if entry.index != self.last_index() + 1:
-            raise exceptions.CorruptLogError(
-                f"entry {entry.index} where {self.last_index() + 1} was expected",
+                f"log begins at entry {first}, after snapshot {self.snapshot.index}",
                 "open log",
                 str(path),
             )
-        self.entries.append(entry)
-        self.offsets.append(offset)
+        self.base = Mark(first - 1, -1)
+        if first == self.snapshot.index + 1:
+            self.base = Mark(self.snapshot.index, self.snapshot.term)
+        elif self._term_in_log(self.snapshot.index) != self.snapshot.term:
+            # The process ended between saving a snapshot and dropping the log it replaced.
+            self._drop_covered(None)
+        self.synced = self.last_index()
+
+    def _term_in_log(self, index: int) -> int | None:
+        position = index - self.base.index - 1
+        if 0 <= position < len(self.log.entries):
+            return self.log.entries[position].term
+        return None
 
-    def _read(self, name: str, kind: type):
+    def _drop_covered(self, trailing: int | None) -> None:
+        entries = self.log.entries
+        count = len(entries) if trailing is None else self._covered(trailing)
+        if count < len(entries):
+            if count:
+                self.base = Mark(entries[count - 1].index, entries[count - 1].term)
+        else:
+            self.base = Mark(self.snapshot.index, self.snapshot.term)
+        if count:
+            self.log.drop(count)
+            self.synced = self.last_index()
+
+    def _covered(self, trailing: int) -> int:
+        """Return how many entries to drop so that few enough covered ones stay."""
+        covered = self.snapshot.index - self.base.index
+        count = max(0, covered - trailing)
+        end = self.log.offsets[covered] if covered < len(self.log.offsets) else self.log.size
+        while count < covered and end - self.log.offsets[count] > TRAILING_BYTES:
+            count += 1
+        return count
+
+    def _write_identity(self) -> None:
+        durable.replace_checked(self.folder / IDENTITY_FILE, msgspec.json.encode(self.identity))
+
+    def _read(self, name: str, kind: type) -> typing.Any:
         path = self.folder / name
-        if not path.exists():
+        body = durable.read_checked(path)
+        if body is None:
             return None
         try:
-            return msgspec.json.decode(path.read_bytes(), type=kind)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.DecodeError as error:
             raise exceptions.StorageError(str(error), "read", str(path)) from error
 
-    def _replace(self, name: str, data: bytes) -> None:
-        target = self.folder / name
-        temporary = self.folder / (name + TEMPORARY_SUFFIX)
+    async def _run(self, step: str, function: typing.Callable, *arguments: typing.Any) -> None:
+        self.check()
         try:
-            with open(temporary, "wb") as file:
-                file.write(data)
-                file.flush()
-                os.fsync(file.fileno())
-            os.replace(temporary, target)
-            _sync_folder(self.folder)
+            # A cancelled task would release its lock while the thread still writes.
+            async with curio.disable_cancellation():
+                await curio.run_in_thread(function, *arguments)
         except OSError as error:
-            raise exceptions.StorageError(str(error), "write", str(target)) from error
+            raise self._fail(step, error) from error
 
+    def _fail(self, step: str, error: OSError) -> exceptions.StorageError:
+        self.failed = exceptions.StorageError(str(error), step, str(self.folder))
+        return self.failed
 
-def _open_for_update(path: pathlib.Path):
-    log = open(path, "r+b", buffering=0)
-    log.seek(0, os.SEEK_END)
-    return log
 
+def _write_snapshot(folder: pathlib.Path, snapshot: Snapshot) -> None:
+    durable.replace_checked(folder / SNAPSHOT_FILE, msgspec.msgpack.encode(snapshot))
 
-def _write_all(descriptor: int, data: bytes | bytearray) -> None:
-    view = memoryview(data)
-    while view:
-        view = view[os.write(descriptor, view) :]
 
-
-def _sync_folder(folder: pathlib.Path) -> None:
-    descriptor = os.open(folder, os.O_RDONLY)
+def _read_snapshot(folder: pathlib.Path) -> Snapshot:
+    path = folder / SNAPSHOT_FILE
+    body = durable.read_checked(path)
+    if body is None:
+        return Snapshot()
     try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-
-
-def _encode_record(entry: messages.LogEntry) -> bytes:
-    body = RECORD.pack(0, len(entry.data), entry.index, entry.term)[CHECKSUM.size :] + entry.data
-    return CHECKSUM.pack(zlib.crc32(body)) + body
-
-
-def _decode_record(data: bytes, offset: int) -> tuple[messages.LogEntry, int] | None:
-    if offset + RECORD.size > len(data):
-        return None
-    checksum, length, index, term = RECORD.unpack_from(data, offset)
-    end = offset + RECORD.size + length
-    if end > len(data):
-        return None
-    if zlib.crc32(data[offset + CHECKSUM.size : end]) != checksum:
-        return None
-    return messages.LogEntry(index, term, data[offset + RECORD.size : end]), end
-
-
-def _has_record_after(data: bytes, offset: int) -> bool:
-    return any(
-        _decode_record(data, later) is not None
-        for later in range(offset + 1, len(data) - RECORD.size + 1)
-    )
+        return msgspec.msgpack.decode(body, type=Snapshot)
+    except msgspec.DecodeError as error:
+        raise exceptions.StorageError(str(error), "read snapshot", str(path)) from error
--- /dev/null
+++ b/tests/homes.py
@@ -0,0 +1,96 @@
+"""Homes without processes: fake feeds and hosts on one manual clock."""
+
+import msgspec
+
+from ebonywheel import clock, configuration, documents, exceptions, home, kernel, messages, settings
+
+ENGINE = documents.Engine(cold_slots=2, warm_slots=6, warm_after=2)
+DOCUMENT = documents.Document(
+    "production", {"puget": "north"}, {"planner": ENGINE}, {}, {"normal": 1}, {}
+)
+LEASE_S = 3.0
+SERVER = "planner-1"
+
+
+class FakeFeed:
+    """A feed whose lease and configuration the test sets."""
+
+    def __init__(self, time_source):
+        self.clock = time_source
+        self.current = configuration.Configuration()
+        self.lease_until = float("-inf")
+        self.incarnation = 1
+        self.on_change = []
+
+    def holds_lease(self):
+        return self.clock.monotonic() < self.lease_until
+
+    def require_lease(self):
+        if not self.holds_lease():
+            raise exceptions.NotRunError("no lease", "check lease")
+        return self.current
+
+    async def take(self, current, lease_s=LEASE_S):
+        self.current = current
+        self.lease_until = max(self.lease_until, self.clock.monotonic() + lease_s)
+        for notify in self.on_change:
+            await notify(current)
+
+
+class FakePoison:
+    """Keeps what homes report."""
+
+    def __init__(self):
+        self.deaths = []
+
+    async def died(self, state, running):
+        self.deaths.append((state, running))
+
+
+def make_home(name, time_source):
+    host = settings.HostSettings(name, "puget", "127.0.0.1:1", "127.0.0.1:2", "")
+    core = kernel.Kernel("entry", host, b"secret-of-the-tests", time_source)
+    return home.Home(core, FakeFeed(time_source), FakePoison())
+
+
+def configured(epoch, hosts, out=()):
+    roster = {host: configuration.RosterEntry(host, 1, "puget", "127.0.0.1:1") for host in hosts}
+    return configuration.Configuration(epoch, 1, DOCUMENT, frozenset(out), roster, epoch, {}, [])
+
+
+def announced(incarnation=1, sequence=1, running=0, age_ms=0, state="ready", step_us=0):
+    return messages.Announce(
+        messages.ServerState(
+            SERVER,
+            incarnation,
+            "production",
+            "puget",
+            "127.0.0.1:9",
+            "planner",
+            state,
+            64,
+            16,
+            sequence,
+        ),
+        messages.ServerLoad(SERVER, incarnation, running, 0, 0, step_us, 0, age_ms),
+    )
+
+
+def borrow(loan, incarnation=1, host="b", **more):
+    return messages.Borrow(loan=loan, host=host, server=SERVER, incarnation=incarnation, **more)
+
+
+def release(loan, outcome="finished", incarnation=1):
+    return messages.Release(loan, SERVER, incarnation, 5, outcome)
+
+
+def holding(loan, incarnation=1, tokens=1):
+    return messages.Holding(loan, SERVER, incarnation, "plan", "press", 3, tokens)
+
+
+def copy(message):
+    return msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=type(message))
+
+
+def manual():
+    return clock.ManualClock()
