Tell placement of each slot given back

Cause: placement settles customers' shares and learns lengths from finished work. Excluded: placement wrapping Fleet.release (two owners of one call). Change: a list of hooks called at each release. Before and after: the tests of the path pass. Conclusion: none beyond the seam.

--- a/src/ebonywheel/fleet.py
+++ b/src/ebonywheel/fleet.py
@@ -1,5 +1,7 @@
 """What this entry host knows of all backend servers, and how it borrows their slots."""
 
+import typing
+
 import curio
 import msgspec
 
@@ -45,6 +47,8 @@
         self.changed = curio.Condition()
         # Until when a loan that is not in use yet may be used.
         self.loan_until: dict[str, float] = {}
+        # Called with each slot given back and the outcome.
+        self.on_release: list[typing.Callable[[messages.Holding, str], None]] = []
 
     async def start(self) -> None:
         """Start telling other entry hosts and homes."""
@@ -185,6 +189,8 @@
         """
         self.holdings.pop(holding.loan, None)
         self.loan_until.pop(holding.loan, None)
+        for hook in self.on_release:
+            hook(holding, outcome)
         message = messages.Release(
             holding.loan, holding.server, holding.incarnation, holding.tokens, outcome
         )
