--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -12,6 +12,8 @@
 from ebonywheel import commands, elections, exceptions, membership, messages
 from replicas import ELECTION_TIMEOUT_S, Replicas, add, check_history, copy_of, node_value
 
+NOOP = commands.encode(commands.Noop())
+
 
 def run(tmp_path, body, **options):
     """Run a test's body with started replicas, and check its history afterwards."""
@@ -334,6 +336,25 @@
 
         run(tmp_path, body)
 
+    def test_fault_in_an_answer_to_the_leader_ends_the_host(self, tmp_path):
+        async def body(cluster):
+            one, _ = followers(cluster)
+            await writes(cluster, 2)
+            term, last = one.store.vote.term, one.store.last_index()
+            cluster.isolate(one)
+            cluster.disk.failing.add(one.folder)
+            entry = messages.LogEntry(last + 1, term, NOOP)
+            prev_term = one.store.term_at(last)
+            request = messages.AppendRequest(term, "x", last, prev_term, 0, [entry], one.member)
+            with pytest.raises(exceptions.StorageError):
+                await one.replica.handle_append(request)
+            assert one.core.stopped.is_set()
+            cluster.disk.failing.clear()
+            with pytest.raises(exceptions.StorageError):
+                await one.replica.handle_append(request)
+
+        run(tmp_path, body)
+
     def test_leader_that_cannot_sync_acknowledges_nothing_by_itself(self, tmp_path):
         async def body(cluster):
             leader = await cluster.wait_leader()
@@ -356,7 +377,7 @@
             cluster.isolate(one)
             term, last = one.store.vote.term, one.store.last_index()
             one.replica.elections._adopt(term + 3)
-            entry = messages.LogEntry(last + 1, term, b"")
+            entry = messages.LogEntry(last + 1, term, NOOP)
             request = messages.AppendRequest(term, "x", last, term, last, [entry], one.member)
             reply = await one.replica.handle_append(request)
             assert (reply.ok, one.store.last_index()) == (False, last)
@@ -382,7 +403,7 @@
             cluster.isolate(one)
             commit = one.replica.commit
             prev = one.store.term_at(commit - 1)
-            entry = messages.LogEntry(commit, 99, b"")
+            entry = messages.LogEntry(commit, 99, NOOP)
             request = messages.AppendRequest(99, "x", commit - 1, prev, 0, [entry], one.member)
             with pytest.raises(exceptions.CorruptLogError):
                 await one.replica.handle_append(request)
@@ -406,6 +427,22 @@
 
         run(tmp_path, body)
 
+    def test_same_operation_in_flight_twice_takes_effect_once(self, tmp_path):
+        async def body(cluster):
+            leader = await cluster.wait_leader()
+            async with curio.TaskGroup() as group:
+                for _ in range(5):
+                    await group.spawn(propose_as, leader, "op-1")
+            outcomes = [outcome for _, outcome in group.results]
+            assert outcomes == [outcomes[0]] * 5
+            audited = [entry.operation for entry in leader.machine.data.audit]
+            assert audited.count("op-1") == 1
+
+        async def propose_as(leader, operation):
+            return await propose(leader, operation=operation)
+
+        run(tmp_path, body)
+
     def test_proposals_share_syncs(self, tmp_path):
         async def body(cluster):
             leader = await cluster.wait_leader()
