Readers of HTTP and links: bounded before the peer is known, whole or an error after

Excluded: curio.timeout_after(None) inside another timeout (it disables the outer one). Conclusion: every malformed input is counted and answered or closed.

--- a/src/ebonywheel/codec.py
+++ b/src/ebonywheel/codec.py
@@ -12,6 +12,11 @@
 VERSION = 1
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
+# How much a small body may unfold to: a list may claim any number of empty elements.
+TRAVERSAL_FACTOR = 4
+TRAVERSAL_SPARE_WORDS = 1024
+WORD_BYTES = 8
+
 FLAG_REQUEST = 0
 FLAG_REPLY = 1
 FLAG_ONE_WAY = 2
@@ -108,6 +113,11 @@
 _by_kind = {number: _struct_codec(cls) for cls, number in _kinds.items()}
 
 
+def kind_of(cls: type[msgspec.Struct]) -> int:
+    """Return the type number of a message class."""
+    return _kinds[cls]
+
+
 def encode(message: msgspec.Struct, exchange: int, flag: int) -> bytes:
     """Return the whole frame for a message.
 
@@ -156,7 +166,8 @@
     """
     codec = _by_kind[header.kind]
     try:
-        with codec.schema.from_bytes(body) as reader:
+        words = TRAVERSAL_FACTOR * len(body) // WORD_BYTES + TRAVERSAL_SPARE_WORDS
+        with codec.schema.from_bytes(body, traversal_limit_in_words=words) as reader:
             return codec.read(reader)
     except (capnp.KjException, UnicodeDecodeError, ValueError) as error:
         raise exceptions.FrameError(
--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -196,10 +196,7 @@
         """
         if self.conn.trailing_data[0]:
             return True
-        try:
-            data = await self._receive(IDLE_TIMEOUT_S)
-        except curio.TaskTimeout as error:
-            raise exceptions.HttpError("idle for too long", "read", self.peer, 408) from error
+        data = await self._in_time(self._receive(), IDLE_TIMEOUT_S)
         self.conn.receive_data(data)
         return bool(data)
 
@@ -213,6 +210,8 @@
         if isinstance(head, h11.ConnectionClosed):
             return None
         headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
+        if sum(len(name) + len(value) for name, value in headers.items()) > MAX_HEADER_BYTES:
+            raise exceptions.HttpError("headers too large", "read head", self.peer, 431)
         path, raw_query = _split_target(head.target.decode("latin-1"), self.peer)
         self._check_length(headers)
         if self.conn.they_are_waiting_for_100_continue:
@@ -271,7 +270,7 @@
                 ) from error
             if event is not h11.NEED_DATA:
                 return event
-            self.conn.receive_data(await self._receive(None))
+            self.conn.receive_data(await self._receive())
 
     async def _read_body(self) -> bytes:
         body = bytearray()
@@ -289,10 +288,9 @@
         text = f"body over {self.server.max_body_bytes} bytes"
         return exceptions.HttpError(text, "read body", self.peer, 413)
 
-    async def _receive(self, timeout_s: float | None) -> bytes:
+    async def _receive(self) -> bytes:
         try:
-            async with curio.timeout_after(timeout_s):
-                return await self.sock.recv(READ_BYTES)
+            return await self.sock.recv(READ_BYTES)
         except OSError as error:
             raise exceptions.HttpError(str(error), "read", self.peer) from error
 
--- a/src/ebonywheel/link.py
+++ b/src/ebonywheel/link.py
@@ -24,6 +24,9 @@
 NONCE_BYTES = 16
 READ_BYTES = 65536
 ACCEPT_BACKLOG = 1024
+ACCEPT_PAUSE_S = 0.05
+MAX_CONNECTIONS = 2048
+MAX_HANDSHAKE_BYTES = 4096
 
 
 class PeerInfo(msgspec.Struct):
@@ -43,7 +46,11 @@
 
 
 class FrameStream:
-    """Reads and writes frames on one socket."""
+    """Reads and writes frames on one socket.
+
+    Attributes:
+        broken: True when a frame was cut off, so that nothing may follow it.
+    """
 
     def __init__(self, core: kernel.Kernel, sock: curio.io.Socket, name: str, delay_s: float = 0.0):
         self.core = core
@@ -53,6 +60,7 @@
         self.buffer = bytearray()
         self.write_lock = curio.Lock()
         self.frames_in = 0
+        self.broken = False
 
     async def write(self, frame: bytes) -> None:
         """Write one whole frame.
@@ -65,14 +73,22 @@
         try:
             async with curio.timeout_after(SEND_TIMEOUT_S):
                 async with self.write_lock:
-                    await self.sock.sendall(frame)
+                    await self._send_whole(frame)
         except curio.TaskTimeout as error:
-            await self.sock.close()
             raise exceptions.LinkTimeout("peer does not read", "write", self.name) from error
         except OSError as error:
             raise exceptions.LinkError(str(error), "write", self.name) from error
         self.core.metrics.count("link_bytes_out", len(frame))
 
+    async def _send_whole(self, frame: bytes) -> None:
+        try:
+            await self.sock.sendall(frame)
+        except curio.CancelledError:
+            # A part of the frame may have left; anything after it would be misread.
+            self.broken = True
+            await self.shutdown()
+            raise
+
     async def read(self) -> tuple[codec.Header, msgspec.Struct]:
         """Read one whole frame.
 
@@ -80,7 +96,22 @@
             FrameError: The frame is malformed.
             LinkError: The connection ended.
         """
+        return await self._read_body(codec.decode_header(await self._take(codec.HEADER.size)))
+
+    async def read_handshake(self, kind: type[msgspec.Struct]) -> msgspec.Struct:
+        """Read one message of a peer that is not known yet: only this kind, and only a small one.
+
+        Raises:
+            FrameError: The frame is malformed.
+            HandshakeError: The message is another one.
+            LinkError: The connection ended.
+        """
         header = codec.decode_header(await self._take(codec.HEADER.size))
+        if header.kind != codec.kind_of(kind) or header.length > MAX_HANDSHAKE_BYTES:
+            raise exceptions.HandshakeError(f"expected {kind.__name__}", "handshake", self.name)
+        return (await self._read_body(header))[1]
+
+    async def _read_body(self, header: codec.Header) -> tuple[codec.Header, msgspec.Struct]:
         body = await self._take(header.length)
         self.frames_in += 1
         return header, codec.decode_body(header, body)
@@ -181,7 +212,7 @@
 
     async def _connected(self) -> FrameStream:
         async with self.connect_lock:
-            if self.stream is None:
+            if self.stream is None or self.stream.broken:
                 self.stream = await self._connect()
                 await self.core.spawn(self._read_answers(self.stream))
             return self.stream
@@ -219,6 +250,9 @@
                     self.core.metrics.count("link_late_answers", peer=self.name)
                     continue
                 await waiting.answer.set_value(message)
+        except exceptions.FrameError as caught:
+            self.core.metrics.count("link_bad_frames")
+            error = caught
         except exceptions.LinkError as caught:
             error = caught
         finally:
@@ -250,6 +284,7 @@
         self.core = core
         self.handler = handler
         self.delay_s = delay_s
+        self.open = 0
 
     async def start(self) -> None:
         """Bind the host's link address and start accepting.
@@ -267,11 +302,28 @@
 
     async def _accept(self, sock: curio.io.Socket) -> None:
         while True:
-            client, address = await sock.accept()
+            try:
+                client, address = await sock.accept()
+            except OSError:
+                # The peer gave up again, or no descriptor is free: others may go on.
+                self.core.metrics.count("link_accept_errors")
+                await curio.sleep(ACCEPT_PAUSE_S)
+                continue
+            if self.open >= MAX_CONNECTIONS:
+                self.core.metrics.count("link_connections_refused")
+                await client.close()
+                continue
+            self.open += 1
             sockets.tune(client)
             await self.core.spawn(self._serve(client, f"{address[0]}:{address[1]}"))
 
     async def _serve(self, sock: curio.io.Socket, name: str) -> None:
+        try:
+            await self._serve_peer(sock, name)
+        finally:
+            self.open -= 1
+
+    async def _serve_peer(self, sock: curio.io.Socket, name: str) -> None:
         stream = FrameStream(self.core, sock, name, self.delay_s)
         async with sock:
             try:
@@ -330,31 +382,25 @@
     nonce = secrets.token_bytes(NONCE_BYTES)
     hello = messages.Hello(core.role, core.host.name, core.host.data_centre, nonce)
     await stream.write(codec.encode(hello, 0, codec.FLAG_REQUEST))
-    _, challenge = await stream.read()
-    if not isinstance(challenge, messages.Challenge):
-        raise exceptions.HandshakeError("unexpected answer", "handshake", stream.name)
+    challenge = await stream.read_handshake(messages.Challenge)
     accepting = _sign(core.secret, b"accept", challenge.host, nonce, challenge.nonce)
     if not hmac.compare_digest(accepting, challenge.proof):
         raise exceptions.HandshakeError("peer has another secret", "handshake", stream.name)
     proof = _sign(core.secret, b"connect", core.host.name, challenge.nonce, nonce)
     await stream.write(codec.encode(messages.Proof(proof), 0, codec.FLAG_REQUEST))
-    _, answer = await stream.read()
-    if not isinstance(answer, messages.Ack):
-        raise exceptions.HandshakeError("refused by peer", "handshake", stream.name)
+    await stream.read_handshake(messages.Ack)
     return PeerInfo("", challenge.host, challenge.data_centre)
 
 
 async def _admit(core: kernel.Kernel, stream: FrameStream) -> PeerInfo:
-    _, hello = await stream.read()
-    if not isinstance(hello, messages.Hello):
-        raise exceptions.HandshakeError("expected Hello", "handshake", stream.name)
+    hello = await stream.read_handshake(messages.Hello)
     nonce = secrets.token_bytes(NONCE_BYTES)
     proof = _sign(core.secret, b"accept", core.host.name, hello.nonce, nonce)
     challenge = messages.Challenge(core.host.name, core.host.data_centre, nonce, proof)
     await stream.write(codec.encode(challenge, 0, codec.FLAG_REPLY))
-    _, answer = await stream.read()
+    answer = await stream.read_handshake(messages.Proof)
     connecting = _sign(core.secret, b"connect", hello.host, nonce, hello.nonce)
-    if not isinstance(answer, messages.Proof) or not hmac.compare_digest(answer.proof, connecting):
+    if not hmac.compare_digest(answer.proof, connecting):
         raise exceptions.HandshakeError("peer has another secret", "handshake", stream.name)
     await stream.write(codec.encode(messages.Ack(), 0, codec.FLAG_REPLY))
     return PeerInfo(hello.role, hello.host, hello.data_centre)
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,317 @@
+"""HTTP on both sides: the right answer to the right request, and no malformed input that hurts."""
+
+import socket
+
+import curio
+import h11
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cluster import free_address
+from ebonywheel import exceptions, http
+from ebonywheel import settings as host_settings
+from netbench import MAX_BODY, connect, parse_answers, read_all, run
+
+LARGE = 4 * 1024 * 1024
+MEDIUM = 512 * 1024
+
+
+async def echo(exchange):
+    """Answer with the request's own path, and a body as long as it asks for."""
+    request = exchange.request
+    length = int(request.query.get("length", "0"))
+    if request.path == "/stream":
+        await exchange.start_stream("text/plain")
+        await exchange.write(b"part")
+        if "break" in request.query:
+            raise exceptions.UpstreamError("lost", "read", "server", True)
+        await exchange.end()
+        return
+    if request.path == "/slow":
+        await curio.sleep(0.05)
+    if request.path == "/inject":
+        await exchange.respond(200, b"", headers=[("x-key", "a\r\nx-evil: 1")])
+        return
+    status = int(request.query.get("status", "200"))
+    await exchange.respond(status, request.path.encode() + b"x" * length + request.body)
+
+
+async def serve(core, handler=echo):
+    server = http.Server(core, core.host.http, handler, MAX_BODY)
+    await server.start()
+    return server
+
+
+async def talk(core, data, finish=True):
+    """Send bytes on a connection of their own and return everything that comes back."""
+    sock = await connect(core.host.http)
+    async with sock:
+        await sock.sendall(data)
+        if finish:
+            await sock.shutdown(1)
+        return await read_all(sock)
+
+
+def get(path, extra=b""):
+    return b"GET " + path.encode() + b" HTTP/1.1\r\nhost: x\r\n" + extra + b"\r\n"
+
+
+CLOSE = b"connection: close\r\n"
+
+
+class TestRightAnswer:
+    def test_pipelined_requests_are_answered_in_order(self):
+        async def scenario(core):
+            await serve(core)
+            paths = ["/slow", "/b", "/slow/c", "/d"]
+            data = await talk(core, b"".join(get(path) for path in paths))
+            answers = parse_answers(data, ["GET"] * 4)
+            assert [body.decode() for _, body in answers] == paths
+
+        run(scenario)
+
+    def test_half_closed_caller_gets_the_whole_answer(self):
+        async def scenario(core):
+            await serve(core)
+            data = await talk(core, get(f"/slow?length={LARGE}", CLOSE), finish=True)
+            [(status, body)] = parse_answers(data, ["GET"])
+            assert (status, len(body)) == (200, LARGE + len("/slow"))
+
+        run(scenario)
+
+    def test_slow_reader_with_unread_input_gets_the_whole_answer(self):
+        async def scenario(core):
+            await serve(core)
+            sock = await connect(core.host.http)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32768)
+            async with sock:
+                ignored = get("/ignored", b"x: " + b"y" * 1000 + b"\r\n") * 150
+                await sock.sendall(get(f"/?length={MEDIUM}", CLOSE) + ignored)
+                await curio.sleep(0.3)
+                data = await read_all(sock)
+            answers = parse_answers(data, ["GET"])
+            assert len(answers) == 1
+            assert len(answers[0][1]) == MEDIUM + 1
+
+        run(scenario)
+
+    def test_answer_that_breaks_off_does_not_look_whole(self):
+        async def scenario(core):
+            await serve(core)
+            assert parse_answers(await talk(core, get("/stream")), ["GET"]) == [(200, b"part")]
+            assert parse_answers(await talk(core, get("/stream?break=1")), ["GET"]) == []
+
+        run(scenario)
+
+    def test_draining_host_says_that_the_connection_ends(self):
+        async def scenario(core):
+            await serve(core)
+            sock = await connect(core.host.http)
+            async with sock:
+                await core.draining.set()
+                await sock.sendall(get("/last"))
+                data = await read_all(sock)
+            assert b"connection: close" in data.lower()
+            assert parse_answers(data, ["GET"]) == [(200, b"/last")]
+
+        run(scenario)
+
+
+class TestRequests:
+    @pytest.mark.parametrize(
+        ("data", "methods", "expected"),
+        [
+            (b"HEAD /a HTTP/1.1\r\nhost: x\r\n\r\n" + get("/b"), ["HEAD", "GET"],
+             [(200, b""), (200, b"/b")]),
+            (get("http://x/absolute"), ["GET"], [(200, b"/absolute")]),
+            (get("//not-a-host/path"), ["GET"], [(200, b"//not-a-host/path")]),
+            (b"OPTIONS * HTTP/1.1\r\nhost: x\r\n\r\n", ["GET"], [(200, b"*")]),
+            (get("/none?status=204"), ["GET"], [(204, b"")]),
+            (b"POST /c HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\nhi",
+             ["GET"], [(200, b"/chi")]),
+            (b"POST /d HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+             b"2\r\nhi\r\n0\r\n\r\n", ["GET"], [(200, b"/dhi")]),
+        ],
+        ids=["head", "absolute", "two slashes", "star", "no content", "continue", "chunked"],
+    )  # fmt: skip
+    def test_unusual_ones_are_answered(self, data, methods, expected):
+        async def scenario(core):
+            await serve(core)
+            assert parse_answers(await talk(core, data), methods) == expected
+
+        run(scenario)
+
+    @pytest.mark.parametrize(
+        ("data", "status"),
+        [
+            (get("http://[::1"), 400),
+            (b"\x00\xff\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nabc",
+             400),
+            (b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: -2\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\n\r\n", 400),
+            (get("/", b"x: " + b"y" * 20_000 + b"\r\n"), 431),
+            (get("/", b"x y: z\r\n"), 400),
+            (b"POST / HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\ncontent-length: 99999\r\n\r\n",
+             413),
+            (b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+             + b"8000\r\n" + b"x" * 0x8000 + b"\r\n" + b"9000\r\n" + b"x" * 0x9000 + b"\r\n", 413),
+            (b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nab", 400),
+        ],
+    )  # fmt: skip
+    def test_bad_ones_are_counted_and_answered(self, data, status):
+        async def scenario(core):
+            await serve(core)
+            answer = await talk(core, data)
+            assert answer.startswith(b"HTTP/1.1 %d" % status), answer[:100]
+            assert b"100 Continue" not in answer
+            assert core.metrics.counters[("http_bad_requests", (("status", str(status)),))] == 1
+            assert parse_answers(await talk(core, get("/next")), ["GET"]) == [(200, b"/next")]
+
+        run(scenario)
+
+    def test_header_injection_sends_nothing(self):
+        async def scenario(core):
+            await serve(core)
+            assert b"evil" not in await talk(core, get("/inject"))
+
+        run(scenario)
+
+
+class TestSlowCallers:
+    @pytest.mark.parametrize(
+        "data", [b"GET / HT", b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n"]
+    )
+    def test_drip_is_ended_by_the_time_for_the_whole(self, monkeypatch, data):
+        monkeypatch.setattr(http, "HEADER_TIMEOUT_S", 0.3)
+        monkeypatch.setattr(http, "BODY_TIMEOUT_S", 0.3)
+
+        async def scenario(core):
+            await serve(core)
+            sock = await connect(core.host.http)
+
+            async def drip():
+                for _ in range(100):
+                    await sock.sendall(b"a")
+                    await curio.sleep(0.05)
+
+            await sock.sendall(data)
+            dripping = await curio.spawn(drip(), daemon=True)
+            answer = await read_all(sock, 3.0)
+            await dripping.cancel()
+            assert answer.startswith(b"HTTP/1.1 408")
+
+        run(scenario)
+
+    def test_idle_connection_is_closed_without_an_answer(self, monkeypatch):
+        monkeypatch.setattr(http, "IDLE_TIMEOUT_S", 0.1)
+
+        async def scenario(core):
+            await serve(core)
+            assert await talk(core, b"", finish=False) == b""
+
+        run(scenario)
+
+    def test_connections_are_bounded(self, monkeypatch):
+        monkeypatch.setattr(http, "MAX_CONNECTIONS", 3)
+
+        async def scenario(core):
+            server = await serve(core)
+            held = [await connect(core.host.http) for _ in range(3)]
+            await curio.sleep(0.05)
+            assert server.open == 3
+            extra = await connect(core.host.http)
+            assert await read_all(extra) == b""
+            await extra.close()
+            for sock in held:
+                await sock.close()
+            await curio.sleep(0.05)
+            assert parse_answers(await talk(core, get("/in")), ["GET"]) == [(200, b"/in")]
+
+        run(scenario)
+
+
+# Pieces of requests, whole, broken and nonsensical, that fuzzing puts together.
+PIECES = st.sampled_from(
+    [
+        get("/a"), b"GET /", b" HTTP/1.1\r\n", b"host: x\r\n", b"\r\n", b"\n", b"\0", b"\xff\xfe",
+        b"content-length: 5\r\n", b"content-length: 99999999999999999999\r\n",
+        b"transfer-encoding: chunked\r\n", b"transfer-encoding: gzip\r\n", b"5\r\nhello\r\n",
+        b"0\r\n\r\n", b"ffffffffffffffffffff\r\n", b"expect: 100-continue\r\n", b"PUT ",
+        b"connection: close\r\n", b"upgrade: h2c\r\n", b"CONNECT x:1 HTTP/1.1\r\nhost: x\r\n\r\n",
+        b"POST /b HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n\r\nabc", b"y" * 17_000,
+    ]
+)  # fmt: skip
+FUZZ = st.lists(st.one_of(PIECES, st.binary(max_size=40)), max_size=12).map(b"".join)
+
+
+class TestFuzz:
+    @settings(derandomize=True, max_examples=250, deadline=None)
+    @given(FUZZ)
+    def test_server_answers_or_closes(self, data):
+        async def scenario(core):
+            server = await serve(core)
+            await talk(core, data)
+            await curio.sleep(0)
+            assert (server.busy, core.metrics.counters[("task_errors", ())]) == (0, 0)
+            kinds = [name for name, _ in core.metrics.counters]
+            assert "task_errors" not in kinds
+            assert parse_answers(await talk(core, get("/alive")), ["GET"]) == [(200, b"/alive")]
+
+        run(scenario)
+
+    @settings(derandomize=True, max_examples=250, deadline=None)
+    @given(st.one_of(FUZZ, st.tuples(st.just(b"HTTP/1.1 200 OK\r\n"), FUZZ).map(b"".join)))
+    def test_client_gets_an_answer_or_an_error(self, data):
+        async def scenario(core):
+            with_error = await exchange(data)
+            assert with_error is None or with_error.sent
+
+        run(scenario)
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(st.data(), st.binary(max_size=300), st.booleans())
+    def test_part_of_an_answer_never_looks_whole(self, data, body, chunked):
+        server = h11.Connection(h11.SERVER)
+        server.receive_data(get("/"))
+        server.next_event()
+        framing = ("transfer-encoding", "chunked")
+        if not chunked:
+            framing = ("content-length", str(len(body)))
+        whole = server.send(h11.Response(status_code=200, headers=[framing]))
+        whole += server.send(h11.Data(data=body)) + server.send(h11.EndOfMessage())
+        cut = data.draw(st.integers(0, len(whole) - 1))
+
+        async def scenario(core):
+            assert await exchange(whole) is None
+            assert isinstance(await exchange(whole[:cut]), exceptions.UpstreamError)
+
+        run(scenario)
+
+
+async def exchange(answer):
+    """Make a request to a server that sends these bytes and closes; return the error or None."""
+    address = free_address()
+    sock = curio.tcp_server_socket(*host_settings.split_address(address))
+
+    async def serve_once():
+        client, _ = await sock.accept()
+        async with client:
+            await client.recv(65536)
+            await client.sendall(answer)
+
+    serving = await curio.spawn(serve_once(), daemon=True)
+    connection = http.ClientConnection(address)
+    try:
+        await connection.connect(1.0)
+        await connection.request("GET", "/", [], b"", 1.0)
+        await connection.response(1.0)
+        await connection.body(1.0, MAX_BODY)
+    except exceptions.UpstreamError as error:
+        return error
+    finally:
+        await connection.close()
+        await serving.cancel()
+        await sock.close()
+    return None
