--- a/src/ebonywheel/replica.py
+++ b/src/ebonywheel/replica.py
@@ -27,7 +27,9 @@
 
 APPLY_BATCH = 256
 TRAILING_SHARE = 0.25
-SNAPSHOT_LOG_BYTES = 16 * 1024 * 1024
+MAX_LOG_BYTES = 16 * 1024 * 1024
+# Saving a big state for few entries would write far more than the log itself.
+MIN_LOG_SHARE = 0.5
 
 Role = elections.Role
 
@@ -241,8 +243,11 @@
         await curio.sleep(0)
 
     def _snapshot_due(self) -> bool:
+        if self.store.log.size > MAX_LOG_BYTES:
+            return True
         entries = self.machine.applied - self.store.snapshot.index
-        return entries > self.snapshot_entries or self.store.log.size > SNAPSHOT_LOG_BYTES
+        enough = self.store.log.size >= self.store.snapshot_bytes * MIN_LOG_SHARE
+        return entries > self.snapshot_entries and enough
 
     async def take_snapshot(self) -> None:
         """Save the state and drop the log entries that it covers."""
--- a/src/ebonywheel/storage.py
+++ b/src/ebonywheel/storage.py
@@ -68,6 +68,7 @@
         identity: Owner of the folder.
         vote: Term and vote, durable after `save_vote`.
         snapshot: Position of the latest snapshot.
+        snapshot_bytes: Size of the state in the latest snapshot.
         base: Position before the first entry of the log; its term is -1 when not known.
         synced: Highest log index that is durable.
         failed: The fault after which nothing is written any more, or None.
@@ -221,6 +222,7 @@
             await self._run("write snapshot", _write_snapshot, self.folder, snapshot)
             matches = self.term_at(snapshot.index) == snapshot.term
             self.snapshot = Mark(snapshot.index, snapshot.term)
+            self.snapshot_bytes = len(snapshot.state)
             try:
                 self._drop_covered(trailing if matches else None)
             except OSError as error:
@@ -295,6 +297,7 @@
             raise exceptions.StorageError("no log", "open log", str(path))
         snapshot = _read_snapshot(self.folder)
         self.snapshot = Mark(snapshot.index, snapshot.term)
+        self.snapshot_bytes = len(snapshot.state)
         self.log = logfile.LogFile(path)
         entries = self.log.entries
         first = entries[0].index if entries else self.snapshot.index + 1
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import random
+import shutil
 import time
 import uuid
 
@@ -564,6 +565,30 @@
 
         run(tmp_path, body)
 
+    def test_disk_of_another_cluster_counts_for_nothing(self, tmp_path):
+        async def body(cluster):
+            leader = await cluster.wait_leader()
+            one, two = followers(cluster)
+            other = Replicas(tmp_path / "other")
+            await other.start()
+            await other.wait_leader()
+            await writes(other, 30)
+            await other.close()
+            await one.kill()
+            one.lose_disk()
+            foreign = next(node for node in other.nodes if node.name == one.name)
+            shutil.copytree(foreign.folder, one.folder)
+            await one.start()
+            await two.kill()
+            await curio.sleep(ELECTION_TIMEOUT_S * 6)
+            assert cluster.leader() is None
+            await two.start()
+            await cluster.wait_leader([leader, two])
+            assert not one.leads()
+            await writes(cluster, 3)
+
+        run(tmp_path, body)
+
     def test_repaired_host_carries_on_when_a_second_one_is_lost(self, tmp_path):
         async def body(cluster):
             one, two = followers(cluster)
