Admit by expected memory, queue by priority and share, and compare policies in one run

Cause: slots do not show length; at load 1.0 least outstanding preempts 300 to 356 of 1,000 generations and readers lose 500 s in 1,000 generations to stalls. Change: length histograms by service and customer, a memory forecast at the home, a fair waiting queue, a choice of servers that counts its own recent changes, a quick engine model, and `ebonywheel-load experiment`, which drives these same classes in virtual time. The entry host's placement still waits in its old loop.

--- a/src/ebonywheel/load.py
+++ b/src/ebonywheel/load.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ebonywheel import (
+    comparison,
     driver,
     enginemodel,
     exceptions,
@@ -34,6 +35,7 @@
     engine.add_argument("--ignores-fencing", action="store_true")
     _add_stand_in(kinds.add_parser("plain", help="stand-in for a plain service"), "booker")
     driver.add_arguments(kinds.add_parser("drive", help="drive load and print figures"))
+    comparison.add_arguments(kinds.add_parser("experiment", help="compare routing policies"))
     return parser
 
 
@@ -59,6 +61,8 @@
     try:
         if parsed.kind == "drive":
             sys.exit(driver.main(parsed))
+        if parsed.kind == "experiment":
+            sys.exit(comparison.main(parsed))
         with logs.handler("INFO").applicationbound():
             curio.run(_run_stand_in, parsed)
     except exceptions.EbonywheelError as error:
--- a/src/ebonywheel/standin.py
+++ b/src/ebonywheel/standin.py
@@ -1,5 +1,6 @@
 """What the stand-ins for backend servers share: identity, announcements, orders."""
 
+import collections
 import random
 
 import curio
@@ -20,6 +21,7 @@
         entries: HTTP addresses of entry hosts; each announcement goes to one at random.
         report_lag_s: Age of the load reports that it sends.
         seed: Seed of its random choices.
+        lost_cache_events: Share of the cache events that are never sent.
     """
 
     name: str
@@ -31,6 +33,7 @@
     secret: str
     report_lag_s: float = 0.5
     seed: int = 1
+    lost_cache_events: float = 0.1
 
 
 class Order(msgspec.Struct):
@@ -59,6 +62,7 @@
             total_blocks,
         )
         self.reports: list[tuple[float, messages.ServerLoad]] = []
+        self.events: collections.deque[tuple[float, messages.CacheEvent]] = collections.deque()
         self.last_order = 0
 
     async def start(self) -> None:
@@ -88,18 +92,22 @@
         """Return the load now; a stand-in with load overrides this."""
         return messages.ServerLoad(self.settings.name, self.state.incarnation)
 
+    def cache_events(self) -> list[messages.CacheEvent]:
+        """Return the changes of the prefix cache since the last announcement."""
+        return []
+
     async def _announce_often(self) -> None:
         while True:
             now = self.core.clock.monotonic()
             self.reports.append((now, self.load()))
+            message = messages.Announce(self.state, self._lagging_report(now), self._cache(now))
             for address in self.random.sample(self.settings.entries, len(self.settings.entries)):
-                if await self._announce_to(address, now):
+                if await self._announce_to(address, message):
                     break
             await curio.sleep(ANNOUNCE_S)
 
-    async def _announce_to(self, address: str, now: float) -> bool:
+    async def _announce_to(self, address: str, message: messages.Announce) -> bool:
         self.state.sequence += 1
-        message = messages.Announce(self.state, self._lagging_report(now))
         connection = http.ClientConnection(address)
         headers = [("authorization", f"Server {self.settings.secret}")]
         try:
@@ -114,6 +122,16 @@
         finally:
             await connection.close()
 
+    def _cache(self, now: float) -> list[messages.CacheEvent]:
+        """Return the cache events that are due, as old as the load reports and with gaps."""
+        for event in self.cache_events():
+            if self.random.random() >= self.settings.lost_cache_events:
+                self.events.append((now, event))
+        due = []
+        while self.events and self.events[0][0] <= now - self.settings.report_lag_s:
+            due.append(self.events.popleft()[1])
+        return due
+
     def _lagging_report(self, now: float) -> messages.ServerLoad:
         while len(self.reports) > 1 and self.reports[1][0] <= now - self.settings.report_lag_s:
             self.reports.pop(0)
--- a/src/ebonywheel/standinengine.py
+++ b/src/ebonywheel/standinengine.py
@@ -1,5 +1,6 @@
 """Stand-in for a model engine: the engine model behind the engines' HTTP interface."""
 
+import hashlib
 import os
 
 import curio
@@ -64,6 +65,7 @@
         self.fencing = fencing
         self.generations: dict[str, Generation] = {}
         self.step_s = 0.0
+        self.cache_sequence = 0
         self.chilled = False
         # Names of cancelled generations, oldest first: none of them may start later.
         self.cancelled: dict[str, None] = {}
@@ -129,9 +131,16 @@
             self._fall_over("poison")
         prompt_tokens = max(1, len(body.prompt.encode()) // BYTES_PER_TOKEN)
         length = min(body.length or DEFAULT_LENGTH, body.max_tokens)
-        prefix = body.prompt[:PREFIX_BYTES]
+        prefix = body.prompt.encode()[:PREFIX_BYTES]
         try:
-            return self.model.add(body.generation, prompt_tokens, length, body.priority, prefix)
+            return self.model.add(
+                body.generation,
+                prompt_tokens,
+                length,
+                body.priority,
+                hashlib.blake2b(prefix, digest_size=8).hexdigest(),
+                len(prefix) // BYTES_PER_TOKEN,
+            )
         except enginemodel.Overloaded:
             self._fall_over("overloaded")
 
@@ -209,18 +218,27 @@
                 await curio.sleep(IDLE_S)
                 self._forget()
                 continue
-            self.step_s, advanced = self.model.step()
+            step = self.model.step()
+            self.step_s = step.duration_s
             self.chilled = self.chilled and self.model.cold()
             if self.chilled:
                 self.step_s *= CHILLED_STEP_FACTOR
             await curio.sleep(self.step_s)
-            for sequence in advanced:
+            for sequence in [*self.model.running.values(), *step.finished]:
                 generation = self.generations.get(sequence.name)
                 if generation is not None:
                     async with generation.changed:
                         await generation.changed.notify_all()
             self._forget()
 
+    def cache_events(self) -> list[messages.CacheEvent]:
+        """Return the changes of the prefix cache since the last announcement."""
+        events = []
+        for event in self.model.take_cache_events():
+            self.cache_sequence += 1
+            events.append(messages.CacheEvent(event.prefix, event.present, self.cache_sequence))
+        return events
+
     def _forget(self) -> None:
         now = self.core.clock.monotonic()
         for name, generation in list(self.generations.items()):
--- /dev/null
+++ b/tests/test_memorygate.py
@@ -0,0 +1,110 @@
+"""Admission by memory at the home of a backend server."""
+
+import pytest
+
+from ebonywheel import documents, exceptions, memorygate, messages, slots
+
+ENGINE = documents.Engine(cold_slots=100, warm_slots=100)
+
+
+def make_ledger(total_blocks=100):
+    state = messages.ServerState("planner-1", 1, total_blocks=total_blocks, block_tokens=16)
+    return slots.SlotLedger(state, ENGINE)
+
+
+def borrow(number, prompt=100, **fields):
+    name = f"loan-{number}"
+    return messages.Borrow(
+        name, "entry-1", 1, "planner-1", 1, "plan", "a", prompt, **{"max_tokens": 4096, **fields}
+    )
+
+
+def admit(gate, ledger, request, now=1000.0):
+    gate.check(ledger, request, now)
+    ledger.lend(request, now)
+
+
+def admit_all(gate, ledger, most=100, **fields):
+    for number in range(most):
+        try:
+            admit(gate, ledger, borrow(number, **fields))
+        except exceptions.NotRunError:
+            return number
+    return most
+
+
+def release(gate, ledger, number, tokens, outcome="finished"):
+    message = messages.Release(f"loan-{number}", "planner-1", 1, tokens, outcome)
+    record = ledger.release(message, 1000.0)
+    if record is not None:
+        gate.released(ledger, record.holding, message)
+
+
+class TestCheck:
+    def test_expected_growth_counts_and_not_just_the_prompts(self):
+        admitted = admit_all(memorygate.MemoryGate(), make_ledger())
+        assert 1 <= admitted < 1600 // 108
+
+    def test_learnt_lengths_let_more_in(self):
+        gate = memorygate.MemoryGate()
+        before = admit_all(gate, make_ledger())
+        ledger = make_ledger(100_000)
+        for number in range(200):
+            admit(gate, ledger, borrow(number))
+            release(gate, ledger, number, 8)
+        assert admit_all(gate, make_ledger()) > before
+
+    def test_only_finished_requests_teach_lengths(self):
+        gate = memorygate.MemoryGate()
+        ledger = make_ledger(100_000)
+        for number, outcome in enumerate(("cancelled", "unused", "failed")):
+            admit(gate, ledger, borrow(number))
+            release(gate, ledger, number, 8, outcome)
+        assert not gate.lengths.services
+
+    def test_longest_answer_bounds_the_growth(self):
+        free = admit_all(memorygate.MemoryGate(), make_ledger())
+        assert admit_all(memorygate.MemoryGate(), make_ledger(), max_tokens=16) > free
+
+    def test_first_request_is_always_let_in(self):
+        assert admit_all(memorygate.MemoryGate(), make_ledger(), 1, prompt=100_000) == 1
+
+    def test_resend_of_a_loan_is_let_in(self):
+        gate, ledger = memorygate.MemoryGate(), make_ledger()
+        admitted = admit_all(gate, ledger)
+        admit(gate, ledger, borrow(admitted - 1))
+
+    def test_plain_service_has_no_memory(self):
+        assert admit_all(memorygate.MemoryGate(), make_ledger(0), 100) == 100
+
+    def test_unaccounted_work_that_the_server_reports_counts(self):
+        gate, ledger = memorygate.MemoryGate(), make_ledger()
+        ledger.report(messages.ServerLoad("planner-1", 1, 10, 0, 98), 1000.0)
+        ledger.lend(borrow(99, prompt=1), 999.0)
+        with pytest.raises(exceptions.NotRunError) as caught:
+            admit(gate, ledger, borrow(1))
+        assert caught.value.retry_after
+
+    def test_highest_level_may_use_the_reserve(self):
+        gate, ledger = memorygate.MemoryGate(), make_ledger()
+        gate.top_level = 20
+        low = admit_all(gate, ledger, prompt=10, priority=0, max_tokens=8)
+        with pytest.raises(exceptions.NotRunError):
+            admit(gate, ledger, borrow("low", prompt=10, priority=0, max_tokens=8))
+        admit(gate, ledger, borrow("high", prompt=10, priority=20, max_tokens=8))
+        assert low > 1
+
+
+class TestForecast:
+    def test_tokens_since_the_last_report_of_a_holding_count(self):
+        gate, ledger = memorygate.MemoryGate(margin=0.0), make_ledger(10_000)
+        ledger.report(messages.ServerLoad("planner-1", 1, 1, 0, 10, step_us=10_000), 1000.0)
+        admit(gate, ledger, borrow(1, max_tokens=100_000))
+        now = gate.expected_blocks(ledger, 1000.0)
+        assert gate.expected_blocks(ledger, 1003.0) > now
+
+    def test_margin_widens_the_forecast(self):
+        ledger = make_ledger(10_000)
+        ledger.lend(borrow(1), 1000.0)
+        narrow = memorygate.MemoryGate(margin=0.0).expected_blocks(ledger, 1000.0)
+        assert memorygate.MemoryGate(margin=2.0).expected_blocks(ledger, 1000.0) > narrow
