Poison: deaths reported by home and borrower, known everywhere before a retry, quarantined at the second

Excluded: waiting a whole lease after each death (3 s for innocents): the leader's status tells when each host of the roster has the index, and the lease bounds the wait. Change: report with retries; proof of death by engineclient.gone; a leaving server is nobody's fault; a request that became suspect while it waited is not sent beside others; generations wait for the suspicion before they retry; quarantines are named in the audit trail.

--- a/src/ebonywheel/calls.py
+++ b/src/ebonywheel/calls.py
@@ -28,6 +28,7 @@
 MAX_LEDGER_ANSWER_BYTES = 64 * 1024
 KEY_HEADER = "idempotency-key"
 CALLS_SEGMENT = "/calls"
+STATUS_TRY_AGAIN = 503
 
 
 class Attempt(msgspec.Struct):
@@ -127,7 +128,7 @@
                 return answer
             except exceptions.UpstreamError as error:
                 tries += 1
-                await self.poison.broke(place.view.state, place.holding, error)
+                await self._look_into(place, error)
                 spent = tries >= limits.attempts or attempt.deadline.passed()
                 if spent or not budget.take():
                     raise _final(attempt, error) from error
@@ -180,9 +181,9 @@
             place = await self.placer.place(job, attempt.deadline.left())
             answer = await self._exchange(attempt, place)
         except exceptions.NotRunError as error:
-            return commands.CallOutcome("not_run", text=str(error))
+            return commands.CallOutcome("not_run", error.status, text=str(error))
         except exceptions.UpstreamError as error:
-            await self.poison.broke(place.view.state, place.holding, error)
+            await self._look_into(place, error)
             return _broken_off(attempt, str(error))
         except curio.CancelledError:
             if not self.handing_over:
@@ -194,36 +195,39 @@
     # -- both ------------------------------------------------------------------------------
 
     async def _exchange(self, attempt: Attempt, place: placement.Placement) -> plainclient.Answer:
-        got_at = self.core.clock.monotonic()
         client = plainclient.PlainClient(place.view.state)
-        outcome = "failed"
+        outcome = slots.OUTCOME_FAILED
         try:
             await client.connect(attempt.deadline)
-            self._check_still_allowed(place, got_at)
-            if attempt.deadline.passed():
-                raise exceptions.NotRunError("no time left", "send", retry_after=1)
+            self._check_still_allowed(attempt, place)
             answer = await client.exchange(attempt.call, attempt.request, attempt.deadline)
-            outcome = "finished"
+            outcome = slots.OUTCOME_FINISHED
             return answer
-        except exceptions.NotRunError:
-            outcome = "unused"
-            raise
         finally:
             attempt.sent = attempt.sent or client.sent
             async with curio.disable_cancellation():
                 await client.close()
-                await self.fleet.release(place.holding, outcome)
+                await self.fleet.release(place.holding, outcome if client.sent else "unused")
 
-    def _check_still_allowed(self, place: placement.Placement, got_at: float) -> None:
+    def _check_still_allowed(self, attempt: Attempt, place: placement.Placement) -> None:
         # The process may have been frozen since it got the intent and the slot.
         current = self.feed.require_lease()
-        state = place.view.state
-        if self.core.clock.monotonic() > got_at + slots.HOLDING_STALE_S:
-            raise exceptions.NotRunError("slot has lapsed", "send", state.server, retry_after=1)
-        if state.data_centre in current.out:
+        data_centre = place.view.state.data_centre
+        if data_centre in current.out:
             raise exceptions.NotRunError(
-                "data centre was taken out", "send", state.data_centre, retry_after=1
+                "data centre was taken out", "send", data_centre, retry_after=1
             )
+        if attempt.deadline.passed():
+            raise exceptions.NotRunError("no time left", "send", retry_after=1)
+        if self.poison.admit(attempt.job.fingerprint) and not place.holding.alone:
+            # It became suspect while it waited for its slot.
+            raise exceptions.NotRunError("must run alone now", "send", retry_after=1)
+        self.fleet.check_loan(place.holding)
+
+    async def _look_into(self, place: placement.Placement, error: exceptions.UpstreamError) -> None:
+        state = place.view.state
+        if await self.poison.broke(state, place.holding, error):
+            await self.core.spawn(self.fleet.report_death(state.server, state.incarnation))
 
 
 def _final(attempt: Attempt, error: exceptions.UpstreamError) -> exceptions.EbonywheelError:
@@ -251,7 +255,9 @@
     if outcome.kind == "answered":
         return plainclient.Answer(outcome.status, outcome.content_type, outcome.body)
     if outcome.kind == "not_run":
-        raise exceptions.NotRunError(outcome.text, "run call", retry_after=1)
+        status = outcome.status or STATUS_TRY_AGAIN
+        retry_after = 1 if status == STATUS_TRY_AGAIN else None
+        raise exceptions.NotRunError(outcome.text, "run call", "", status, retry_after)
     raise exceptions.UnknownOutcomeError(outcome.text, "run call")
 
 
--- a/src/ebonywheel/generations.py
+++ b/src/ebonywheel/generations.py
@@ -127,6 +127,7 @@
                 attempts -= 1
                 started = started or carrier.sent
                 await self._note_failure(carrier, error)
+                await self.poison.broke(place.view.state, place.holding, error)
                 if not sink.restart():
                     raise
                 if attempts <= 0 or not budget.take():
--- a/src/ebonywheel/poison.py
+++ b/src/ebonywheel/poison.py
@@ -6,17 +6,18 @@
 """
 
 import hashlib
+import typing
 
 import curio
 import msgspec
 
-from ebonywheel import commands, exceptions, feed, kernel, messages, settings
+from ebonywheel import commands, engineclient, exceptions, feed, kernel, messages
 
 STATUS_QUARANTINED = 422
 MS_PER_S = 1000
 REPORT_TIMEOUT_S = 5.0
 REPORT_TRIES = 3
-PROBE_TIMEOUT_S = 0.5
+PROBE_TIMEOUT_S = 1.0
 PROBES = 3
 PROBE_PAUSE_S = 0.05
 IN_FORCE_POLL_S = 0.1
@@ -24,8 +25,7 @@
 # No lease under an older index is left after this time.
 MAX_LEASE_S = 3.0
 
-# Steps at which a connection can break because the server died.
-FATAL_STEPS = frozenset({"write", "wait", "read"})
+Probe = typing.Callable[[messages.ServerState], typing.Awaitable[bool]]
 
 
 def fingerprint(customer: str, service: str, body: bytes) -> bytes:
@@ -49,11 +49,16 @@
 
 
 class Poison:
-    """What an entry host knows and reports of suspected requests."""
+    """What an entry host knows and reports of suspected requests.
+
+    Attributes:
+        probe: Returns whether a backend server's incarnation is gone for certain.
+    """
 
     def __init__(self, core: kernel.Kernel, source: feed.Feed):
         self.core = core
         self.feed = source
+        self.probe: Probe = engineclient.gone
 
     def admit(self, digest: bytes) -> bool:
         """Return whether the request must run alone.
@@ -86,17 +91,18 @@
         state: messages.ServerState,
         holding: messages.Holding,
         error: exceptions.UpstreamError,
-    ) -> None:
-        """Look into a request that failed at a backend server.
+    ) -> bool:
+        """Look into a request that failed at a backend server; return whether that is dead.
 
-        When the server is dead, returns only once the suspicion is in force everywhere, so that
-        the request may then be retried or its caller told.
+        When it is, returns only once the suspicion is in force everywhere, so that the request
+        may then be retried or its caller told.
         """
-        if not error.sent or error.step not in FATAL_STEPS or state.state == "leaving":
-            return
-        if await self._is_dead(state):
-            self.core.metrics.count("server_deaths_seen")
+        if not error.sent or not await self._is_dead(state):
+            return False
+        self.core.metrics.count("server_deaths_seen")
+        if state.state != "leaving":
             await self._report(state, [holding])
+        return True
 
     async def finished(self, digest: bytes, alone: bool) -> None:
         """Note a request that ran to its end; one that ran alone is no longer suspect."""
@@ -109,18 +115,12 @@
             await self.core.spawn(self._submit(command))
 
     async def _is_dead(self, state: messages.ServerState) -> bool:
-        host, port = settings.split_address(state.address)
-        for _ in range(PROBES):
-            try:
-                async with curio.timeout_after(PROBE_TIMEOUT_S):
-                    sock = await curio.open_connection(host, port)
-                await sock.close()
-            except ConnectionRefusedError:
-                return True
-            except (OSError, curio.TaskTimeout):
-                return False
-            # The kernel may accept for a moment more while the process ends.
-            await curio.sleep(PROBE_PAUSE_S)
+        async with curio.ignore_after(PROBE_TIMEOUT_S):
+            for _ in range(PROBES):
+                if await self.probe(state):
+                    return True
+                # The kernel may accept for a moment more while the process ends.
+                await curio.sleep(PROBE_PAUSE_S)
         return False
 
     async def _report(self, state: messages.ServerState, running: list[messages.Holding]) -> None:
--- a/src/ebonywheel/state.py
+++ b/src/ebonywheel/state.py
@@ -151,6 +151,8 @@
             detail = f"{outcome.winner} won with operation {outcome.operation}"
         case commands.Refused():
             detail = f"{outcome.code}: {outcome.text}"
+        case commands.CrashRecorded(quarantined=[_, *_]):
+            detail = "quarantined " + " ".join(one.hex() for one in outcome.quarantined)
     return statedata.AuditEntry(
         index,
         at_ms,
--- a/src/ebonywheel/suspectstate.py
+++ b/src/ebonywheel/suspectstate.py
@@ -57,7 +57,7 @@
         value = configuration.Suspicion(
             suspect.customer,
             deaths,
-            deaths >= QUARANTINE_DEATHS or (held is not None and held.quarantined),
+            deaths >= QUARANTINE_DEATHS,
             data.at_ms + self.limits.quarantine_ms,
         )
         key = configuration.suspect_key(command.environment, suspect.fingerprint)
--- a/tests/callbench.py
+++ b/tests/callbench.py
@@ -87,8 +87,9 @@
         self.settings = _FeedSettings()
         self.current = configuration.Configuration(index=1, revision=1, document=DOCUMENT)
         self.submitted = []
-        self.links = []
+        self.links = [self]
         self.preferred = 0
+        self.peers = dict
 
     def holds_lease(self):
         return self.lease
@@ -112,6 +113,19 @@
             raise exceptions.UnknownOutcomeError("answer lost", "submit")
         return outcome
 
+    def sync(self):
+        """Take over the configuration in force, as a lease renewal does."""
+        store = configuration.ConfigurationStore("trial")
+        items = self.machine.changed_since(0, "trial")
+        built = store.update(self.machine.applied, items, True)
+        self.current = msgspec.structs.replace(built, document=DOCUMENT, revision=1)
+
+    async def call(self, query):
+        """Answer the status query, as a link to a control host does."""
+        hosts = [{"host": name, "have": host.feed.current.index} for name, host in self.peers()]
+        content = msgspec.json.encode({"entry_hosts": hosts})
+        return messages.QueryReply(self.machine.applied, content)
+
     def apply(self, command):
         command.at_ms = int(time.time() * 1000)
         index = self.machine.applied + 1
@@ -154,6 +168,15 @@
 
     def __init__(self):
         self.released = []
+        self.dead = []
+        self.lapsed = False
+
+    def check_loan(self, holding):
+        if self.lapsed:
+            raise exceptions.NotRunError("the loan ran out before its use", "use loan")
+
+    async def report_death(self, server, incarnation):
+        self.dead.append((server, incarnation))
 
     async def release(self, holding, outcome):
         self.released.append(outcome)
@@ -242,12 +265,16 @@
         self.machine = state.State(state.Limits(600_000, 60_000))
         self.services = [FakeService() for _ in range(services)]
         self.hosts = {}
+        self.dead = set()
 
     async def start(self):
         for service in self.services:
             await service.start()
         return self
 
+    async def probe(self, state):
+        return state.address in self.dead
+
     def host(self, name):
         if name not in self.hosts:
             self.hosts[name] = BenchHost(self, name)
@@ -266,6 +293,8 @@
         )
         self.fleet = FakeFleet()
         self.poison = poison.Poison(self.core, self.feed)
+        self.feed.peers = lambda: bench.hosts.items()
+        self.poison.probe = bench.probe
         self.calls = calls.Calls(
             self.core, self.feed, self.fleet, self.placer, self.poison, retries.RetryBudgets()
         )
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -150,6 +150,16 @@
 
         run(scenario)
 
+    def test_loan_that_ran_out_is_not_used(self):
+        async def scenario(bench):
+            host = bench.host("a")
+            host.fleet.lapsed = True
+            assert (await host.call(new_key()))[0] == "not_run"
+            assert bench.services[0].touched == 0
+            assert host.fleet.released == ["unused"]
+
+        run(scenario)
+
     def test_data_centre_taken_out_meanwhile_gets_nothing(self):
         async def scenario(bench):
             host = bench.host("a")
--- /dev/null
+++ b/tests/test_poison.py
@@ -0,0 +1,193 @@
+"""Poison requests: told of only once known everywhere, isolated, quarantined, released."""
+
+import base64
+
+import curio
+import msgspec
+import pytest
+
+from callbench import Bench, run
+from cluster import Cluster, Reader, example, request, start_fleet, wait_for
+from ebonywheel import exceptions, messages, poison
+from test_path import BEARER, new_key
+
+BROKEN = exceptions.UpstreamError("broken", "wait", "booker-1", True)
+
+
+def holding(name=b"bad", alone=False):
+    made = messages.Holding("loan", "booker-1", 7, "rota", "orchard", fingerprint=name)
+    made.alone = alone
+    return made
+
+
+def server(state="ready", name="booker-1", incarnation=7):
+    made = messages.ServerState(name, incarnation, "trial", "puget", "127.0.0.1:9", "booker")
+    made.state = state
+    return made
+
+
+async def two_hosts(bench: Bench):
+    first, second = bench.host("a"), bench.host("b")
+    bench.dead.add("127.0.0.1:9")
+    for host in (first, second):
+        host.feed.sync()
+    return first, second
+
+
+class TestReport:
+    def test_caller_waits_until_all_entry_hosts_know(self):
+        async def scenario(bench):
+            first, second = await two_hosts(bench)
+            task = await curio.spawn(first.poison.broke(server(), holding(), BROKEN))
+            await curio.sleep(0.05)
+            first.feed.sync()
+            await curio.sleep(0.3)
+            assert not task.terminated
+            second.feed.sync()
+            async with curio.timeout_after(0.5):
+                assert await task.join()
+            assert second.poison.admit(b"bad")
+
+        run(scenario)
+
+    def test_wait_ends_with_the_lease_of_a_host_that_is_gone(self, monkeypatch):
+        monkeypatch.setattr(poison, "MAX_LEASE_S", 0.2)
+
+        async def scenario(bench):
+            first, _ = await two_hosts(bench)
+            async with curio.timeout_after(1.0):
+                assert await first.poison.broke(server(), holding(), BROKEN)
+
+        run(scenario)
+
+    @pytest.mark.parametrize(
+        ("state", "error", "dead"),
+        [
+            ("ready", exceptions.UpstreamError("x", "connect", "s", False), True),
+            ("ready", BROKEN, False),
+            ("leaving", BROKEN, True),
+        ],
+        ids=["nothing sent", "server lives", "reclaimed"],
+    )
+    def test_other_failures_raise_no_suspicion(self, state, error, dead):
+        async def scenario(bench):
+            first, _ = await two_hosts(bench)
+            if not dead:
+                bench.dead.clear()
+            await first.poison.broke(server(state), holding(), error)
+            await first.poison.died(server("leaving"), [holding()])
+            await curio.sleep(0.05)
+            assert first.feed.machine.data.crashes == {}
+
+        run(scenario)
+
+    def test_report_is_sent_again_when_its_answer_is_lost(self, monkeypatch):
+        monkeypatch.setattr(poison, "MAX_LEASE_S", 0.1)
+
+        async def scenario(bench):
+            first, _ = await two_hosts(bench)
+            first.feed.faults = ["dropped", "lost"]
+            await first.poison.broke(server(), holding(), BROKEN)
+            first.feed.sync()
+            assert first.feed.current.suspects[b"bad"].deaths == 1
+
+        run(scenario)
+
+    def test_finishing_alone_ends_the_suspicion(self, monkeypatch):
+        monkeypatch.setattr(poison, "MAX_LEASE_S", 0.1)
+
+        async def scenario(bench):
+            first, _ = await two_hosts(bench)
+            await first.poison.broke(server(), holding(), BROKEN)
+            first.feed.sync()
+            await first.poison.finished(b"bad", first.poison.admit(b"bad"))
+            await curio.sleep(0.05)
+            first.feed.sync()
+            assert not first.poison.admit(b"bad")
+
+        run(scenario)
+
+    def test_quarantine_refuses_and_ends_by_time(self, monkeypatch):
+        monkeypatch.setattr(poison, "MAX_LEASE_S", 0.1)
+
+        async def scenario(bench):
+            first, _ = await two_hosts(bench)
+            await first.poison.broke(server(), holding(), BROKEN)
+            await first.poison.broke(server(incarnation=8), holding(alone=True), BROKEN)
+            first.feed.sync()
+            with pytest.raises(exceptions.NotRunError) as caught:
+                first.poison.admit(b"bad")
+            assert caught.value.status == poison.STATUS_QUARANTINED
+            held = first.feed.current.suspects[b"bad"]
+            first.feed.current.suspects[b"bad"] = msgspec.structs.replace(held, until_ms=1)
+            assert not first.poison.admit(b"bad")
+
+        run(scenario)
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory):
+    with Cluster(tmp_path_factory.mktemp("poison")).start() as made:
+        made.wait_for_leader()
+        assert made.apply(example("cooperative")).status == 200
+        made.fleet = start_fleet(made, planners=5, bookers=3)
+        yield made
+
+
+def dead(cluster, kind):
+    return [one.name for one in cluster.fleet if one.kind == kind and not one.process.running()]
+
+
+def quarantined(cluster):
+    listed = cluster.read("quarantine?environment=production").json()
+    return [fingerprint for fingerprint, held in listed.items() if held["quarantined"]]
+
+
+class TestPromise:
+    """A poison request, resent through any entry host, ends at most two servers in total."""
+
+    def test_generation(self, cluster):
+        innocent = Reader(cluster.entries[1].http)
+        assert innocent.ask(400, "an innocent plan") == 200
+        innocent.read(2)
+        for turn in range(5):
+            entry = cluster.entries[turn % 3]
+            reader = Reader(entry.http)
+            reader.ask(20, "poison for engines")
+            if turn >= 2:
+                assert reader.final == ""
+        assert len(dead(cluster, "engine")) == 2
+        assert len(quarantined(cluster)) == 1
+        answer = request(
+            cluster.entries[2].http,
+            "POST",
+            "/v1/services/plan",
+            BEARER,
+            b'{"prompt":"poison for engines","length":20}',
+        )
+        assert (answer.status, answer.json()["run"]) == (422, "not run")
+        again = Reader(cluster.entries[0].http)
+        assert again.ask(40, "an innocent plan") == 200
+        assert again.read().final == "end"
+
+    def test_call_that_may_not_repeat(self, cluster):
+        target, body = "/v1/services/rota/calls/slots", b'{"slot":"poison"}'
+        answers = []
+        for turn in range(5):
+            headers = [*BEARER, ("idempotency-key", new_key())]
+            entry = cluster.entries[turn % 3]
+            answers.append(request(entry.http, "POST", target, headers, body))
+        assert [answer.status for answer in answers] == [504, 504, 422, 422, 422]
+        assert len(dead(cluster, "plain")) == 2
+        headers = [*BEARER, ("idempotency-key", new_key())]
+        answer = request(cluster.entries[0].http, "POST", target, headers, b'{"slot":"fine"}')
+        assert answer.status == 200
+
+    def test_operator_releases_it(self, cluster):
+        for one in quarantined(cluster):
+            command = {"type": "ReleaseQuarantine", "environment": "production"}
+            command["fingerprint"] = base64.b64encode(bytes.fromhex(one)).decode()
+            assert cluster.operate(command).status == 200
+        wait_for(lambda: not quarantined(cluster), "no quarantine", 5.0)
+        actions = [entry["action"] for entry in cluster.read("audit").json()]
+        assert "ReportCrash" in actions and "ReleaseQuarantine" in actions
