Wait in the fair queue of the entry host instead of a loop in each request

Cause: each waiting request polled four times a second and whoever woke first took the slot, so a large customer's burst took all slots, priorities did not count, and nothing was refused early. Excluded: asking one home at a time (a home that does not answer would hold up the line for 0.5 s).

--- a/src/ebonywheel/admission.py
+++ b/src/ebonywheel/admission.py
@@ -18,6 +18,8 @@
 MIN_BUSY_S = 2.0
 # Part of its longest wait after which a request may not be overtaken any more.
 OVERTAKEN_SHARE = 0.5
+# Tells the flows of requests that only some servers can take from the others.
+NARROW_SUFFIX = "/narrow"
 MIN_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
 
@@ -34,6 +36,8 @@
         max_running: Most requests of the customer in flight at this host.
         start: Its place in the fair order of its level, in tokens by weight.
         queued: Whether it is in the queue.
+        asking: Whether a slot is being asked for on its behalf.
+        narrow: Whether only some servers can take it, so that others do not wait behind it.
         owner: Whatever the user of the queue needs to find the request's task.
     """
 
@@ -45,6 +49,8 @@
     max_running: int = 1000
     start: float = 0.0
     queued: bool = False
+    asking: bool = False
+    narrow: bool = False
     owner: typing.Any = None
 
 
@@ -117,7 +123,7 @@
         if not self._services(customer):
             del self.backlog[customer]
 
-    def settle(self, request: Request, tokens: int) -> None:
+    def settle(self, request: Request, tokens: float) -> None:
         """Correct the flow's place by what a request really cost."""
         key = flow_of(request)
         more = (tokens - request.cost) * max(self._services(key[0]), 1) / request.share
@@ -149,8 +155,9 @@
 
 
 def flow_of(request: Request) -> tuple[str, str]:
-    """Return the customer and service that a request's flow is named by."""
-    return (request.job.customer, request.job.service)
+    """Return the customer and the kind of request that a flow is named by."""
+    kind = request.job.service + NARROW_SUFFIX * request.narrow
+    return (request.job.customer, kind)
 
 
 def eligible(
@@ -162,14 +169,15 @@
     another amount of memory. None may pass one that has waited for most of its time.
     """
     found: list[Request] = []
-    services: set[str] = set()
+    kinds: set[str] = set()
     for request in queue.heads(running):
-        if request.job.service in services:
+        kind = flow_of(request)[1]
+        if kind in kinds:
             continue
-        services.add(request.job.service)
+        kinds.add(kind)
         found.append(request)
         late = request.arrived_at + OVERTAKEN_SHARE * (request.deadline - request.arrived_at)
-        if now >= late or not queue.fair:
+        if not request.narrow and (now >= late or not queue.fair):
             break
     return found
 
@@ -214,11 +222,11 @@
         """
         found = []
         for number in sorted(self.levels, reverse=True):
-            heads = [
-                flow[0]
-                for (customer, _), flow in self.levels[number].flows.items()
-                if not self.fair or running.get(customer, 0) < flow[0].max_running
-            ]
+            heads = []
+            for (customer, _), flow in self.levels[number].flows.items():
+                head = next((request for request in flow if not request.asking), None)
+                if head is not None and self._may_run(head, running.get(customer, 0)):
+                    heads.append(head)
             found += sorted(heads, key=self._order)
         return found
 
@@ -249,7 +257,7 @@
             self.remove(request, now)
         return late
 
-    def settle(self, request: Request, tokens: int) -> None:
+    def settle(self, request: Request, tokens: float) -> None:
         """Correct a customer's share by the tokens that a request really took."""
         if self.fair:
             self._level(request).settle(request, tokens)
@@ -273,6 +281,9 @@
         wait = self.wait_s(request) or 0.0
         return min(max(wait, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
 
+    def _may_run(self, request: Request, running: int) -> bool:
+        return not self.fair or running < request.max_running
+
     def _check_in_time(self, request: Request, now: float) -> None:
         wait = self.wait_s(request) if self.fair else None
         if wait is not None and now + wait > request.deadline:
--- a/src/ebonywheel/choices.py
+++ b/src/ebonywheel/choices.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import typing
 
 import msgspec
 
@@ -24,7 +25,7 @@
     heard_at: float
 
 
-class Change(msgspec.Struct):
+class Change(msgspec.Struct, eq=False):
     """A slot borrowed (`slots` is 1) or given back (-1)."""
 
     at: float
@@ -44,9 +45,11 @@
         self.changes: dict[str, collections.deque[Change]] = {}
         self.refusals: dict[tuple[str, str], float] = {}
 
-    def borrowed(self, server: str, blocks: float, now: float) -> None:
-        """Note a slot borrowed."""
-        self.changes.setdefault(server, collections.deque()).append(Change(now, 1, blocks))
+    def borrowed(self, server: str, blocks: float, now: float) -> Change:
+        """Note a slot borrowed, or asked for; return what to take back when it is refused."""
+        change = Change(now, 1, blocks)
+        self.changes.setdefault(server, collections.deque()).append(change)
+        return change
 
     def returned(self, server: str, blocks: float, now: float) -> None:
         """Note a slot given back; the server may be asked again."""
@@ -54,9 +57,17 @@
         for key in [key for key in self.refusals if key[0] == server]:
             del self.refusals[key]
 
-    def refused(self, server: str, service: str, now: float) -> None:
-        """Note that a server's home refused a request."""
+    def refused(self, server: str, service: str, now: float, change: Change | None = None) -> None:
+        """Note that a server's home refused a request, and take back the change noted for it."""
         self.refusals[server, service] = now
+        held = self.changes.get(server, ())
+        if change is not None and change in held:
+            held.remove(change)
+
+    def forgive(self, which: typing.Callable[[str], bool]) -> None:
+        """Forget the refusals of servers for which a function returns True."""
+        for key in [key for key in self.refusals if which(key[0])]:
+            del self.refusals[key]
 
     def is_refused(self, known: Known, service: str) -> bool:
         """Return whether the server would probably refuse again."""
