Queue thirty reads at a frozen leader

Seen: the former test (one read, connected during the freeze) stayed green with the lease check off, because the leader stepped down before it reached the read. With thirty connections from before the freeze the test fails with the check off (revision 1 answered after 6 was acknowledged).

--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -2,19 +2,20 @@
 
 import pathlib
 import shutil
-import threading
 import time
 import uuid
 
+import msgspec
 import pytest
 
-from cluster import Cluster, request, wait_for
+from cluster import OPERATOR_TOKEN, Client, Cluster, request, wait_for
 from test_configuration import TEXT
 
 DOCUMENT = TEXT.replace('environment = "trial"', 'environment = "production"')
 ELECTION_TIMEOUT_S = 0.5
 OPTIONS = f"election_timeout_s = {ELECTION_TIMEOUT_S}\nsnapshot_entries = 60"
 EXIT_FAULT = 1
+READERS = 30
 
 
 @pytest.fixture
@@ -133,28 +134,21 @@
 
     def test_frozen_leader_decides_nothing_and_answers_no_old_read(self, cluster):
         leader, others = leader_and_others(cluster)
-        answers = {}
-
-        def ask(name, call, *arguments):
-            answers[name] = call(*arguments)
-
+        readers = [Client(leader.http) for _ in range(READERS)]
+        writer = Client(leader.http)
+        time.sleep(0.2)
         leader.process.freeze()
         stale = change(1)
-        asked = [
-            threading.Thread(
-                target=ask, args=("read", cluster.read, "document?environment=production", leader)
-            ),
-            threading.Thread(target=ask, args=("write", cluster.operate, stale, leader)),
-        ]
-        for thread in asked:
-            thread.start()
+        headers = [("authorization", f"Operator ann:{OPERATOR_TOKEN}")]
+        for client in readers:
+            client.send("GET", "/v1/state/document?environment=production", headers)
+        writer.send("POST", "/v1/operations", headers, msgspec.json.encode(stale))
         newest = changes(cluster, 1, 5, others)
         leader.process.thaw()
-        for thread in asked:
-            thread.join(20)
-        read, write = answers["read"], answers["write"]
-        assert read.status != 200 or read.json()["revision"] >= newest
-        assert write.status in (409, 503, 504)
+        for client in readers:
+            read = client.answer()
+            assert read.status != 200 or read.json()["revision"] >= newest
+        assert writer.answer().status in (409, 503, 504)
         assert revision(cluster, cluster.controls) == newest
         assert settled(cluster, stale, cluster.controls).status == 409
 
