--- a/src/ebonywheel/durable.py
+++ b/src/ebonywheel/durable.py
@@ -18,7 +18,7 @@
     os.fsync(descriptor)
 
 
-def replace(path: pathlib.Path, data: bytes) -> None:
+def replace(path: pathlib.Path, *parts: bytes) -> None:
     """Put new content in the place of a file, or leave the old one whole.
 
     Raises:
@@ -26,22 +26,26 @@
     """
     temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
     with open(temporary, "wb", buffering=0) as file:
-        write_all(file.fileno(), data)
+        for part in parts:
+            write_all(file.fileno(), part)
         fsync(file.fileno())
     os.replace(temporary, path)
     sync_folder(path.parent)
 
 
-def replace_checked(path: pathlib.Path, body: bytes) -> None:
-    """Replace a file by a checksum and a body.
+def replace_checked(path: pathlib.Path, *parts: bytes) -> None:
+    """Replace a file by a checksum and a body, given in parts that are not copied.
 
     Raises:
         OSError: It could not be written or synced.
     """
-    replace(path, CHECKSUM.pack(zlib.crc32(body)) + body)
+    checksum = 0
+    for part in parts:
+        checksum = zlib.crc32(part, checksum)
+    replace(path, CHECKSUM.pack(checksum), *parts)
 
 
-def read_checked(path: pathlib.Path) -> bytes | None:
+def read_checked(path: pathlib.Path) -> memoryview | None:
     """Return the body of a checked file, or None when there is no such file.
 
     Raises:
@@ -50,7 +54,7 @@
     if not path.exists():
         return None
     data = path.read_bytes()
-    body = data[CHECKSUM.size :]
+    body = memoryview(data)[CHECKSUM.size :]
     if len(data) < CHECKSUM.size or CHECKSUM.unpack_from(data)[0] != zlib.crc32(body):
         raise exceptions.StorageError("bad checksum", "read", str(path))
     return body
--- a/src/ebonywheel/storage.py
+++ b/src/ebonywheel/storage.py
@@ -6,6 +6,7 @@
 
 import pathlib
 import secrets
+import struct
 import typing
 
 import curio
@@ -19,6 +20,8 @@
 SNAPSHOT_FILE = "snapshot"
 LOCK_FILE = "lock"
 MEMBER_ID_BYTES = 8
+# Log index and term, before the state.
+SNAPSHOT_HEAD = struct.Struct("!QQ")
 TRAILING_BYTES = 4 * 1024 * 1024
 
 
@@ -371,7 +374,8 @@
 
 
 def _write_snapshot(folder: pathlib.Path, snapshot: Snapshot) -> None:
-    durable.replace_checked(folder / SNAPSHOT_FILE, msgspec.msgpack.encode(snapshot))
+    head = SNAPSHOT_HEAD.pack(snapshot.index, snapshot.term)
+    durable.replace_checked(folder / SNAPSHOT_FILE, head, snapshot.state)
 
 
 def _read_snapshot(folder: pathlib.Path) -> Snapshot:
@@ -379,7 +383,7 @@
     body = durable.read_checked(path)
     if body is None:
         return Snapshot()
-    try:
-        return msgspec.msgpack.decode(body, type=Snapshot)
-    except msgspec.DecodeError as error:
-        raise exceptions.StorageError(str(error), "read snapshot", str(path)) from error
+    if len(body) < SNAPSHOT_HEAD.size:
+        raise exceptions.StorageError("too short", "read snapshot", str(path))
+    index, term = SNAPSHOT_HEAD.unpack_from(body)
+    return Snapshot(index, term, bytes(body[SNAPSHOT_HEAD.size :]))
