Drain: work counted until its answer is written, refused on every way in, handed over at the limit

Cause: the drain waited for all exchanges, so frequent announcements could keep it for ever; a draining host still resumed streams; at the limit whole answers and calls were cut off without a word; leaving the roster could wait for ever; a kept connection was closed without notice. Change: callers' work is counted apart; 503 not run with connection: close after the grace; at the operator's limit streams are moved, calls told unknown or not run and recorded so, the rest told unknown; lingering connections get their last bytes.

--- a/src/ebonywheel/callers.py
+++ b/src/ebonywheel/callers.py
@@ -3,6 +3,7 @@
 import hmac
 import math
 
+import curio
 import msgspec
 
 from ebonywheel import (
@@ -37,7 +38,13 @@
 
 
 class Callers:
-    """Routes HTTP requests of an entry host."""
+    """Routes HTTP requests of an entry host.
+
+    Attributes:
+        refusing: True once new work is refused, when draining.
+        ending: True once the work in flight is ended, when a drain limit has passed.
+        active: Tasks that serve callers' work, until the answer is written.
+    """
 
     def __init__(
         self,
@@ -53,6 +60,8 @@
         self.parts = parts
         self.server_secret = server_secret
         self.refusing = False
+        self.ending = False
+        self.active: set[curio.Task] = set()
         self.customers = customers.CustomerIndex()
         self.handlers: dict[documents.ServiceKind, services.ServiceHandler] = {
             kind: core.plugins.find("service", kind)(parts) for kind in documents.ServiceKind
@@ -76,9 +85,9 @@
         request = exchange.request
         path = request.path
         if path.startswith(SERVICES_PREFIX):
-            await self._serve(exchange)
+            await self._work(exchange, self._serve)
         elif path.startswith(GENERATIONS_PREFIX) and request.method == "GET":
-            await self._resume(exchange)
+            await self._work(exchange, self._resume)
         elif path == SERVERS_PATH and request.method == "POST":
             await self._announce(exchange)
         elif path == "/healthz":
@@ -90,6 +99,26 @@
         else:
             raise exceptions.HttpError(f"no {request.method} {path}", "route", request.peer, 404)
 
+    async def end_work(self) -> None:
+        """End the work in flight; each caller is told what is known of it."""
+        self.ending = True
+        for task in list(self.active):
+            await task.cancel(blocking=False)
+
+    async def _work(self, exchange: http.Exchange, serve: http.ExchangeHandler) -> None:
+        if self.refusing:
+            raise exceptions.NotRunError("host is shutting down", "admit", retry_after=1)
+        task = await curio.current_task()
+        self.active.add(task)
+        try:
+            await serve(exchange)
+        except curio.CancelledError:
+            if not self.ending or exchange.started:
+                raise
+            await self._refuse(exchange, _cut_off(), STATUS_UNKNOWN_OUTCOME, "unknown", None)
+        finally:
+            self.active.discard(task)
+
     async def _ready(self, exchange: http.Exchange) -> None:
         if self.core.draining.is_set():
             await exchange.respond(503, b"draining\n", "text/plain")
@@ -102,8 +131,6 @@
 
     async def _serve(self, exchange: http.Exchange) -> None:
         request = exchange.request
-        if self.refusing:
-            raise exceptions.NotRunError("host is shutting down", "admit", retry_after=1)
         current = self._configured()
         customer = self._authenticate(current, request)
         name = request.path.removeprefix(SERVICES_PREFIX).partition("/")[0]
@@ -169,6 +196,10 @@
         await exchange.respond_json(status, body, headers)
 
 
+def _cut_off() -> exceptions.UnknownOutcomeError:
+    return exceptions.UnknownOutcomeError("the host's drain limit has passed", "drain")
+
+
 def _next_index(request: http.Request) -> int:
     last = request.headers.get("last-event-id", "")
     text = last.rpartition(":")[2] if last else request.query.get("after", "-1")
--- a/src/ebonywheel/entry.py
+++ b/src/ebonywheel/entry.py
@@ -23,6 +23,8 @@
 )
 
 DRAIN_POLL_S = 0.1
+HAND_OVER_S = 5.0
+LEAVE_S = 5.0
 
 
 class EntryHost:
@@ -37,14 +39,14 @@
         self.fleet = fleet.Fleet(core, self.feed, self.home)
         self.placer = placement.Placer(core, self.feed, self.fleet)
         shared = (core, self.feed, self.fleet, self.placer, self.poison, retries.RetryBudgets())
-        parts = services.Parts(
+        self.parts = services.Parts(
             core.secret,
             core.host.data_centre,
             generations.Generations(*shared),
             calls.Calls(*shared),
         )
         secret = settings.read_secret(loaded.server_secret_file)
-        self.callers = callers.Callers(core, self.feed, self.fleet, parts, secret)
+        self.callers = callers.Callers(core, self.feed, self.fleet, self.parts, secret)
         self.http = http.Server(core, core.host.http, self.callers.handle, loaded.max_body_bytes)
 
     async def start(self) -> None:
@@ -57,12 +59,33 @@
         await self.http.start()
 
     async def drain(self) -> None:
-        """End gracefully: report not ready, then refuse, then wait for all work to end."""
+        """Wait for all work to end: first still accepting, then refusing new work."""
         await curio.sleep(self.settings.drain_grace_s)
         self.callers.refusing = True
-        while self.http.busy > 0:
+        while self.callers.active or self.parts.calls.unfinished():
             await curio.sleep(DRAIN_POLL_S)
-        await self.feed.leave()
+
+    async def hand_over(self) -> None:
+        """End the work in flight: streams go on through other hosts, calls are told the truth."""
+        self.core.log.warning("drain_limit", active=len(self.callers.active))
+        self.callers.refusing = True
+        async with curio.ignore_after(HAND_OVER_S):
+            await self.parts.calls.hand_over()
+            await self.parts.generations.hand_over()
+            while self.parts.calls.unfinished():
+                await curio.sleep(DRAIN_POLL_S)
+        await self.callers.end_work()
+        async with curio.ignore_after(HAND_OVER_S):
+            while self.callers.active:
+                await curio.sleep(DRAIN_POLL_S)
+
+    async def leave(self) -> None:
+        """Leave the roster and let the last answers reach their callers."""
+        async with curio.ignore_after(LEAVE_S):
+            await self.feed.leave()
+        async with curio.ignore_after(http.LINGER_S):
+            while self.http.busy or self.http.lingering:
+                await curio.sleep(DRAIN_POLL_S)
 
     async def _handle(self, message: msgspec.Struct, peer: link.PeerInfo) -> msgspec.Struct:
         return await self.fleet.handle(message)
@@ -70,7 +93,7 @@
     def _report(self) -> bytes:
         return msgspec.json.encode(
             HostReport(
-                self.http.busy,
+                len(self.callers.active),
                 self.placer.waiting,
                 self.feed.current.revision,
                 [_server_report(view) for view in self.home.views()],
@@ -124,9 +147,12 @@
     await core.draining.wait()
     if loaded.drain_limit_s is None:
         await host.drain()
-        return
-    async with curio.ignore_after(loaded.drain_limit_s):
-        await host.drain()
+    else:
+        async with curio.ignore_after(loaded.drain_limit_s) as limit:
+            await host.drain()
+        if limit.expired:
+            await host.hand_over()
+    await host.leave()
 
 
 main = program.server_main(
--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -307,7 +307,13 @@
 
 
 class Server:
-    """Accepts HTTP connections and hands each exchange to a handler."""
+    """Accepts HTTP connections and hands each exchange to a handler.
+
+    Attributes:
+        busy: Exchanges that are being read, handled or answered.
+        open: Connections.
+        lingering: Connections that are closed but may not have delivered everything yet.
+    """
 
     def __init__(
         self, core: kernel.Kernel, address: str, handler: ExchangeHandler, max_body_bytes: int
@@ -318,6 +324,7 @@
         self.max_body_bytes = max_body_bytes
         self.busy = 0
         self.open = 0
+        self.lingering = 0
         self.accepting: curio.Task | None = None
 
     async def start(self) -> None:
@@ -357,7 +364,11 @@
             async with sock:
                 while await self._serve_next(connection):
                     pass
-                await connection.linger()
+                self.lingering += 1
+                try:
+                    await connection.linger()
+                finally:
+                    self.lingering -= 1
         finally:
             self.open -= 1
 
