--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -137,6 +137,7 @@
         assert stream.final == "end"
         answer = call.value()
         assert (answer.status, answer.json()["run"]) == (504, "unknown")
+        assert "shutting down" in answer.json()["text"]
         again = book(other, key, "too-slow", 4.0)
         assert (again.status, again.json()["run"]) == (504, "unknown")
         assert runs(cluster, "too-slow") <= 1
