Refuse a lease to one entry host without refusing its neighbours, and build configurations by difference

Cause: registration ran one after the other and its first error denied the lease to every entry host in the batch; a process frozen as leader could expire all hosts on thawing; each change of one item rebuilt the whole document.

--- a/src/ebonywheel/configuration.py
+++ b/src/ebonywheel/configuration.py
@@ -7,6 +7,8 @@
 from ebonywheel import documents, messages
 
 DOCUMENT_SECTIONS = ("regions", "engines", "services", "priorities", "customers")
+# Tables of a document that are one item each.
+DOCUMENT_TABLES = ("retries", "weights")
 MEMBERS_KEY = "control/members"
 
 Items = dict[str, bytes]
@@ -83,30 +85,12 @@
     for section in DOCUMENT_SECTIONS:
         for name, value in getattr(content, section).items():
             items[f"{environment}/document/{section}/{name}"] = msgspec.json.encode(value)
-    items[f"{environment}/document/retries/retries"] = msgspec.json.encode(content.retries)
+    for table in DOCUMENT_TABLES:
+        value = getattr(content, table)
+        items[f"{environment}/document/{table}/{table}"] = msgspec.json.encode(value)
     return items
 
 
-def join_document(environment: str, items: Items) -> documents.Document | None:
-    """Put a document together from its items; None when there are none."""
-    raw: dict[str, typing.Any] = {section: {} for section in DOCUMENT_SECTIONS}
-    prefix = f"{environment}/document/"
-    found = False
-    for key, value in items.items():
-        if not key.startswith(prefix):
-            continue
-        found = True
-        section, _, name = key.removeprefix(prefix).partition("/")
-        if section == "retries":
-            raw["retries"] = msgspec.Raw(value)
-        else:
-            raw[section][name] = msgspec.Raw(value)
-    if not found:
-        return None
-    raw["environment"] = environment
-    return msgspec.json.decode(msgspec.json.encode(raw), type=documents.Document)
-
-
 def revision_key(environment: str) -> str:
     """Return the key of an environment's revision number."""
     return f"{environment}/revision"
@@ -138,58 +122,110 @@
 
 
 class ConfigurationStore:
-    """An entry host's copy of the items, from which `Configuration` objects are built."""
+    """An entry host's copy of the configuration, kept up to date by differences."""
 
     def __init__(self, environment: str):
         self.environment = environment
-        self.items: Items = {}
         self.current = Configuration()
 
     def update(self, index: int, items: list[messages.ConfigItem], full: bool) -> Configuration:
         """Take in changed items and return the new configuration.
 
-        An index below the current one is ignored, so that the configuration never reverts.
+        Nothing changes when an item cannot be understood. An index below the current one is
+        ignored, so that the configuration never reverts.
+
+        Raises:
+            msgspec.ValidationError: An item has unknown content, such as a newer version's.
         """
         if index < self.current.index:
             return self.current
-        if full:
-            self.items = {}
+        change = _Change(Configuration() if full else self.current, index)
         for item in items:
-            if item.removed:
-                self.items.pop(item.key, None)
-            else:
-                self.items[item.key] = item.value
-        if items or full:
-            self.current = self._build(index)
-        else:
-            self.current = msgspec.structs.replace(self.current, index=index)
+            if item.key == MEMBERS_KEY:
+                change.set_members(item)
+            elif item.key.startswith(f"{self.environment}/"):
+                change.take(item.key.removeprefix(f"{self.environment}/"), item)
+        self.current = change.finish(self.environment)
         return self.current
 
-    def _build(self, index: int) -> Configuration:
-        environment = self.environment
-        return Configuration(
-            index=index,
-            revision=self._number(revision_key(environment)),
-            document=join_document(environment, self.items),
-            out=frozenset(self._named(f"{environment}/out/")),
-            roster=self._decoded(f"{environment}/roster/", RosterEntry),
-            roster_epoch=self._number(roster_epoch_key(environment)),
-            suspects={
-                bytes.fromhex(name): value
-                for name, value in self._decoded(f"{environment}/suspects/", Suspicion).items()
-            },
-            members=msgspec.json.decode(self.items.get(MEMBERS_KEY, b"[]"), type=list[Member]),
-        )
-
-    def _number(self, key: str) -> int:
-        return int(self.items.get(key, b"0"))
-
-    def _named(self, prefix: str) -> list[str]:
-        return [key.removeprefix(prefix) for key in self.items if key.startswith(prefix)]
-
-    def _decoded(self, prefix: str, kind: type[typing.Any]) -> dict[str, typing.Any]:
-        return {
-            key.removeprefix(prefix): msgspec.json.decode(value, type=kind)
-            for key, value in self.items.items()
-            if key.startswith(prefix)
-        }
+
+class _Change:
+    """Builds a configuration from an earlier one, copying only the tables that change."""
+
+    def __init__(self, before: Configuration, index: int):
+        self.next = msgspec.structs.replace(before, index=index)
+        self.copied: dict[str, dict[typing.Any, typing.Any]] = {}
+        self.sections: dict[str, dict[str, typing.Any]] = {}
+        self.tables: dict[str, typing.Any] = {}
+
+    def take(self, key: str, item: messages.ConfigItem) -> None:
+        """Take in one item by its key within the environment; unknown keys are left out."""
+        kind, _, name = key.partition("/")
+        match kind:
+            case "document":
+                self._take_document(name, item)
+            case "revision":
+                self.next.revision = int(item.value or b"0")
+            case "roster-epoch":
+                self.next.roster_epoch = int(item.value or b"0")
+            case "out" if item.removed:
+                self.next.out -= {name}
+            case "out":
+                self.next.out |= {name}
+            case "roster":
+                _set(self._copied("roster"), name, item, RosterEntry)
+            case "suspects":
+                _set(self._copied("suspects"), bytes.fromhex(name), item, Suspicion)
+
+    def set_members(self, item: messages.ConfigItem) -> None:
+        """Take in the list of control hosts."""
+        self.next.members = msgspec.json.decode(item.value or b"[]", type=list[Member])
+
+    def finish(self, environment: str) -> Configuration:
+        """Return the new configuration."""
+        changed = self.sections | self.tables
+        if changed and self.next.document is None:
+            complete = {section: {} for section in DOCUMENT_SECTIONS} | changed
+            self.next.document = documents.Document(environment=environment, **complete)
+        elif changed:
+            self.next.document = msgspec.structs.replace(self.next.document, **changed)
+        return self.next
+
+    def _copied(self, table: str) -> dict[typing.Any, typing.Any]:
+        if table not in self.copied:
+            self.copied[table] = dict(getattr(self.next, table))
+            setattr(self.next, table, self.copied[table])
+        return self.copied[table]
+
+    def _take_document(self, place: str, item: messages.ConfigItem) -> None:
+        part, _, name = place.partition("/")
+        if part in DOCUMENT_TABLES and not item.removed:
+            self.tables[part] = msgspec.json.decode(item.value, type=_DOCUMENT_TYPES[part])
+        elif part in DOCUMENT_SECTIONS:
+            if part not in self.sections:
+                document = self.next.document
+                self.sections[part] = {} if document is None else dict(getattr(document, part))
+            _set(self.sections[part], name, item, _DOCUMENT_TYPES[part])
+
+
+def _set(
+    table: dict[typing.Any, typing.Any],
+    name: str | bytes,
+    item: messages.ConfigItem,
+    kind: type[typing.Any],
+) -> None:
+    if item.removed:
+        table.pop(name, None)
+    else:
+        table[name] = msgspec.json.decode(item.value, type=kind)
+
+
+def _document_types() -> dict[str, typing.Any]:
+    hints = typing.get_type_hints(documents.Document, include_extras=True)
+    types = {table: hints[table] for table in DOCUMENT_TABLES}
+    for section in DOCUMENT_SECTIONS:
+        types[section] = typing.get_args(hints[section])[1]
+    return types
+
+
+_DOCUMENT_TYPES = _document_types()
--- a/src/ebonywheel/feed.py
+++ b/src/ebonywheel/feed.py
@@ -69,6 +69,17 @@
             )
         return self.current
 
+    def require_in_service(self, data_centre: str) -> None:
+        """Check, just before work is sent, that a data centre may be given new work.
+
+        Raises:
+            NotRunError: It is out of service, or this host cannot know.
+        """
+        if data_centre in self.require_lease().out:
+            raise exceptions.NotRunError(
+                "data centre is out of service", "check lease", data_centre, retry_after=1
+            )
+
     async def submit(self, command: commands.AnyCommand, timeout_s: float) -> commands.AnyOutcome:
         """Propose a command, resending it until there is an outcome.
 
@@ -140,7 +151,11 @@
         if grant.index < self.current.index:
             raise exceptions.LinkError("older than what is in use", "take grant")
         before = self.current
-        self.current = self.store.update(grant.index, grant.items, grant.full)
+        try:
+            self.current = self.store.update(grant.index, grant.items, grant.full)
+        except (msgspec.MsgspecError, ValueError) as error:
+            # Without the lease this host refuses work rather than serve on an older revision.
+            raise exceptions.LinkError(str(error), "read configuration") from error
         # The lease counts from the asking, on this host's own monotonic clock.
         self.lease_until = max(self.lease_until, asked_at + grant.duration_ms / 1000)
         if self.current.revision != before.revision:
--- a/src/ebonywheel/feedserver.py
+++ b/src/ebonywheel/feedserver.py
@@ -14,6 +14,8 @@
 CATCH_UP_TIMEOUT_S = 1.0
 EXPIRY_CHECK_S = 0.25
 EXPIRY_MARGIN_S = 0.5
+NO_TERM = -1
+ROSTER_PART = "/roster/"
 
 
 class Lessee(msgspec.Struct):
@@ -44,7 +46,10 @@
         self.lessees: dict[str, Lessee] = {}
         self.batch: _Batch | None = None
         self.applied = curio.Condition()
-        self.led_since: float | None = None
+        self.led_term = NO_TERM
+        self.led_since = 0.0
+        self.roster: dict[str, configuration.RosterEntry] = {}
+        self.roster_at = 0
         consensus.on_applied.append(self._wake)
 
     async def start(self) -> None:
@@ -59,10 +64,15 @@
             LinkError: The leader did not answer.
         """
         confirmed = await self._confirm_gathered(request)
+        if request.host in confirmed.refused:
+            raise exceptions.NotLeaderError(
+                "not in the roster, or a newer process uses this name", "grant lease", request.host
+            )
         await self._wait_applied(confirmed.index)
-        index = self.machine.applied
-        items = self.machine.changed_since(request.have, request.environment)
-        return messages.LeaseGrant(index, confirmed.duration_ms, items, request.have == 0)
+        full = request.have == 0 or request.have < self.machine.data.complete_from
+        have = 0 if full else request.have
+        items = self.machine.changed_since(have, request.environment)
+        return messages.LeaseGrant(self.machine.applied, confirmed.duration_ms, items, full)
 
     async def confirm(self, request: messages.ConfirmRequest) -> messages.ConfirmReply:
         """Answer a relay, as the leader.
@@ -71,10 +81,11 @@
             NotLeaderError: This host holds no quorum-backed lease.
         """
         self.consensus.require_lease("confirm lease")
-        for lease in request.leases:
-            await self._register(lease)
+        self._follow_term()
+        refused = await self._register_all(request.leases)
+        # The lease is checked last: whatever was accepted before this moment is in `commit`.
         self.consensus.require_lease("confirm lease")
-        return messages.ConfirmReply(self.consensus.commit, int(self.lease_s * 1000))
+        return messages.ConfirmReply(self.consensus.commit, int(self.lease_s * 1000), refused)
 
     async def _confirm_gathered(self, request: messages.LeaseRequest) -> messages.ConfirmReply:
         if self.batch is None:
@@ -119,23 +130,42 @@
 
     # -- roster, kept by the leader --------------------------------------------------------
 
-    async def _register(self, lease: messages.LeaseRequest) -> None:
-        if lease.draining:
-            await self._leave(lease.host, lease.incarnation)
-            return
-        if not self._in_roster(lease):
-            await self.consensus.propose(
-                commands.JoinRoster(
-                    actor=lease.host,
-                    host=lease.host,
-                    incarnation=lease.incarnation,
-                    data_centre=lease.data_centre,
-                    address=lease.address,
-                    environment=lease.environment,
-                )
+    async def _register_all(self, leases: list[messages.LeaseRequest]) -> list[str]:
+        refused = []
+        async with curio.TaskGroup() as group:
+            for lease in leases:
+                if lease.draining or not self._in_roster(lease):
+                    await group.spawn(self._register, lease, refused)
+                else:
+                    self._hear(lease)
+        return refused
+
+    async def _register(self, lease: messages.LeaseRequest, refused: list[str]) -> None:
+        try:
+            if lease.draining:
+                await self._leave(lease.host, lease.incarnation)
+                return
+            await self._join(lease)
+        except exceptions.EbonywheelError:
+            self.core.metrics.count("roster_errors")
+        if self._in_roster(lease):
+            self._hear(lease)
+        else:
+            refused.append(lease.host)
+
+    async def _join(self, lease: messages.LeaseRequest) -> None:
+        await self.consensus.propose(
+            commands.JoinRoster(
+                actor=lease.host,
+                host=lease.host,
+                incarnation=lease.incarnation,
+                data_centre=lease.data_centre,
+                address=lease.address,
+                environment=lease.environment,
             )
-            if not self._in_roster(lease):
-                raise exceptions.NotLeaderError("a newer process has joined", "join roster")
+        )
+
+    def _hear(self, lease: messages.LeaseRequest) -> None:
         self.lessees[lease.host] = Lessee(lease, self.core.clock.monotonic())
 
     def _in_roster(self, lease: messages.LeaseRequest) -> bool:
@@ -146,41 +176,63 @@
         return self.machine.data.present(key) == msgspec.json.encode(wanted)
 
     async def _leave(self, host: str, incarnation: int) -> None:
-        self.lessees.pop(host, None)
+        held = self.lessees.get(host)
+        if held is not None and held.request.incarnation == incarnation:
+            del self.lessees[host]
         await self.consensus.propose(
             commands.LeaveRoster(actor=self.core.host.name, host=host, incarnation=incarnation)
         )
 
+    def _follow_term(self) -> None:
+        # What an earlier leadership knew of entry hosts says nothing about the time between.
+        term = self.consensus.store.vote.term
+        if self.led_term != term:
+            self.led_term = term
+            self.led_since = self.core.clock.monotonic()
+            self.lessees = {}
+
     async def _expire(self) -> None:
+        checked_at = self.core.clock.monotonic()
         while True:
             await curio.sleep(EXPIRY_CHECK_S)
-            if not self.consensus.has_lease():
-                self.led_since = None
-                continue
             now = self.core.clock.monotonic()
-            if self.led_since is None:
-                self.led_since = now
-                self.lessees = {}
-            await self._expire_silent(now - self.lease_s - EXPIRY_MARGIN_S)
+            # A process that was frozen has heard nobody meanwhile.
+            if not self.consensus.has_lease() or now > checked_at + EXPIRY_MARGIN_S:
+                self.led_term = NO_TERM
+            else:
+                self._follow_term()
+                await self._expire_silent(now - self.lease_s - EXPIRY_MARGIN_S)
+            checked_at = self.core.clock.monotonic()
 
     async def _expire_silent(self, before: float) -> None:
-        for entry in self._roster():
-            lessee = self.lessees.get(entry.host)
-            seen_at = self.led_since if lessee is None else lessee.seen_at
-            if seen_at >= before:
+        self._follow_roster()
+        async with curio.TaskGroup() as group:
+            for entry in self.roster.values():
+                lessee = self.lessees.get(entry.host)
+                seen_at = self.led_since if lessee is None else lessee.seen_at
+                if seen_at < before:
+                    await group.spawn(self._expire_host, entry)
+
+    async def _expire_host(self, entry: configuration.RosterEntry) -> None:
+        self.core.log.warning("entry_host_gone", host=entry.host)
+        try:
+            await self._leave(entry.host, entry.incarnation)
+        except exceptions.EbonywheelError:
+            self.core.metrics.count("roster_errors")
+
+    def _follow_roster(self) -> None:
+        data = self.machine.data
+        if self.roster_at < data.complete_from:
+            self.roster = {}
+            self.roster_at = 0
+        for key, item in data.changed_since(self.roster_at).items():
+            if ROSTER_PART not in key:
                 continue
-            self.core.log.warning("entry_host_gone", host=entry.host)
-            try:
-                await self._leave(entry.host, entry.incarnation)
-            except exceptions.EbonywheelError:
-                self.core.metrics.count("roster_errors")
-
-    def _roster(self) -> list[configuration.RosterEntry]:
-        return [
-            msgspec.json.decode(item.value, type=configuration.RosterEntry)
-            for key, item in self.machine.data.items.items()
-            if "/roster/" in key and not item.removed
-        ]
+            if item.removed:
+                self.roster.pop(key, None)
+            else:
+                self.roster[key] = msgspec.json.decode(item.value, type=configuration.RosterEntry)
+        self.roster_at = self.machine.applied
 
 
 class _Batch:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,5 +1,8 @@
 """Configuration items: cutting, joining and growing only forward."""
 
+import msgspec
+import pytest
+
 from ebonywheel import configuration, documents, messages
 
 TEXT = """
@@ -34,8 +37,8 @@
 
 class TestItems:
     def test_document_survives_cutting_and_joining(self):
-        items = configuration.split_document("trial", parsed())
-        assert configuration.join_document("trial", items) == parsed()
+        store = configuration.ConfigurationStore("trial")
+        assert store.update(1, items_at(1), full=True).document == parsed()
 
 
 class TestStore:
@@ -53,3 +56,21 @@
         assert store.current.out == {"puget"}
         store.update(2, [messages.ConfigItem(key, 2, removed=True)], full=False)
         assert store.current.out == set()
+
+    def test_change_of_one_customer_leaves_the_older_configuration_as_it_was(self):
+        store = configuration.ConfigurationStore("trial")
+        before = store.update(1, items_at(1), full=True)
+        key = "trial/document/customers/orchard"
+        after = store.update(2, [messages.ConfigItem(key, 2, removed=True)], full=False)
+        assert "orchard" in before.document.customers
+        assert after.document.customers == {}
+        assert after.document.engines is before.document.engines
+
+    def test_item_of_a_newer_version_changes_nothing(self):
+        store = configuration.ConfigurationStore("trial")
+        before = store.update(1, items_at(1), full=True)
+        newer = messages.ConfigItem("trial/document/engines/planner", 2, b'{"colour": "red"}')
+        revision = messages.ConfigItem("trial/revision", 2, b"2")
+        with pytest.raises(msgspec.ValidationError):
+            store.update(2, [revision, newer], full=False)
+        assert store.current is before
