--- /dev/null
+++ b/tests/test_feedserver.py
@@ -0,0 +1,150 @@
+"""The leader's side of leases: confirm under its own lease, one entry host at a time."""
+
+import curio
+import pytest
+
+from ebonywheel import (
+    clock,
+    commands,
+    configuration,
+    exceptions,
+    feedserver,
+    kernel,
+    messages,
+    registry,
+    replica,
+    settings,
+    state,
+    statedata,
+)
+
+HOST = settings.HostSettings("control-1", "puget", "127.0.0.1:1", "127.0.0.1:2", "secret")
+LEASE_S = 3.0
+
+
+class FakeVote:
+    def __init__(self):
+        self.term = 1
+
+
+class FakeStore:
+    def __init__(self):
+        self.vote = FakeVote()
+
+
+class FakeConsensus:
+    """Applies proposals at once; can lose its lease while one is under way."""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.store = FakeStore()
+        self.on_applied = []
+        self.leads = True
+        self.loses_lease = False
+        self.role = replica.Role.LEADER
+
+    @property
+    def commit(self):
+        return self.machine.applied
+
+    def has_lease(self):
+        return self.leads
+
+    def require_lease(self, step):
+        if not self.leads:
+            raise exceptions.NotLeaderError("no quorum", step)
+
+    async def propose(self, command):
+        if self.loses_lease:
+            self.leads = False
+        index = self.machine.applied + 1
+        entry = messages.LogEntry(index, 1, commands.encode(command))
+        return index, self.machine.apply(entry)
+
+
+@pytest.fixture
+def server():
+    registry.load_plugins()
+    machine = state.State(state.Limits(1000, 1000))
+    core = kernel.Kernel("control", HOST, b"secret", clock.ManualClock())
+    return feedserver.FeedServer(core, FakeConsensus(machine), machine, LEASE_S)
+
+
+def lease(host, incarnation=1, draining=False, have=0):
+    return messages.LeaseRequest(host, incarnation, "puget", "127.0.0.1:9", "trial", have, draining)
+
+
+def confirm(server, *leases):
+    return curio.run(server.confirm, messages.ConfirmRequest(list(leases)))
+
+
+def expire(server):
+    """Check for silent hosts once, at the clock's time."""
+    curio.run(
+        server._expire_silent, server.core.clock.monotonic() - LEASE_S - feedserver.EXPIRY_MARGIN_S
+    )
+
+
+class TestConfirm:
+    def test_lease_lost_while_registering_gives_no_answer(self, server):
+        server.consensus.loses_lease = True
+        with pytest.raises(exceptions.NotLeaderError):
+            confirm(server, lease("entry-1"))
+
+    def test_old_process_is_refused_and_its_neighbours_are_not(self, server):
+        confirm(server, lease("entry-1", incarnation=5))
+        reply = confirm(server, lease("entry-1", incarnation=4), lease("entry-2"))
+        assert reply.refused == ["entry-1"]
+        assert set(server.lessees) == {"entry-1", "entry-2"}
+        assert server.lessees["entry-1"].request.incarnation == 5
+
+    def test_index_covers_the_registration(self, server):
+        reply = confirm(server, lease("entry-1"))
+        key = configuration.roster_key("trial", "entry-1")
+        assert server.machine.data.items[key].index <= reply.index
+
+    def test_draining_host_leaves_and_an_older_one_does_not_push_it_out(self, server):
+        confirm(server, lease("entry-1", incarnation=5))
+        confirm(server, lease("entry-1", incarnation=4, draining=True))
+        assert server.machine.data.present(configuration.roster_key("trial", "entry-1"))
+        confirm(server, lease("entry-1", incarnation=5, draining=True))
+        assert not server.machine.data.present(configuration.roster_key("trial", "entry-1"))
+
+
+class TestExpiry:
+    def test_silent_host_leaves_after_its_lease(self, server):
+        confirm(server, lease("entry-1"))
+        server.core.clock.advance(LEASE_S)
+        expire(server)
+        assert server.machine.data.present(configuration.roster_key("trial", "entry-1"))
+        server.core.clock.advance(LEASE_S)
+        expire(server)
+        assert not server.machine.data.present(configuration.roster_key("trial", "entry-1"))
+
+    def test_new_leader_gives_unheard_hosts_a_whole_lease(self, server):
+        confirm(server, lease("entry-1"))
+        server.core.clock.advance(100.0)
+        server.consensus.store.vote.term = 2
+        server._follow_term()
+        expire(server)
+        assert server.machine.data.present(configuration.roster_key("trial", "entry-1"))
+
+
+class TestGrant:
+    def test_host_behind_the_dropped_tombstones_gets_everything(self, server, monkeypatch):
+        monkeypatch.setattr(statedata, "TOMBSTONES_KEPT", 1)
+        data = server.machine.data
+        for index, name in enumerate(("a", "b", "c"), start=1):
+            data.put(f"trial/out/{name}", index, b"true")
+        data.put("trial/out/kept", 4, b"true")
+        for index, name in enumerate(("a", "b"), start=5):
+            data.remove(f"trial/out/{name}", index)
+        server.machine.applied = 6
+        behind, near = (curio.run(server.grant, lease("entry-1", have=n)) for n in (4, 5))
+        assert behind.full
+        assert {item.key for item in behind.items if "/out/" in item.key and not item.removed} == {
+            "trial/out/c",
+            "trial/out/kept",
+        }
+        assert not near.full
+        assert [item.key for item in near.items if item.removed] == ["trial/out/b"]
