--- a/src/ebonywheel/home.py
+++ b/src/ebonywheel/home.py
@@ -59,6 +59,11 @@
     return rendezvous.choose(server, near or roster)
 
 
+def _aged_load(ledger: slots.SlotLedger, now: float) -> messages.ServerLoad:
+    age_s = min(now - ledger.load_at, SILENT_KEPT_S)
+    return msgspec.structs.replace(ledger.load, age_ms=int(age_s * 1000))
+
+
 def _note_cache_events(held: HomeServer, events: list[messages.CacheEvent]) -> None:
     for event in events:
         if event.prefix in held.prefixes:
@@ -288,7 +293,7 @@
 
     def _view(self, held: HomeServer, now: float) -> messages.ServerView:
         ledger = held.ledger
-        load = msgspec.structs.replace(ledger.load, age_ms=int((now - ledger.load_at) * 1000))
+        load = _aged_load(ledger, now)
         lending = now >= held.lends_from and ledger.foreign is not None
         return messages.ServerView(
             ledger.state,
@@ -386,7 +391,7 @@
 
     def _handoff(self, held: HomeServer, now: float) -> messages.Handoff:
         ledger = held.ledger
-        load = msgspec.structs.replace(ledger.load, age_ms=int((now - ledger.load_at) * 1000))
+        load = _aged_load(ledger, now)
         return messages.Handoff(
             self.core.host.name,
             self.roster_epoch,
