--- a/src/ebonywheel/services.py
+++ b/src/ebonywheel/services.py
@@ -8,6 +8,7 @@
 
 from ebonywheel import (
     calls,
+    clock,
     configuration,
     documents,
     engineclient,
@@ -22,6 +23,10 @@
     streamid,
 )
 
+# How long a caller may take to read one part of its stream, and how often that is looked at.
+READER_STALL_S = 30.0
+READER_CHECK_S = 5.0
+
 
 class Caller(msgspec.Struct):
     """An authenticated request to a service.
@@ -61,12 +66,21 @@
     Attributes:
         generation: Id of the generation that runs for the caller, once one does.
         next_index: Index of the token that the caller needs next.
+        writing_since: When the part that is being written was begun.
         writing: True while a part of the answer is being written.
         moving: True once the caller is to go on through another entry host.
     """
 
-    def __init__(self, exchange: http.Exchange, secret: bytes, next_index: int = 0):
+    def __init__(
+        self,
+        exchange: http.Exchange,
+        secret: bytes,
+        time_source: clock.Clock,
+        next_index: int = 0,
+    ):
         self.exchange = exchange
+        self.clock = time_source
+        self.writing_since = 0.0
         self.secret = secret
         self.generation = ""
         self.id_prefix = b""
@@ -85,6 +99,7 @@
 
     async def tokens(self, stream: streamid.StreamId, first: int, data: list[bytes]) -> None:
         """Write tokens."""
+        self.writing_since = self.clock.monotonic()
         self.writing = True
         if not self.exchange.started:
             await self._start()
@@ -101,6 +116,10 @@
         """Return whether the caller has seen nothing yet."""
         return not self.exchange.started
 
+    def stalled(self) -> bool:
+        """Return whether the caller has taken too long to read one part."""
+        return self.writing and self.clock.monotonic() > self.writing_since + READER_STALL_S
+
     async def finish(self, name: str, value: typing.Any) -> None:
         """Write the final event and end the answer."""
         if not self.exchange.started:
@@ -171,7 +190,7 @@
             return
         body = exchange.request.decode(generations.GenerationBody)
         job = make_job(caller, body, exchange.request, self.parts.data_centre)
-        sink = StreamSink(exchange, self.parts.secret)
+        sink = StreamSink(exchange, self.parts.secret, self.parts.generations.core.clock)
         await self._relay(
             exchange, sink, self.parts.generations.run(job, caller.service, body, sink)
         )
@@ -183,7 +202,7 @@
         stream = streamid.decode(generation, self.parts.secret)
         if stream.customer != customer:
             raise exceptions.HttpError("unknown generation", "resume", customer, 404)
-        sink = StreamSink(exchange, self.parts.secret, index)
+        sink = StreamSink(exchange, self.parts.secret, self.parts.generations.core.clock, index)
         sink.generation = generation
         await self._relay(
             exchange, sink, self.parts.generations.resume(stream, index, sink), resumed=True
@@ -199,7 +218,7 @@
         task = await curio.spawn(work)
         stream = generations.Stream(task, sink)
         self.parts.generations.streams.add(stream)
-        watcher = await curio.spawn(_cancel_at_hangup(exchange, task), daemon=True)
+        watcher = await curio.spawn(_cancel_at_stall(exchange, sink, task), daemon=True)
         try:
             end = await task.join()
         except curio.TaskError as error:
@@ -243,6 +262,15 @@
         )
 
 
+async def _cancel_at_stall(exchange: http.Exchange, sink: StreamSink, task: curio.Task) -> None:
+    hung_up = False
+    while not hung_up and not sink.stalled():
+        async with curio.ignore_after(READER_CHECK_S):
+            await exchange.wait_hangup()
+            hung_up = True
+    await task.cancel()
+
+
 async def _join_or_hangup(exchange: http.Exchange, work: typing.Coroutine) -> typing.Any:
     task = await curio.spawn(work)
     watcher = await curio.spawn(_cancel_at_hangup(exchange, task), daemon=True)
--- a/tests/homes.py
+++ b/tests/homes.py
@@ -68,7 +68,7 @@
             "127.0.0.1:9",
             "planner",
             state,
-            4096,
+            1 << 20,
             16,
             sequence,
         ),
