Check the history of real processes under random kills and freezes

tests/test_control_faults.py::TestHistory: four clients change and read through all hosts for 12 s; accepted revisions are gapless and the history is linearizable. Followers sleep until they would stand instead of 20 looks a second.

--- a/src/ebonywheel/elections.py
+++ b/src/ebonywheel/elections.py
@@ -54,13 +54,19 @@
     async def run(self) -> None:
         """Stand when there is no leader; step down without a quorum."""
         while True:
-            await curio.sleep(self.timeout_s * TICK_SHARE)
+            await curio.sleep(self._check_after_s())
             if self.role is Role.LEADER:
                 await self._check_quorum()
             elif self.clock.monotonic() >= self.stand_at and self._is_voter():
                 self.stand_at = self.clock.monotonic() + self._random_timeout()
                 await self.stand()
 
+    def _check_after_s(self) -> float:
+        least = self.timeout_s * TICK_SHARE
+        if self.role is Role.LEADER:
+            return 4 * least
+        return min(max(self.stand_at - self.clock.monotonic(), least), self.timeout_s)
+
     async def stand(self) -> None:
         """Stand for election if a quorum would vote for this host."""
         if self.may_vote() and await self._poll(self.store.vote.term + 1, pre=True):
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -230,6 +230,7 @@
         self.history = []
         self.values = itertools.count(1)
         self.two_leases = []
+        self.quiet = False
         self.nodes = [Node(self, number) for number in range(1, count + 1)]
         self.stack = contextlib.ExitStack()
         real = durable.fsync
@@ -406,6 +407,8 @@
     async def client(self, rng, keys=("a", "b")):
         """Write and read until it is cancelled."""
         while True:
+            while self.quiet:
+                await curio.sleep(0.01)
             key = rng.choice(keys)
             if rng.random() < 0.5:
                 await self.write(key, rng)
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -1,14 +1,18 @@
 """Control hosts as real processes under kills, freezes, lost disks and long absences."""
 
 import pathlib
+import random
 import shutil
+import threading
 import time
 import uuid
 
+import h11
 import msgspec
 import pytest
 
 from cluster import OPERATOR_TOKEN, Client, Cluster, request, wait_for
+from replicas import Operation, check_history
 from test_configuration import TEXT
 
 DOCUMENT = TEXT.replace('environment = "trial"', 'environment = "production"')
@@ -16,6 +20,8 @@
 OPTIONS = f"election_timeout_s = {ELECTION_TIMEOUT_S}\nsnapshot_entries = 60"
 EXIT_FAULT = 1
 READERS = 30
+CLIENTS = 4
+HISTORY_S = 12.0
 
 
 @pytest.fixture
@@ -254,3 +260,100 @@
         assert time.monotonic() - started_at < 2 * ELECTION_TIMEOUT_S
         for host in others:
             host.process.thaw()
+
+
+class TestHistory:
+    """Clients race through all hosts while hosts are killed and frozen at random moments."""
+
+    def test_acknowledged_changes_and_reads_are_linearizable(self, cluster):
+        rng = random.Random(4)
+        until = time.monotonic() + HISTORY_S
+        history = []
+        clients = [
+            threading.Thread(target=self.client, args=(cluster, n, until, history))
+            for n in range(CLIENTS)
+        ]
+        for thread in clients:
+            thread.start()
+        while time.monotonic() < until:
+            host = rng.choice(cluster.controls)
+            if rng.random() < 0.5:
+                host.process.kill()
+                time.sleep(rng.uniform(0.1, 3 * ELECTION_TIMEOUT_S))
+                cluster.start_control(host)
+            else:
+                host.process.freeze()
+                time.sleep(rng.uniform(0.1, 4 * ELECTION_TIMEOUT_S))
+                host.process.thaw()
+            time.sleep(rng.uniform(0.0, 2 * ELECTION_TIMEOUT_S))
+        for thread in clients:
+            thread.join()
+        newest = revision(cluster, cluster.controls)
+        audit = wait_for(lambda: self.audit(cluster), "the audit trail")
+        accepted = {entry["operation"]: entry["revision"] for entry in audit}
+        assert len(accepted) == len(audit)
+        assert sorted(accepted.values()) == list(range(2, newest + 1))
+        history.append(self.first(accepted))
+        for number, operation in enumerate(history):
+            if operation.kind == "write" and operation.id not in accepted:
+                operation.value = -number
+        check_history(history, accepted, len(accepted))
+        assert len([operation for operation in history if operation.result == "done"]) > 20
+
+    def first(self, accepted):
+        """Return the change that the fixture made."""
+        made = Operation("first", "write", "production", 1, -2.0)
+        made.end, made.result, made.index = -1.0, "done", 1
+        accepted["first"] = 1
+        return made
+
+    def audit(self, cluster):
+        for host in cluster.controls:
+            answer = cluster.read("audit?limit=20000", host)
+            if answer.status == 200:
+                return [
+                    entry
+                    for entry in answer.json()
+                    if entry["action"] == "SetDataCentre" and entry["outcome"] == "Accepted"
+                ]
+        return None
+
+    def client(self, cluster, number, until, history):
+        rng = random.Random(number)
+        known = 1
+        while time.monotonic() < until:
+            host = rng.choice(cluster.controls)
+            operation = Operation("", "read", "production", 0, time.monotonic())
+            try:
+                if rng.random() < 0.5:
+                    known = self.read(cluster, host, operation, history) or known
+                else:
+                    known = self.write(cluster, host, operation, known, history)
+            except (OSError, h11.RemoteProtocolError, AttributeError):
+                # The host was killed before or in its answer.
+                time.sleep(0.02)
+
+    def read(self, cluster, host, operation, history):
+        answer = cluster.read("document?environment=production", host)
+        if answer.status != 200:
+            time.sleep(0.02)
+            return 0
+        operation.end = time.monotonic()
+        operation.value = answer.json()["revision"]
+        operation.result = "done"
+        history.append(operation)
+        return operation.value
+
+    def write(self, cluster, host, operation, known, history):
+        command = change(known)
+        operation.kind, operation.id, operation.value = "write", command["operation"], known + 1
+        history.append(operation)
+        answer = cluster.operate(command, host)
+        operation.end = time.monotonic()
+        if answer.status == 200:
+            operation.result = "done"
+            operation.index = answer.json()["revision"]
+            return operation.index
+        if answer.status in (409, 422, 503):
+            operation.result = "not run"
+        return answer.json().get("revision", known)
