Refuse at the leader, too, an operation id that names another command

Cause: the leader answers a known operation id before it proposes, and did so without comparing the command; the check stood only where entries are applied. Excluded: dropping the leader's short cut (a resend would cost a log entry). Change: one function, state.first_outcome, serves both. Before: the new test got the first command's Accepted (seen). After: it is refused as operation_reused. Conclusion: an id answers for one command only.

--- a/src/ebonywheel/proposals.py
+++ b/src/ebonywheel/proposals.py
@@ -6,7 +6,7 @@
 import curio
 import msgspec
 
-from ebonywheel import commands, exceptions, hoststate, membership, messages, settings
+from ebonywheel import commands, exceptions, hoststate, membership, messages, settings, state
 
 if typing.TYPE_CHECKING:
     from ebonywheel import replica
@@ -61,7 +61,7 @@
         self.owner.require_lease("propose")
         first = self.owner.machine.data.operations.get(command.operation)
         if first is not None:
-            return first.index, commands.decode_outcome(first.outcome)
+            return first.index, state.first_outcome(first, command)
         if isinstance(command, membership.MembershipCommand):
             self._check_membership_change(command)
         command.at_ms = self._now_ms()
--- a/src/ebonywheel/state.py
+++ b/src/ebonywheel/state.py
@@ -57,7 +57,7 @@
         self.data.at_ms = max(self.data.at_ms, command.at_ms)
         first = self.data.operations.get(command.operation)
         if first is not None:
-            return _first_outcome(first, command)
+            return first_outcome(first, command)
         outcome = self._handle(entry.index, command)
         if not isinstance(command, UNAUDITED):
             self._remember(entry.index, command, outcome)
@@ -125,9 +125,10 @@
     quarantine_ms: int
 
 
-def _first_outcome(
+def first_outcome(
     first: statedata.OperationRecord, command: commands.AnyCommand
 ) -> commands.Outcome:
+    """Return the outcome of a resend, or a refusal where the id names another command."""
     if first.digest and first.digest != _digest(command):
         return commands.Refused(
             code="operation_reused", text="the operation id was used for another command"
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -36,6 +36,18 @@
         assert {answer.body for answer in answers} == {answers[0].body}
         assert answers[0].json()["revision"] == 2
 
+    def test_operation_id_of_another_command_is_refused(self, cluster):
+        command = {
+            "type": "SetDataCentre",
+            "operation": "op-out-1",
+            "environment": "production",
+            "data_centre": "puget",
+            "out": False,
+            "base": 2,
+        }
+        answer = cluster.operate(command)
+        assert (answer.status, answer.json()["code"]) == (422, "operation_reused")
+
     def test_unknown_operator_is_refused(self, cluster):
         answer = cluster.operate({"type": "SetDataCentre"}, operator="eve")
         assert answer.status == 401
