--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -14,6 +14,7 @@
     kernel,
     link,
     messages,
+    orders,
     program,
     queries,
     registry,
@@ -47,6 +48,7 @@
             self._make_link,
         )
         self.feed = feedserver.FeedServer(core, self.replica, self.machine, loaded.lease_s)
+        self.orders = orders.OrderSender(core, self.replica, self.machine, self.feed)
         self.queries = queries.Queries(self.replica, self.machine, self.feed)
         self.formation = formation.Formation(core, self.store, loaded, self.delay_s)
         self.admin = admin.Admin(core, loaded.operators, self)
@@ -59,6 +61,7 @@
         await http.Server(self.core, address, self.admin.handle, MAX_BODY_BYTES).start()
         await self.replica.start()
         await self.feed.start()
+        await self.orders.start()
         if not self.formation.belongs() and not self.settings.join:
             await self.core.spawn(self._form(), essential=True)
 
--- a/src/ebonywheel/entry.py
+++ b/src/ebonywheel/entry.py
@@ -113,6 +113,7 @@
     used: int
     limit: int
     cold: bool
+    last_order: int
 
 
 class HostReport(msgspec.Struct):
@@ -136,6 +137,7 @@
         view.used,
         view.limit,
         view.cold,
+        state.last_order,
     )
 
 
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -289,6 +289,7 @@
         total_blocks: Blocks of decode memory, 0 for a plain service.
         block_tokens: Tokens that one block holds.
         sequence: Grows with each announcement of one incarnation.
+        last_order: Fencing number of the last order it took, 0 when it does not say.
     """
 
     server: str = ""
@@ -301,6 +302,7 @@
     total_blocks: int = 0
     block_tokens: int = 16
     sequence: int = 0
+    last_order: int = 0
 
 
 class ServerLoad(msgspec.Struct):
--- a/src/ebonywheel/queries.py
+++ b/src/ebonywheel/queries.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ebonywheel import configuration, exceptions, feedserver, replica, state
+from ebonywheel import configuration, exceptions, feedserver, replica, state, statedata
 
 AUDIT_PAGE = 200
 
@@ -36,8 +36,23 @@
     load: msgspec.Raw
 
 
+class OrderStatus(msgspec.Struct):
+    """The latest order to a backend server."""
+
+    server: str
+    sequence: int
+    kind: str
+    argument: str
+    at_ms: int
+    result: str
+
+
 class Status(msgspec.Struct):
-    """The whole status screen."""
+    """The whole status screen.
+
+    Attributes:
+        lease_ms: Longest time for which an entry host may still use an older revision.
+    """
 
     index: int
     leader: str
@@ -45,6 +60,8 @@
     members: list[configuration.Member]
     environments: dict[str, EnvironmentStatus]
     entry_hosts: list[HostStatus]
+    orders: list[OrderStatus]
+    lease_ms: int
 
 
 class Queries:
@@ -87,6 +104,8 @@
             self.consensus.members,
             {name: self._environment(name) for name in data.environments},
             [self._host(lessee) for _, lessee in sorted(self.feed.lessees.items())],
+            [_order(key, record) for key, record in sorted(data.orders.items())],
+            int(self.feed.lease_s * 1000),
         )
 
     def _environment(self, name: str) -> EnvironmentStatus:
@@ -148,6 +167,11 @@
         }
 
 
+def _order(key: str, record: statedata.OrderRecord) -> OrderStatus:
+    result = record.result or "not sent or not answered yet"
+    return OrderStatus(key, record.sequence, record.kind, record.argument, record.at_ms, result)
+
+
 def _number(argument: dict[str, str], name: str, default: int) -> int:
     try:
         return int(argument.get(name, default))
--- a/src/ebonywheel/screens.py
+++ b/src/ebonywheel/screens.py
@@ -38,9 +38,20 @@
         environments.append(row)
     parts.append(table(environments))
     parts.extend(_hosts(value["entry_hosts"]))
+    if value["orders"]:
+        parts.append(_orders(value["orders"]))
     return "\n\n".join(parts)
 
 
+def _orders(value: list[dict[str, typing.Any]]) -> str:
+    rows: Rows = [["BACKEND SERVER", "ORDER", "KIND", "ARGUMENT", "ISSUED", "RESULT"]]
+    for held in value:
+        issued = local_time(held["at_ms"])
+        fields = [held[name] for name in ("server", "sequence", "kind", "argument")]
+        rows.append([*fields, issued, held["result"]])
+    return table(rows)
+
+
 def members(value: list[dict[str, typing.Any]]) -> str:
     """Return the table of control hosts."""
     rows: Rows = [["CONTROL HOST", "DATA CENTRE", "MEMBER", "VOTES", "LINK"]]
--- a/src/ebonywheel/standin.py
+++ b/src/ebonywheel/standin.py
@@ -85,6 +85,7 @@
         if fencing and order.sequence <= self.last_order:
             raise exceptions.HttpError("old fencing number", "order", self.settings.name, 409)
         self.last_order = order.sequence
+        self.state.last_order = order.sequence
         self.core.log.info("order", kind=order.kind, argument=order.argument)
         await exchange.respond_json(200, order)
 
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -171,6 +171,7 @@
   totalBlocks @7 :UInt64;
   blockTokens @8 :UInt64;
   sequence @9 :UInt64;
+  lastOrder @10 :UInt64;
 }
 
 struct ServerLoad {
