Let priority count only within a customer's share

Excluded: weights for the levels (batch work would then slow interactive work below its share). Change: one fair order over all customers; requests within the customer's share, and 1,000 expected tokens by weight beyond it, go by priority; what is further ahead comes after all others.

--- a/src/ebonywheel/admission.py
+++ b/src/ebonywheel/admission.py
@@ -1,7 +1,8 @@
 """The waiting queue of an entry host for one kind of engine.
 
-Higher priority levels go first. Within a level, customers share by weight: start-time fair
-queueing over expected tokens, corrected by the tokens that were really generated. The queue has a
+Customers share by weight: start-time fair queueing over expected tokens, corrected by the tokens
+that were really generated. Requests within a customer's share go by priority, and those beyond it
+come after all others, so that a burst at a high priority cannot starve the rest. The queue has a
 bound and each request a deadline; one that cannot be served in time is refused at once.
 """
 
@@ -18,6 +19,8 @@
 MIN_BUSY_S = 2.0
 # Part of its longest wait after which a request may not be overtaken any more.
 OVERTAKEN_SHARE = 0.5
+# Expected tokens, by weight, that a customer may be ahead of its share and keep its priority.
+PRIORITY_ALLOWANCE_TOKENS = 1000.0
 # Tells the flows of requests that only some servers can take from the others.
 NARROW_SUFFIX = "/narrow"
 MIN_RETRY_AFTER_S = 1.0
@@ -84,76 +87,6 @@
         return self.work / self.busy_s
 
 
-class Level:
-    """The requests of one priority level.
-
-    Attributes:
-        flows: Waiting requests by customer and service, first come first.
-        backlog: Cost that waits, by customer.
-        finish: Where the next request of a flow may start. A customer's share is divided evenly
-            among its services, so that quick ones need not wait behind long ones.
-        virtual: Start of the request last taken.
-    """
-
-    def __init__(self):
-        self.flows: dict[tuple[str, str], collections.deque[Request]] = {}
-        self.backlog: dict[str, float] = {}
-        self.finish: dict[tuple[str, str], float] = {}
-        self.virtual = 0.0
-
-    def add(self, request: Request) -> None:
-        """Append a request to its flow and give it its place."""
-        customer = request.job.customer
-        key = flow_of(request)
-        request.queued = True
-        request.start = max(self.virtual, self.finish.get(key, 0.0))
-        self.flows.setdefault(key, collections.deque()).append(request)
-        self.finish[key] = request.start + request.cost * self._services(customer) / request.share
-        self.backlog[customer] = self.backlog.get(customer, 0.0) + request.cost
-
-    def remove(self, request: Request) -> None:
-        """Drop a request."""
-        customer = request.job.customer
-        key = flow_of(request)
-        request.queued = False
-        self.flows[key].remove(request)
-        if not self.flows[key]:
-            del self.flows[key]
-        self.backlog[customer] -= request.cost
-        if not self._services(customer):
-            del self.backlog[customer]
-
-    def settle(self, request: Request, tokens: float) -> None:
-        """Correct the flow's place by what a request really cost."""
-        key = flow_of(request)
-        more = (tokens - request.cost) * max(self._services(key[0]), 1) / request.share
-        place = self.finish.get(key, 0.0) + more
-        if place > self.virtual:
-            self.finish[key] = place
-        else:
-            self.finish.pop(key, None)
-
-    def forget(self) -> None:
-        """Drop flows that would start at the current place anyway."""
-        for key, place in list(self.finish.items()):
-            if place <= self.virtual and key not in self.flows:
-                del self.finish[key]
-
-    def waits_before(self, request: Request) -> float:
-        """Return the cost that is served before a new request's turn."""
-        key = flow_of(request)
-        shares = {flow: held[0].share for flow, held in self.flows.items()}
-        shares[key] = request.share
-        own = sum(held.cost for held in self.flows.get(key, ()))
-        services = collections.Counter(customer for customer, _ in shares)
-        weights = {flow: share / services[flow[0]] for flow, share in shares.items()}
-        fair = own * sum(weights.values()) / weights[key]
-        return min(sum(self.backlog.values()), fair)
-
-    def _services(self, customer: str) -> int:
-        return sum(1 for flow in self.flows if flow[0] == customer)
-
-
 def flow_of(request: Request) -> tuple[str, str]:
     """Return the customer and the kind of request that a flow is named by."""
     kind = request.job.service + NARROW_SUFFIX * request.narrow
@@ -188,12 +121,18 @@
     Attributes:
         most: Bound on the number of waiting requests.
         fair: False for first come first served, whatever the priority and customer.
+        flows: Waiting requests by customer and kind, first come first.
+        finish: Where the next request of a flow may start, in tokens by weight. A customer's share
+            is divided evenly among its kinds, so that quick ones need not wait behind long ones.
+        virtual: Tokens by weight that each waiting customer was due so far.
     """
 
     def __init__(self, most: int, fair: bool = True):
         self.most = most
         self.fair = fair
-        self.levels: dict[int, Level] = {}
+        self.flows: dict[tuple[str, str], collections.deque[Request]] = {}
+        self.finish: dict[tuple[str, str], float] = {}
+        self.virtual = 0.0
         self.count = 0
         self.rate = ServiceRate()
 
@@ -209,7 +148,11 @@
         self.rate.advance(now, self.count > 0)
         self._check_in_time(request, now)
         loser = self._make_room(request) if self.count >= self.most else None
-        self._level(request).add(request)
+        key = flow_of(request)
+        request.queued = True
+        request.start = max(self.virtual, self.finish.get(key, 0.0))
+        self.flows.setdefault(key, collections.deque()).append(request)
+        self.finish[key] = request.start + request.cost * self._kinds(key[0]) / request.share
         self.count += 1
         self.rate.waiting = True
         return loser
@@ -221,60 +164,62 @@
             running: Requests in flight at this host, by customer.
         """
         found = []
-        for number in sorted(self.levels, reverse=True):
-            heads = []
-            for (customer, _), flow in self.levels[number].flows.items():
-                head = next((request for request in flow if not request.asking), None)
-                if head is not None and self._may_run(head, running.get(customer, 0)):
-                    heads.append(head)
-            found += sorted(heads, key=self._order)
-        return found
+        for (customer, _), flow in self.flows.items():
+            head = next((request for request in flow if not request.asking), None)
+            if head is not None and self._may_run(head, running.get(customer, 0)):
+                found.append(head)
+        return sorted(found, key=self._order)
 
     def take(self, request: Request, now: float) -> None:
         """Remove a request that got a slot."""
-        level = self._level(request)
-        level.virtual = max(level.virtual, request.start)
+        self.virtual += request.cost / sum(self._shares().values())
         self.remove(request, now)
         self.rate.add(request.cost)
-        level.forget()
+        for key, place in list(self.finish.items()):
+            if place <= self.virtual and key not in self.flows:
+                del self.finish[key]
 
     def remove(self, request: Request, now: float) -> None:
         """Remove a request."""
-        self._level(request).remove(request)
+        key = flow_of(request)
+        request.queued = False
+        self.flows[key].remove(request)
+        if not self.flows[key]:
+            del self.flows[key]
         self.count -= 1
         self.rate.advance(now, self.count > 0)
 
     def expire(self, now: float) -> list[Request]:
         """Remove and return the requests whose deadline has passed."""
         late = [
-            request
-            for level in self.levels.values()
-            for flow in level.flows.values()
-            for request in flow
-            if request.deadline <= now
+            request for flow in self.flows.values() for request in flow if request.deadline <= now
         ]
         for request in late:
             self.remove(request, now)
         return late
 
     def settle(self, request: Request, tokens: float) -> None:
-        """Correct a customer's share by the tokens that a request really took."""
-        if self.fair:
-            self._level(request).settle(request, tokens)
+        """Correct a customer's place by the tokens that a request really took."""
+        key = flow_of(request)
+        more = (tokens - request.cost) * max(self._kinds(key[0]), 1) / request.share
+        place = self.finish.get(key, self.virtual) + more
+        if place > self.virtual:
+            self.finish[key] = place
+        else:
+            self.finish.pop(key, None)
 
     def wait_s(self, request: Request) -> float | None:
         """Return how long a new request would probably wait, or None when that is not known."""
         rate = self.rate.per_second()
         if rate is None or not self.count:
             return None
-        own = request.job.priority
-        higher = sum(
-            sum(level.backlog.values()) for number, level in self.levels.items() if number > own
-        )
-        level = self.levels.get(own)
-        if level is None:
-            return higher / rate
-        return (higher + level.waits_before(request)) / rate
+        key = flow_of(request)
+        shares = self._shares()
+        shares[key[0]] = request.share
+        kinds = self._kinds(key[0]) + (key not in self.flows)
+        own = sum(held.cost for held in self.flows.get(key, ()))
+        fair = own * kinds * sum(shares.values()) / request.share
+        return min(sum(self._backlogs().values()), fair) / rate
 
     def retry_after_s(self, request: Request) -> float:
         """Return after how many seconds a refused request may be tried again."""
@@ -295,48 +240,42 @@
             )
 
     def _make_room(self, request: Request) -> Request:
-        """Remove the newest request of whoever waits for most, in the lowest level.
+        """Remove the newest request of whoever waits for most, measured by share.
 
         Raises:
             NotRunError: That is the new request itself.
         """
-        lowest = min(number for number, level in self.levels.items() if level.flows)
-        level = self.levels[lowest]
-        own = self._number(request)
-        if not self.fair or own < lowest:
-            raise self._full(request)
-        shares = self._shares(level)
-        waits = {name: cost / shares[name] for name, cost in level.backlog.items()}
-        if own == lowest:
-            customer = request.job.customer
-            waits[customer] = waits.get(customer, 0.0) + request.cost / request.share
+        shares = self._shares()
+        waits = {customer: cost / shares[customer] for customer, cost in self._backlogs().items()}
+        customer = request.job.customer
+        waits[customer] = waits.get(customer, 0.0) + request.cost / request.share
         worst = max(waits, key=lambda name: waits[name])
-        if own == lowest and worst == request.job.customer:
-            raise self._full(request)
-        flows = [flow for (customer, _), flow in level.flows.items() if customer == worst]
+        if not self.fair or worst == customer:
+            raise exceptions.NotRunError(
+                "too many waiting",
+                "admit",
+                request.job.service,
+                retry_after=self.retry_after_s(request),
+            )
+        flows = [flow for (customer, _), flow in self.flows.items() if customer == worst]
         loser = max((flow[-1] for flow in flows), key=lambda held: held.start)
-        level.remove(loser)
-        self.count -= 1
+        self.remove(loser, self.rate.at)
         return loser
 
-    def _full(self, request: Request) -> exceptions.NotRunError:
-        return exceptions.NotRunError(
-            "too many waiting",
-            "admit",
-            request.job.service,
-            retry_after=self.retry_after_s(request),
-        )
-
-    def _order(self, request: Request) -> tuple[float, float]:
-        if self.fair:
-            return (request.start, request.arrived_at)
-        return (request.arrived_at, 0.0)
+    def _order(self, request: Request) -> tuple[float, ...]:
+        if not self.fair:
+            return (request.arrived_at,)
+        beyond_share = request.start > self.virtual + PRIORITY_ALLOWANCE_TOKENS
+        return (beyond_share, -request.job.priority, request.start, request.arrived_at)
 
-    def _number(self, request: Request) -> int:
-        return request.job.priority if self.fair else 0
+    def _kinds(self, customer: str) -> int:
+        return sum(1 for flow in self.flows if flow[0] == customer)
 
-    def _level(self, request: Request) -> Level:
-        return self.levels.setdefault(self._number(request), Level())
+    def _shares(self) -> dict[str, float]:
+        return {customer: flow[0].share for (customer, _), flow in self.flows.items()}
 
-    def _shares(self, level: Level) -> dict[str, float]:
-        return {customer: flow[0].share for (customer, _), flow in level.flows.items()}
+    def _backlogs(self) -> dict[str, float]:
+        found: dict[str, float] = {}
+        for (customer, _), flow in self.flows.items():
+            found[customer] = found.get(customer, 0.0) + sum(held.cost for held in flow)
+        return found
