--- a/src/ebonywheel/workload.py
+++ b/src/ebonywheel/workload.py
@@ -198,6 +198,15 @@
     return total / mean
 
 
+def draw_length(service: ServiceShape, scale: float, chance: random.Random) -> int:
+    """Return the length of an answer, in tokens; `scale` is a factor on the body's median."""
+    if chance.random() < service.tail:
+        length = service.tail_from * chance.paretovariate(service.tail_alpha)
+    else:
+        length = service.median * scale * chance.lognormvariate(0.0, service.sigma)
+    return max(1, min(int(length), service.longest))
+
+
 def _draw(setup: Setup, chance: random.Random, now: float) -> Arrival:
     customer = chance.choices(setup.customers, [held.weight for held in setup.customers])[0]
     service = chance.choices(setup.services, [held.weight for held in setup.services])[0]
@@ -205,9 +214,5 @@
     prefix = f"{customer.name}-{service.name}-{number}"
     prefix_tokens = random.Random(prefix).randint(*PREFIX_TOKENS)
     prompt = prefix_tokens + chance.randint(*service.prompt)
-    if chance.random() < service.tail:
-        length = service.tail_from * chance.paretovariate(service.tail_alpha)
-    else:
-        length = service.median * customer.scale * chance.lognormvariate(0.0, service.sigma)
-    length = max(1, min(int(length), service.longest))
+    length = draw_length(service, customer.scale, chance)
     return Arrival(now, service.name, customer, prompt, prefix, prefix_tokens, length)
