--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -5,6 +5,7 @@
 
 from ebonywheel import (
     admin,
+    auditlog,
     commands,
     configuration,
     exceptions,
@@ -49,7 +50,10 @@
         )
         self.feed = feedserver.FeedServer(core, self.replica, self.machine, loaded.lease_s)
         self.orders = orders.OrderSender(core, self.replica, self.machine, self.feed)
-        self.queries = queries.Queries(self.replica, self.machine, self.feed)
+        self.audit = auditlog.AuditLog(loaded.data_folder, self.machine)
+        core.stack.callback(self.audit.close)
+        self.replica.on_applied.append(self.audit.follow)
+        self.queries = queries.Queries(self.replica, self.machine, self.feed, self.audit)
         self.formation = formation.Formation(core, self.store, loaded, self.delay_s)
         self.admin = admin.Admin(core, loaded.operators, self)
         self.admin.identity = self.formation.info
--- a/src/ebonywheel/operator.py
+++ b/src/ebonywheel/operator.py
@@ -44,7 +44,8 @@
     order.add_argument("argument")
     actions.add_parser("status", help="show the whole system in one screen")
     audit = actions.add_parser("audit", help="show the audit trail")
-    audit.add_argument("--after", type=int, default=0, help="only entries after this index")
+    audit.add_argument("--after", type=int, help="entries after this index, 0 for the oldest")
+    audit.add_argument("--limit", type=int, default=200, help="most entries")
     quarantine = _changing(actions, "quarantine", "list or release quarantined requests")
     quarantine.add_argument("environment")
     quarantine.add_argument("--release", metavar="FINGERPRINT")
@@ -160,7 +161,10 @@
         return self._show(await self.client.read("status"), screens.status)
 
     async def _audit(self) -> int:
-        entries = await self.client.read("audit", after=str(self.parsed.after))
+        argument = {"limit": str(self.parsed.limit)}
+        if self.parsed.after is not None:
+            argument["after"] = str(self.parsed.after)
+        entries = await self.client.read("audit", **argument)
         return self._show(entries, screens.audit)
 
     async def _quarantine(self) -> int:
--- a/src/ebonywheel/queries.py
+++ b/src/ebonywheel/queries.py
@@ -4,9 +4,10 @@
 
 import msgspec
 
-from ebonywheel import configuration, exceptions, feedserver, replica, state, statedata
+from ebonywheel import auditlog, configuration, exceptions, feedserver, replica, state, statedata
 
-AUDIT_PAGE = 200
+AUDIT_PAGE = 1000
+AUDIT_LATEST = 200
 
 
 class EnvironmentStatus(msgspec.Struct):
@@ -68,11 +69,16 @@
     """Answers the named queries."""
 
     def __init__(
-        self, consensus: replica.Replica, machine: state.State, feed: feedserver.FeedServer
+        self,
+        consensus: replica.Replica,
+        machine: state.State,
+        feed: feedserver.FeedServer,
+        trail: auditlog.AuditLog,
     ):
         self.consensus = consensus
         self.machine = machine
         self.feed = feed
+        self.trail = trail
         self.answers: dict[str, typing.Callable[[dict[str, str]], typing.Any]] = {
             "status": self._status,
             "audit": self._audit,
@@ -132,9 +138,11 @@
 
     def _audit(self, argument: dict[str, str]) -> list:
         after = _number(argument, "after", 0)
-        limit = _number(argument, "limit", AUDIT_PAGE)
-        found = [entry for entry in self.machine.data.audit if entry.index > after]
-        return found[-limit:] if after == 0 else found[:limit]
+        limit = _number(argument, "limit", AUDIT_LATEST)
+        limit = min(limit, AUDIT_PAGE)
+        if after == 0 and "after" not in argument:
+            return self.machine.data.audit[-limit:]
+        return self.trail.read(after, limit)
 
     def _document(self, argument: dict[str, str]) -> typing.Any:
         name = argument.get("environment", "")
--- a/src/ebonywheel/state.py
+++ b/src/ebonywheel/state.py
@@ -14,7 +14,8 @@
 OPERATION_HORIZON_MS = 7 * 86_400_000
 # Kept however old they look, so that a step of the wall clock forgets none of the recent ones.
 MIN_OPERATIONS = 20_000
-AUDIT_ENTRIES = 20_000
+# Each control host keeps older entries in a file.
+AUDIT_ENTRIES = 2000
 
 # Commands of hosts that come too often to be audited; they change nothing an operator decides.
 UNAUDITED = (commands.Noop, commands.BeginCall, commands.EndCall)
