--- a/src/ebonywheel/replica.py
+++ b/src/ebonywheel/replica.py
@@ -235,7 +235,7 @@
     async def _run_apply(self) -> None:
         while True:
             async with self.work:
-                while self.machine.applied >= self.commit:
+                while not self._can_apply():
                     await self.work.wait()
             await self._apply_batch()
             for notify in self.on_applied:
@@ -243,9 +243,13 @@
             if self._snapshot_due():
                 await self.take_snapshot()
 
+    def _can_apply(self) -> bool:
+        """Return whether there is a committed entry next, and no snapshot that replaces it."""
+        return self.store.base.index <= self.machine.applied < self.commit
+
     async def _apply_batch(self) -> None:
         for _ in range(APPLY_BATCH):
-            if self.machine.applied >= self.commit:
+            if not self._can_apply():
                 return
             entry = self.store.entry(self.machine.applied + 1)
             outcome = self.machine.apply(entry)
--- a/src/ebonywheel/storage.py
+++ b/src/ebonywheel/storage.py
@@ -120,7 +120,13 @@
         return None
 
     def entry(self, index: int) -> messages.LogEntry:
-        """Return an entry that the log holds."""
+        """Return an entry that the log holds.
+
+        Raises:
+            IndexError: The log does not hold it.
+        """
+        if index <= self.base.index:
+            raise IndexError(f"entry {index} is before the log, which begins after {self.base}")
         return self.log.entries[index - self.base.index - 1]
 
     def entries_from(self, index: int, most: int, most_bytes: int) -> list[messages.LogEntry]:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -74,6 +74,33 @@
         assert held(open_storage(tmp_path)) == [(1, 1), (2, 1), (3, 1), (4, 1)]
 
 
+class TestSync:
+    @pytest.mark.parametrize(
+        ("action", "synced"),
+        [
+            ("sync", ["log"]),
+            ("save_vote", ["vote.tmp", ""]),
+            ("save_snapshot", ["snapshot.tmp", "", "log.tmp", ""]),
+            ("truncate", ["log"]),
+        ],
+    )
+    def test_files_and_their_names_are_synced(self, tmp_path, monkeypatch, action, synced):
+        store = written(tmp_path)
+        store.vote.term = 9
+        store.append(entries(6, 7))
+        seen = []
+        real = os.fsync
+
+        def fsync(descriptor):
+            path = os.readlink(f"/proc/self/fd/{descriptor}")
+            seen.append(path.removeprefix(str(tmp_path)).lstrip("/"))
+            real(descriptor)
+
+        monkeypatch.setattr(os, "fsync", fsync)
+        act(store, action)
+        assert seen == synced
+
+
 class TestTornRecord:
     def test_cut_at_every_byte_of_the_last_record(self, tmp_path):
         store = written(tmp_path)
