Finish the operators commands: wait until in force, diff by entry, settle unknown outcomes, replace members

Cause: apply did not say when a change was in force; diff showed text only; errors of check named neither key nor line; a promotion could target any name, also one that reaches items of all environments; replacing a control host took steps that nobody waited for.

--- a/src/ebonywheel/adminclient.py
+++ b/src/ebonywheel/adminclient.py
@@ -7,7 +7,15 @@
 import curio
 import msgspec
 
-from ebonywheel import commands, documents, exceptions, http, program, settings
+from ebonywheel import (
+    commands,
+    documentcheck,
+    documents,
+    exceptions,
+    http,
+    program,
+    settings,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 RETRY_S = 0.2
@@ -111,10 +119,7 @@
     Raises:
         DocumentError: It is unreadable or wrong.
     """
-    checked = documents.parse(read_text(path), path)
-    if checked.is_err():
-        raise checked.unwrap_err()
-    return checked.unwrap()
+    return documentcheck.parse(read_text(path), path)
 
 
 def read_text(path: str) -> str:
--- a/src/ebonywheel/configuration.py
+++ b/src/ebonywheel/configuration.py
@@ -220,7 +220,8 @@
         table[name] = msgspec.json.decode(item.value, type=kind)
 
 
-def _document_types() -> dict[str, typing.Any]:
+def document_types() -> dict[str, typing.Any]:
+    """Return the type of a section's entries, and of each table, by name."""
     hints = typing.get_type_hints(documents.Document, include_extras=True)
     types = {table: hints[table] for table in DOCUMENT_TABLES}
     for section in DOCUMENT_SECTIONS:
@@ -228,4 +229,4 @@
     return types
 
 
-_DOCUMENT_TYPES = _document_types()
+_DOCUMENT_TYPES = document_types()
--- a/src/ebonywheel/documentstate.py
+++ b/src/ebonywheel/documentstate.py
@@ -1,10 +1,20 @@
 """Replicated handling of environment documents, promotions and data centres."""
 
+import re
+
 import msgspec
 import result
 
 from ebonywheel import commands, configuration, documents, registry, state, statedata
 
+# Configuration keys of all environments begin with this.
+RESERVED_ENVIRONMENTS = frozenset({"control"})
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9_.-]{0,62}\Z")
+_ENVIRONMENT_LINE = re.compile(
+    r"^[ \t]*environment[ \t]*=[ \t]*(\"[^\"\n]*\"|'[^'\n]*')", re.MULTILINE
+)
+
 
 class DocumentHandler:
     """What the handlers of environment changes share."""
@@ -25,7 +35,9 @@
         self, data: statedata.StateData, index: int, command: commands.ApplyDocument
     ) -> commands.Outcome:
         """Check base and document, then replace the environment's items."""
-        conflict = _conflict(data, command.environment, command.base)
+        conflict = _find_bad_name(command.environment) or _conflict(
+            data, command.environment, command.base
+        )
         if conflict is not None:
             return conflict
         return _replace(data, index, command, command.environment, command.text)
@@ -48,10 +60,11 @@
             return commands.Conflict(
                 revision=source.revision, winner=source.changed_by, operation=source.operation
             )
-        conflict = _conflict(data, command.target, command.base)
+        conflict = _find_bad_name(command.target) or _conflict(data, command.target, command.base)
         if conflict is not None:
             return conflict
-        return _replace(data, index, command, command.target, source.text)
+        text = _renamed(source.text, command.target)
+        return _replace(data, index, command, command.target, text)
 
     def target(self, command: commands.PromoteDocument) -> str:
         """Return both environments."""
@@ -89,6 +102,17 @@
         return f"{command.environment}/{command.data_centre} {direction}"
 
 
+def _find_bad_name(environment: str) -> commands.Refused | None:
+    if _NAME.match(environment) and environment not in RESERVED_ENVIRONMENTS:
+        return None
+    return commands.Refused(code="environment", text=f"{environment!r} cannot be an environment")
+
+
+def _renamed(text: str, environment: str) -> str:
+    """Return a document's text with another environment's name."""
+    return _ENVIRONMENT_LINE.sub(f'environment = "{environment}"', text, count=1)
+
+
 def _conflict(data: statedata.StateData, environment: str, base: int) -> commands.Conflict | None:
     held = data.environments.get(environment)
     revision = 0 if held is None else held.revision
--- a/src/ebonywheel/operator.py
+++ b/src/ebonywheel/operator.py
@@ -2,16 +2,30 @@
 
 import argparse
 import difflib
+import shlex
 import sys
+import time
 import typing
 import uuid
 
 import curio
 import msgspec
 
-from ebonywheel import adminclient, commands, exceptions, program, screens, settings
+from ebonywheel import (
+    adminclient,
+    commands,
+    documentcheck,
+    documentdiff,
+    exceptions,
+    memberchange,
+    program,
+    screens,
+    settings,
+)
 
 DEFAULT_SETTINGS = "operator.toml"
+DEFAULT_WAIT_S = 30.0
+IN_FORCE_POLL_S = 0.1
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -50,14 +64,17 @@
     quarantine.add_argument("environment")
     quarantine.add_argument("--release", metavar="FINGERPRINT")
     members = _changing(actions, "members", "list, add or remove control hosts")
-    members.add_argument("change", nargs="?", choices=["add", "promote", "remove"])
+    members.add_argument("change", nargs="?", choices=["add", "promote", "remove", "replace"])
     members.add_argument("target", nargs="?", help="http address to add; host name otherwise")
+    members.add_argument("--by", metavar="ADDRESS", help="http address of the replacement")
     return parser
 
 
 def _changing(actions, name: str, text: str) -> argparse.ArgumentParser:
     made = actions.add_parser(name, help=text)
     made.add_argument("--base", type=int, help="revision that the change is based on")
+    made.add_argument("--wait", action="store_true", help="wait until it is in force everywhere")
+    made.add_argument("--wait-s", type=float, default=DEFAULT_WAIT_S, help="longest wait")
     made.add_argument("--operation", help="operation id, to settle an unknown outcome")
     return made
 
@@ -78,29 +95,39 @@
         return await getattr(self, f"_{action}")()
 
     async def _check(self) -> int:
+        wrong = 0
         for path in self.parsed.documents:
-            adminclient.parse_document(path)
-            print(f"{path}: document is valid")
-        return program.EXIT_OK
+            try:
+                adminclient.parse_document(path)
+            except exceptions.DocumentError as error:
+                wrong += 1
+                print(f"error: {error}", file=sys.stderr)
+            else:
+                print(f"{path}: document is valid")
+        return program.EXIT_BAD_INPUT if wrong else program.EXIT_OK
 
     async def _diff(self) -> int:
         if self.parsed.promote:
-            new = (await self._environment(self.parsed.source))["text"]
+            held = await self._environment(self.parsed.source)
+            new = held["text"]
             target = self.parsed.promote
+            document = documentcheck.parse(new, self.parsed.source)
         else:
             document = adminclient.parse_document(self.parsed.source)
             new = adminclient.read_text(self.parsed.source)
             target = document.environment
         held = await self._environment(target)
-        lines = difflib.unified_diff(
+        old = documentcheck.parse(held["text"], target) if held["text"] else None
+        changes = documentdiff.compare(old, document)
+        found = Difference(target, held["revision"], changes)
+        text = difflib.unified_diff(
             held["text"].splitlines(),
             new.splitlines(),
             f"{target} revision {held['revision']}",
             f"{target} proposed",
             lineterm="",
         )
-        print("\n".join(lines) or "no difference")
-        return program.EXIT_OK
+        return self._show(found, lambda value: screens.difference(value.entries, list(text)))
 
     async def _apply(self) -> int:
         document = adminclient.parse_document(self.parsed.document)
@@ -190,24 +217,17 @@
             return self._show(await self.client.read("members"), screens.members)
         if target is None:
             raise exceptions.SettingsError("a host is required", "members", change)
-        if change == "add":
-            info = await self.client.identity(target)
-            return await self._send(
-                commands.AddMember(operation=self.operation, voter=False, **info)
-            )
-        held = await self._member(target)
-        if change == "remove":
-            return await self._send(
-                commands.RemoveMember(operation=self.operation, host=target, member=held["member"])
-            )
-        held["voter"] = True
-        return await self._send(commands.AddMember(operation=self.operation, **held))
-
-    async def _member(self, host: str) -> dict[str, typing.Any]:
-        for member in await self.client.read("members"):
-            if member["host"] == host:
-                return member
-        raise exceptions.SettingsError("no such control host", "members", host)
+        flow = memberchange.MemberChange(
+            self.client, self.operation, self.parsed.wait_s, self._tell
+        )
+        try:
+            if change == "replace":
+                if self.parsed.by is None:
+                    raise exceptions.SettingsError("--by ADDRESS is required", "members", change)
+                return self._show_outcome(await flow.replace(target, self.parsed.by))
+            return self._show_outcome(await getattr(flow, change)(target))
+        except exceptions.UnknownOutcomeError as error:
+            return self._unknown(error, {"--operation": self.operation})
 
     async def _environment(self, name: str) -> dict[str, typing.Any]:
         try:
@@ -226,21 +246,50 @@
         try:
             outcome = await self.client.operate(command)
         except exceptions.UnknownOutcomeError as error:
-            print(
-                f"outcome unknown: {error}\nto settle it, run the same command again with "
-                f"--operation {command.operation}{self._base_hint(command)}",
-                file=sys.stderr,
-            )
-            return program.EXIT_UNKNOWN
-        if self.parsed.json:
-            print(msgspec.json.encode(outcome).decode())
-        else:
-            print(screens.outcome(outcome))
+            return self._unknown(error, _settling_options(command))
+        code = self._show_outcome(outcome)
+        if isinstance(outcome, commands.Accepted) and getattr(self.parsed, "wait", False):
+            environment = getattr(command, "target", None) or command.environment
+            return await self._wait_in_force(environment, outcome.index)
+        return code
+
+    def _show_outcome(self, outcome: commands.AnyOutcome) -> int:
+        self._show(outcome, screens.outcome)
         return adminclient.outcome_exit_code(outcome)
 
-    def _base_hint(self, command: commands.Command) -> str:
-        base = getattr(command, "base", None)
-        return "" if base is None else f" --base {base}"
+    def _unknown(self, error: exceptions.UnknownOutcomeError, options: dict[str, str]) -> int:
+        words = ["ebonywheel", *sys.argv[1:]]
+        for name, value in options.items():
+            if name not in words:
+                words += [name, value]
+        print(f"outcome unknown: {error}\nto settle it: {shlex.join(words)}", file=sys.stderr)
+        return program.EXIT_UNKNOWN
+
+    async def _wait_in_force(self, environment: str, index: int) -> int:
+        started = time.monotonic()
+        shown = ""
+        while time.monotonic() < started + self.parsed.wait_s:
+            behind, count = await self._behind(environment, index)
+            if not behind and count:
+                elapsed_s = time.monotonic() - started
+                self._tell(f"in force on all {count} entry hosts after {elapsed_s:.2f} s")
+                return program.EXIT_OK
+            text = f"in force on {count - len(behind)} of {count} entry hosts"
+            if text != shown:
+                self._tell(text)
+            shown = text
+            await curio.sleep(IN_FORCE_POLL_S)
+        self._tell(f"accepted, not seen in force on: {', '.join(behind) or 'any entry host'}")
+        return program.EXIT_FAULT
+
+    async def _behind(self, environment: str, index: int) -> tuple[list[str], int]:
+        hosts = (await self.client.read("status"))["entry_hosts"]
+        serving = [host for host in hosts if host["environment"] == environment]
+        behind = [host["host"] for host in serving if host["have"] < index]
+        return behind, len(serving)
+
+    def _tell(self, text: str) -> None:
+        print(text, file=sys.stderr)
 
     def _show(self, value: typing.Any, render: typing.Callable[[typing.Any], str]) -> int:
         if self.parsed.json:
@@ -250,6 +299,23 @@
         return program.EXIT_OK
 
 
+class Difference(msgspec.Struct):
+    """What applying or promoting would change."""
+
+    environment: str
+    revision: int
+    entries: list[documentdiff.EntryChange]
+
+
+def _settling_options(command: commands.Command) -> dict[str, str]:
+    options = {"--operation": command.operation}
+    for field, name in (("base", "--base"), ("source_revision", "--source-revision")):
+        value = getattr(command, field, None)
+        if value is not None:
+            options[name] = str(value)
+    return options
+
+
 def load_settings(path: str) -> settings.OperatorSettings:
     """Return the operator's settings.
 
--- a/src/ebonywheel/screens.py
+++ b/src/ebonywheel/screens.py
@@ -3,7 +3,7 @@
 import datetime
 import typing
 
-from ebonywheel import commands
+from ebonywheel import commands, documentdiff
 
 Rows = list[list[typing.Any]]
 
@@ -27,6 +27,13 @@
     return type(value).__name__
 
 
+def difference(entries: list[documentdiff.EntryChange], text: list[str]) -> str:
+    """Return what a change of a document does, by entry and as text."""
+    if not entries and not text:
+        return "no difference"
+    return "\n".join([*documentdiff.lines(entries), "", *text])
+
+
 def status(value: dict[str, typing.Any]) -> str:
     """Return the status screen."""
     parts = [f"leader {value['leader'] or '-'}  term {value['term']}  index {value['index']}"]
