A new home lends only under a lease asked for after its wait; unfinished work unheard of counts

Roster A, then B, then A again, where A keeps its lease and sees only the last: B, which never saw the last, began to lend after its wait while A lent on. Cause: the wait alone does not prove that B's roster is still in force. A release 'failed' that overtook the handoff left a mark 'given back', which then freed a slot of work that ran. Change: unknown work that may still run is counted until its end is proved.

--- a/src/ebonywheel/home.py
+++ b/src/ebonywheel/home.py
@@ -44,6 +44,7 @@
         lends_from: Monotonic time from which slots may be lent.
         heard_at: When it last announced itself.
         dead: Incarnations known to have ended, oldest first.
+        confirmed: True once this host was still its home when that time had come.
     """
 
     ledger: slots.SlotLedger | None
@@ -51,6 +52,7 @@
     heard_at: float
     dead: list[int] = []
     prefixes: list[str] = []
+    confirmed: bool = False
 
 
 def home_of(server: str, data_centre: str, roster: dict[str, configuration.RosterEntry]) -> str:
@@ -222,7 +224,7 @@
             raise exceptions.NotRunError("another roster", "take over", state.server)
         now = self.core.clock.monotonic()
         held = self.servers.get(state.server)
-        if now >= self._lends_from() or (held is not None and now >= held.lends_from):
+        if now >= self._lends_from() or (held is not None and held.confirmed):
             raise exceptions.NotRunError("too late", "take over", state.server)
         if held is not None and held.ledger is not None:
             if held.ledger.state.incarnation != state.incarnation:
@@ -237,7 +239,7 @@
             ledger.records[holding.loan] = slots.LoanRecord(holding, message.host, now, now)
         if held is not None and held.ledger is not None:
             ledger.records.update(held.ledger.given_back())
-        self.servers[state.server] = HomeServer(ledger, now, now, message.dead)
+        self.servers[state.server] = HomeServer(ledger, now, now, message.dead, confirmed=True)
         self.core.log.info("server_taken_over", server=state.server, peer=message.host)
 
     def views(self) -> list[messages.ServerView]:
@@ -294,7 +296,7 @@
     def _view(self, held: HomeServer, now: float) -> messages.ServerView:
         ledger = held.ledger
         load = _aged_load(ledger, now)
-        lending = now >= held.lends_from and ledger.foreign is not None
+        lending = self._confirm(held, now) and ledger.foreign is not None
         return messages.ServerView(
             ledger.state,
             load,
@@ -313,7 +315,7 @@
         # The configuration may be newer than the last call of `_roster_changed`.
         if current.roster_epoch != self.roster_epoch:
             raise exceptions.NotRunError("roster is changing", "lend", server)
-        if now < held.lends_from:
+        if not self._confirm(held, now):
             raise exceptions.NotRunError("waiting out the former home", "lend", server)
         return held
 
@@ -350,6 +352,13 @@
         held.dead.append(held.ledger.state.incarnation)
         del held.dead[:-DEAD_INCARNATIONS_KEPT]
 
+    def _confirm(self, held: HomeServer, now: float) -> bool:
+        # A lease asked for after the wait proves that the roster was still this one then. Without
+        # that, a former home that never saw this roster may lend on under the next one.
+        if not held.confirmed and now >= held.lends_from:
+            held.confirmed = self.feed.lease_until >= held.lends_from + self.lease_s
+        return held.confirmed
+
     def _lends_from(self) -> float:
         return self.roster_since + self.lease_s + slots.LOAN_S
 
@@ -378,7 +387,7 @@
             target = home_of(name, state.data_centre, current.roster)
             if target != self.core.host.name:
                 del self.servers[name]
-                if unbroken and now >= held.lends_from and held.ledger.foreign is not None:
+                if unbroken and held.confirmed and held.ledger.foreign is not None:
                     await self.handoffs.put((target, self._handoff(held, now)))
             elif not unbroken:
                 self._start_again(held)
@@ -388,6 +397,7 @@
         held.ledger = slots.SlotLedger(held.ledger.state, held.ledger.engine, foreign=None)
         held.ledger.limit = limit
         held.lends_from = self._lends_from()
+        held.confirmed = False
 
     def _handoff(self, held: HomeServer, now: float) -> messages.Handoff:
         ledger = held.ledger
--- a/src/ebonywheel/slots.py
+++ b/src/ebonywheel/slots.py
@@ -179,9 +179,7 @@
         """Take a slot back; return its record, or None when it was not out or may still run."""
         record = self.records.get(request.loan)
         if record is None:
-            # The loan itself may still be under way to here: it must not be lent after this.
-            record = LoanRecord(_released(request), "", now, None, now, False)
-            self.records[request.loan] = record
+            self.records[request.loan] = self._unheard_of(request, now)
             return None
         if record.released_at is not None:
             return None
@@ -238,6 +236,16 @@
         self.slow_reports = 0
         self.chilled_at = now
 
+    def _unheard_of(self, request: messages.Release, now: float) -> LoanRecord:
+        # Work that may still run counts; otherwise the loan itself may still be under way to
+        # here, and must not be lent after this.
+        record = LoanRecord(_released(request), "", now, lent_here=False)
+        if request.outcome in (OUTCOME_FAILED, OUTCOME_DETACHED):
+            record.abandoned = True
+        else:
+            record.released_at = now
+        return record
+
     def _end(self, record: LoanRecord, now: float) -> None:
         record.released_at = now
         seen = record.seen_at is not None and record.seen_at >= self.foreign_at + REPORT_TRANSIT_S
