--- a/src/ebonywheel/engineclient.py
+++ b/src/ebonywheel/engineclient.py
@@ -2,6 +2,7 @@
 
 import re
 
+import curio
 import h11
 import msgspec
 
@@ -19,6 +20,7 @@
 STATUS_GONE = 404
 
 
+CHUNK_END_BYTES = 2
 MAX_EVENT_BYTES = 1024 * 1024
 
 # A token as most engines send it: its JSON is passed on unchanged.
@@ -94,6 +96,7 @@
         self.connection = http.ClientConnection(state.address)
         self.decoder = sse.Decoder()
         self.rest = b""
+        self.ended = False
 
     async def connect(self) -> None:
         """Connect, and check that the incarnation wanted answers, before any work is sent.
@@ -132,22 +135,40 @@
         Raises:
             UpstreamError: The connection broke, was silent or sent nonsense.
         """
-        chunk = await self.connection.read_chunk(timeout_s)
-        if chunk is None:
-            raise self._error("stream ended without an end event", "read")
-        return self._parse(self._add_arrived(chunk))
+        while not (data := self._arrived()):
+            if self.ended:
+                raise self._error("stream ended without an end event", "read")
+            await self._receive(timeout_s)
+        return self._parse(data)
 
-    def _add_arrived(self, chunk: bytes) -> bytes:
+    async def _receive(self, timeout_s: float) -> None:
+        try:
+            async with curio.timeout_after(timeout_s):
+                data = await self.connection.sock.recv(http.READ_BYTES)
+        except curio.TaskTimeout as error:
+            raise self._error("nothing received in time", "read") from error
+        except OSError as error:
+            raise self._error(str(error), "read") from error
+        if not data:
+            raise self._error("connection ended in the answer", "read")
+        self.connection.conn.receive_data(data)
+
+    def _arrived(self) -> bytes:
+        # Asking h11 for an event that is not there yet costs as much as one that is: what is left
+        # of a chunk that was read whole is only the end of its line.
         conn = self.connection.conn
-        chunks = [chunk]
-        while conn.their_state is h11.SEND_BODY:
+        chunks = []
+        while not self.ended and len(conn.trailing_data[0]) > CHUNK_END_BYTES:
             try:
                 event = conn.next_event()
             except h11.RemoteProtocolError as error:
                 raise self._error(f"malformed answer: {error}", "read") from error
-            if not isinstance(event, h11.Data):
+            if isinstance(event, h11.Data):
+                chunks.append(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self.ended = True
+            else:
                 break
-            chunks.append(event.data)
         return b"".join(chunks)
 
     def _parse(self, data: bytes) -> list[Event]:
