Fuzz calls over real processes against one oracle; measure calls and the quarantine's two errors

Change: callfuzz kills, freezes and restarts entry, control and plain processes while callers book, resend and twin their requests; the oracle counts runs from the services' output: at most one for each key, one answer, never 'running' at the end, 'not run' only where nothing ran.

--- a/scripts/measure_poison.py
+++ b/scripts/measure_poison.py
@@ -66,7 +66,10 @@
             self.tasks.discard(task)
 
     async def _answer(self, client: curio.io.Socket) -> None:
-        target = (await client.recv(65536)).split(b" ")[1]
+        data = await client.recv(65536)
+        if not data:
+            return
+        target = data.split(b" ")[1]
         if b"poison" in target:
             self.world.poison_deaths += 1
             await curio.spawn(self.die(), daemon=True)
@@ -120,6 +123,7 @@
         holding = messages.Holding(str(uuid.uuid4()), known.server, known.incarnation)
         holding.fingerprint, holding.customer = job.fingerprint, job.customer
         holding.alone = job.alone
+        self.world.isolated += job.alone
         server.held[holding.loan] = holding
         return placement.Placement(messages.ServerView(known), holding)
 
@@ -146,6 +150,7 @@
         self.servers: list[MortalService] = []
         self.poison_deaths = 0
         self.unserved = 0
+        self.isolated = 0
         self.tries: list[int] = []
 
     async def run(self, with_poison: bool) -> dict:
@@ -182,6 +187,8 @@
             "poison_deaths": self.poison_deaths,
             "innocents_quarantined": quarantined - guilty,
             "innocents_unserved": self.unserved,
+            "isolated": self.isolated,
+            "tries": sum(self.tries),
             "most_tries": max(self.tries),
         }
 
@@ -234,6 +241,8 @@
         "other_deaths": runs * OTHER_DEATHS,
         "innocents_quarantined": sum(one["innocents_quarantined"] for one in results),
         "innocents_unserved": sum(one["innocents_unserved"] for one in results),
+        "isolated_runs": sum(one["isolated"] for one in results),
+        "tries_of_innocents": sum(one["tries"] for one in results),
         "most_tries_of_an_innocent": max(one["most_tries"] for one in results),
     }
 
--- a/src/ebonywheel/poison.py
+++ b/src/ebonywheel/poison.py
@@ -137,7 +137,7 @@
             server=state.server,
             incarnation=state.incarnation,
             suspects=list(suspects.values()),
-            alone=any(holding.alone for holding in running),
+            alone=len(running) == 1 and running[0].alone,
         )
         if await self._submit(command):
             await self._wait_in_force()
--- a/tests/callfuzz.py
+++ b/tests/callfuzz.py
@@ -12,7 +12,9 @@
 from cluster import Cluster, example, request, start_fleet, start_stand_in, wait_for
 
 BOOK = "/v1/services/rota/calls/slots"
-CALLERS = 4
+CALLERS = 6
+RESENT_PART = 0.5
+RECENT = 12
 CALLER_TIMEOUT_S = 8.0
 LONG_FREEZE_S = 4.5
 SHORT_FREEZE_S = 1.0
@@ -48,6 +50,7 @@
         self.lock = threading.Lock()
         self.ended = threading.Event()
         self.faults = collections.Counter()
+        self.planned = []
 
     def start(self):
         self.cluster.wait_for_leader()
@@ -82,8 +85,8 @@
     def _call_often(self, seed):
         chosen = random.Random(seed)
         while not self.ended.is_set():
-            booking = self._new() if chosen.random() < 0.6 else self._old(chosen)
-            booking.delay_s = booking.delay_s or chosen.choice([0.001, 0.05, 0.5])
+            booking = self._old(chosen) if chosen.random() < RESENT_PART else self._new()
+            booking.delay_s = booking.delay_s or chosen.choice([0.001, 0.05, 0.5, 1.5])
             hosts = chosen.sample(self.cluster.entries, chosen.choice([1, 1, 2]))
             twins = [threading.Thread(target=self.attempt, args=(booking, one)) for one in hosts]
             for twin in twins:
@@ -98,7 +101,7 @@
 
     def _old(self, chosen):
         with self.lock:
-            recent = self.bookings[-30:]
+            recent = self.bookings[-RECENT:]
         return chosen.choice(recent) if recent else self._new()
 
     def attempt(self, booking, host):
@@ -123,23 +126,43 @@
     # -- faults ----------------------------------------------------------------------------
 
     def _fault(self):
-        entries, controls = self.cluster.entries, self.cluster.controls
-        name, act, host = self.random.choice(
-            [
-                ("kill entry", self._kill_entry, self.random.choice(entries)),
-                ("kill entry", self._kill_entry, self.random.choice(entries)),
-                ("freeze entry", self._freeze_long, self.random.choice(entries)),
-                ("freeze entry shortly", self._freeze, self.random.choice(entries)),
-                ("kill control", self._kill_control, self.random.choice(controls)),
-                ("freeze control", self._freeze, self.random.choice(controls)),
-                ("kill leader", self._kill_control, self._leader()),
-                ("kill plain", self._kill_plain, self.random.choice(self.plain)),
-            ]
-        )
+        if not self.planned:
+            self.planned = self._plan_faults()
+        name, act, hosts = self.planned.pop()
         self.faults[name] += 1
-        act(host)
+        act(self.random.choice(hosts))
         time.sleep(self.random.uniform(0.2, 0.8))
 
+    def _plan_faults(self):
+        entries, controls = self.cluster.entries, self.cluster.controls
+        planned = [
+            ("kill entry", self._kill_entry, entries),
+            ("kill entry", self._kill_entry, entries),
+            ("freeze entry", self._freeze_long, entries),
+            ("freeze entry shortly", self._freeze, entries),
+            ("kill control", self._kill_control, controls),
+            ("freeze control", self._freeze, controls),
+            ("kill leader", self._kill_leader, controls),
+            ("kill plain", self._kill_plain, self.plain),
+        ]
+        self.random.shuffle(planned)
+        return planned
+
+    def _start_slow_booking(self, host):
+        """Begin a booking through a host that will fail while the booking runs."""
+        booking = self._new()
+        booking.delay_s = 1.0
+        attempt = threading.Thread(target=self.attempt, args=(booking, host), daemon=True)
+        attempt.start()
+        time.sleep(0.3)
+        return booking
+
+    def _resend_elsewhere(self, booking, host):
+        for other in self.cluster.entries:
+            if other is not host:
+                attempt = threading.Thread(target=self.attempt, args=(booking, other), daemon=True)
+                attempt.start()
+
     def _leader(self):
         names = {host.name: host for host in self.cluster.controls}
         for host in self.cluster.controls:
@@ -152,9 +175,15 @@
         return self.cluster.controls[0]
 
     def _kill_entry(self, host):
+        booking = self._start_slow_booking(host)
         host.process.kill()
-        time.sleep(self.random.choice([0.0, 0.5]))
+        self._resend_elsewhere(booking, host)
         self.cluster.start_entry(host)
+        time.sleep(self.random.choice([0.5, 2.0]))
+        self._resend_elsewhere(booking, host)
+
+    def _kill_leader(self, host):
+        self._kill_control(self._leader())
 
     def _kill_control(self, host):
         host.process.kill()
@@ -171,7 +200,12 @@
         host.process.thaw()
 
     def _freeze_long(self, host):
-        self._freeze(host, LONG_FREEZE_S)
+        booking = self._start_slow_booking(host)
+        host.process.freeze()
+        time.sleep(LONG_FREEZE_S)
+        self._resend_elsewhere(booking, host)
+        time.sleep(0.2)
+        host.process.thaw()
 
     # -- oracle ----------------------------------------------------------------------------
 
