Send changes of views as deltas, less often the more hosts there are

Cause: a whole view is about 400 bytes, its changes 60. Change: FleetUpdate carries deltas of views that were sent before; the intervals grow with the number of hosts to be told, so that a small deployment stays fresh.

--- a/src/ebonywheel/fleet.py
+++ b/src/ebonywheel/fleet.py
@@ -270,9 +270,19 @@
             self.servers[view.state.server] = KnownServer(view, message.roster_index, now)
             if view.limit and view.home != self.core.host.name:
                 self.home.hint(view)
-        if message.servers:
+        for delta in message.deltas:
+            self._take_delta(message.host, delta, now)
+        if message.servers or message.deltas:
             await self._notify()
 
+    def _take_delta(self, host: str, delta: messages.ViewDelta, now: float) -> None:
+        known = self.servers.get(delta.server)
+        if known is None or known.view.home != host:
+            return
+        if known.view.state.incarnation == delta.incarnation:
+            known.view = viewsender.apply(known.view, delta)
+            known.heard_at = now
+
     async def _notify(self) -> None:
         async with self.changed:
             await self.changed.notify_all()
@@ -280,7 +290,7 @@
     async def _tell_views(self) -> None:
         while True:
             views = self.home.views()
-            await self._take_update(self._update(views))
+            await self._take_update(self._update(views, []))
             self._drop_stale()
             await self._tell_peers(views)
             await curio.sleep(UPDATE_S)
@@ -298,18 +308,25 @@
             peer = self.peers.get(key)
             if peer is None or peer.near != near:
                 peer = self.peers[key] = viewsender.Peer(near)
-            due = peer.due(views, kept, now)
+            due = peer.due(views, kept, self._tier(near), now)
             if due is not None:
-                await self.core.spawn(self._send_views(key, self._update(due)))
+                update = self._update(due.views, due.deltas)
+                await self.core.spawn(self._send_views(key, update))
 
     async def _send_views(self, key: tuple[str, int], update: messages.FleetUpdate) -> None:
         if not await self._send(key[0], update):
             # What was lost is not known: all of it is sent again.
             self.peers.pop(key, None)
 
-    def _update(self, views: list[messages.ServerView]) -> messages.FleetUpdate:
+    def _update(
+        self, views: list[messages.ServerView], deltas: list[messages.ViewDelta]
+    ) -> messages.FleetUpdate:
         return messages.FleetUpdate(
-            self.core.host.name, self.feed.incarnation, self.feed.current.roster_epoch, views
+            self.core.host.name,
+            self.feed.incarnation,
+            self.feed.current.roster_epoch,
+            views,
+            deltas,
         )
 
     def _is_near(self, host: str) -> bool:
@@ -321,6 +338,10 @@
         own = self.core.host.data_centre
         return regions.get(entry.data_centre) == regions.get(own)
 
+    def _tier(self, near: bool) -> viewsender.Tier:
+        count = sum(1 for peer in self.peers.values() if peer.near == near)
+        return viewsender.near_tier(count) if near else viewsender.far_tier(count)
+
     def _drop_stale(self) -> None:
         now = self.core.clock.monotonic()
         for name, known in list(self.servers.items()):
@@ -332,7 +353,7 @@
 
     def _is_fresh(self, known: KnownServer, now: float) -> bool:
         home_host = known.view.home
-        stale_s = viewsender.NEAR_STALE_S if self._is_near(home_host) else viewsender.FAR_STALE_S
+        stale_s = self._tier(self._is_near(home_host)).stale_s()
         return now <= max(known.heard_at, self.homes_heard.get(home_host, 0.0)) + stale_s
 
     async def _tell_holdings(self) -> None:
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -356,13 +356,29 @@
     expected_blocks: int = 0
 
 
+class ViewDelta(msgspec.Struct):
+    """What changes often in the view of a backend server that the receiver knows already."""
+
+    server: str = ""
+    incarnation: int = 0
+    limit: int = 0
+    used: int = 0
+    cold: bool = True
+    expected_blocks: int = 0
+
+
 class FleetUpdate(msgspec.Struct):
-    """A home entry host's view of its backend servers, sent to the other entry hosts."""
+    """A home entry host's view of its backend servers, sent to the other entry hosts.
+
+    Attributes:
+        deltas: Changes of views that were sent before.
+    """
 
     host: str = ""
     incarnation: int = 0
     roster_index: int = 0
     servers: list[ServerView] = []
+    deltas: list[ViewDelta] = []
 
 
 class Borrow(msgspec.Struct):
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -208,11 +208,21 @@
   expectedBlocks @7 :UInt64;
 }
 
+struct ViewDelta {
+  server @0 :Text;
+  incarnation @1 :UInt64;
+  limit @2 :UInt64;
+  used @3 :UInt64;
+  cold @4 :Bool;
+  expectedBlocks @5 :UInt64;
+}
+
 struct FleetUpdate {
   host @0 :Text;
   incarnation @1 :UInt64;
   rosterIndex @2 :UInt64;
   servers @3 :List(ServerView);
+  deltas @4 :List(ViewDelta);
 }
 
 struct Borrow {
--- a/tests/test_viewsender.py
+++ b/tests/test_viewsender.py
@@ -14,21 +14,23 @@
 
 
 KEPT = frozenset({"planner-1"})
+NEAR = viewsender.near_tier(5)
+FAR = viewsender.far_tier(360)
 
 
 @pytest.fixture
 def peer():
     made = viewsender.Peer(near=True)
-    assert len(made.due([view()], KEPT, 0.0)) == 1
+    assert len(made.due([view()], KEPT, NEAR, 0.0).views) == 1
     return made
 
 
 class TestNear:
     def test_unchanged_view_is_not_sent_again(self, peer):
-        assert peer.due([view()], KEPT, 0.5) is None
+        assert peer.due([view()], KEPT, NEAR, 0.5) is None
 
     def test_living_home_says_so(self, peer):
-        assert peer.due([view()], KEPT, viewsender.NEAR_ALIVE_S) == []
+        assert peer.due([view()], KEPT, NEAR, NEAR.alive_s) == viewsender.Due([], [])
 
     @pytest.mark.parametrize(
         ("change", "sent"),
@@ -41,39 +43,47 @@
         ],
     )
     def test_change_that_matters_is_sent(self, peer, change, sent):
-        assert bool(peer.due([view(**change)], KEPT, 0.25)) == sent
+        due = peer.due([view(**change)], KEPT, NEAR, 0.25)
+        assert (due is not None) == sent
+        if sent:
+            (delta,) = due.deltas
+            assert viewsender.apply(view(), delta) == view(**change)
 
     def test_lost_view_is_sent_again_in_time(self, peer):
-        assert len(peer.due([view()], KEPT, viewsender.NEAR_REFRESH_S)) == 1
+        assert len(peer.due([view()], KEPT, NEAR, NEAR.refresh_s).views) == 1
 
     def test_silent_server_is_shown_without_slots_once(self, peer):
-        (ended,) = peer.due([], KEPT, 0.25)
+        (ended,) = peer.due([], KEPT, NEAR, 0.25).deltas
         assert ended.limit == 0
-        assert peer.due([], KEPT, 0.5) is None
+        assert peer.due([], KEPT, NEAR, 0.5) is None
 
     def test_server_that_moved_is_left_to_its_new_home(self, peer):
-        assert peer.due([], frozenset(), 0.25) is None
+        assert peer.due([], frozenset(), NEAR, 0.25) is None
 
     def test_prefixes_are_bounded(self):
-        (sent,) = viewsender.Peer(near=True).due([view()], KEPT, 0.0)
+        (sent,) = viewsender.Peer(near=True).due([view()], KEPT, NEAR, 0.0).views
         assert len(sent.prefixes) == viewsender.PREFIXES_SENT
 
 
 class TestFar:
     def test_changes_wait(self):
         peer = viewsender.Peer(near=False)
-        (first,) = peer.due([view()], KEPT, 0.0)
+        (first,) = peer.due([view()], KEPT, FAR, 0.0).views
         assert first.prefixes == []
-        assert peer.due([view(used=12)], KEPT, 1.0) is None
-        assert len(peer.due([view(used=12)], KEPT, viewsender.FAR_CHANGE_S)) == 1
+        assert peer.due([view(used=12)], KEPT, FAR, 1.0) is None
+        assert len(peer.due([view(used=12)], KEPT, FAR, FAR.change_s).deltas) == 1
 
     @pytest.mark.parametrize("change", [{"limit": 0}, {"home": "b"}])
     def test_server_that_ceases_to_take_work_is_told_at_once(self, change):
         peer = viewsender.Peer(near=False)
-        peer.due([view()], KEPT, 0.0)
-        assert len(peer.due([view(**change)], KEPT, 0.25)) == 1
+        peer.due([view()], KEPT, FAR, 0.0)
+        assert len(peer.due([view(**change)], KEPT, FAR, 0.25).views) == 1
 
     def test_living_home_says_so(self):
         peer = viewsender.Peer(near=False)
-        peer.due([view()], KEPT, 0.0)
-        assert peer.due([view()], KEPT, viewsender.FAR_ALIVE_S) == []
+        peer.due([view()], KEPT, FAR, 0.0)
+        assert peer.due([view()], KEPT, FAR, FAR.alive_s) == viewsender.Due([], [])
+
+    def test_hosts_hear_less_often_the_more_there_are(self):
+        assert viewsender.far_tier(4).change_s < 0.5
+        assert viewsender.far_tier(360).change_s > 20.0
