--- /dev/null
+++ b/src/ebonywheel/frames.py
@@ -0,0 +1,105 @@
+"""Frames on one socket: whole ones in, whole ones out."""
+
+import socket
+
+import curio
+import msgspec
+
+from ebonywheel import codec, exceptions, kernel
+
+SEND_TIMEOUT_S = 5.0
+READ_BYTES = 65536
+MAX_HANDSHAKE_BYTES = 4096
+
+
+class FrameStream:
+    """Reads and writes frames on one socket.
+
+    Attributes:
+        broken: True when a frame was cut off, so that nothing may follow it.
+    """
+
+    def __init__(self, core: kernel.Kernel, sock: curio.io.Socket, name: str, delay_s: float = 0.0):
+        self.core = core
+        self.sock = sock
+        self.name = name
+        self.delay_s = delay_s
+        self.buffer = bytearray()
+        self.write_lock = curio.Lock()
+        self.frames_in = 0
+        self.broken = False
+
+    async def write(self, frame: bytes) -> None:
+        """Write one whole frame.
+
+        Raises:
+            LinkError: The connection broke or the peer does not read.
+        """
+        if self.delay_s:
+            await curio.sleep(self.delay_s)
+        try:
+            async with curio.timeout_after(SEND_TIMEOUT_S):
+                async with self.write_lock:
+                    await self._send_whole(frame)
+        except curio.TaskTimeout as error:
+            raise exceptions.LinkTimeout("peer does not read", "write", self.name) from error
+        except OSError as error:
+            raise exceptions.LinkError(str(error), "write", self.name) from error
+        self.core.metrics.count("link_bytes_out", len(frame))
+
+    async def _send_whole(self, frame: bytes) -> None:
+        try:
+            await self.sock.sendall(frame)
+        except curio.CancelledError:
+            # A part of the frame may have left; anything after it would be misread.
+            self.broken = True
+            await self.shutdown()
+            raise
+
+    async def read(self) -> tuple[codec.Header, msgspec.Struct]:
+        """Read one whole frame.
+
+        Raises:
+            FrameError: The frame is malformed.
+            LinkError: The connection ended.
+        """
+        return await self._read_body(codec.decode_header(await self._take(codec.HEADER.size)))
+
+    async def read_handshake(self, kind: type[msgspec.Struct]) -> msgspec.Struct:
+        """Read one message of a peer that is not known yet: only this kind, and only a small one.
+
+        Raises:
+            FrameError: The frame is malformed.
+            HandshakeError: The message is another one.
+            LinkError: The connection ended.
+        """
+        header = codec.decode_header(await self._take(codec.HEADER.size))
+        if header.kind != codec.kind_of(kind) or header.length > MAX_HANDSHAKE_BYTES:
+            raise exceptions.HandshakeError(f"expected {kind.__name__}", "handshake", self.name)
+        return (await self._read_body(header))[1]
+
+    async def _read_body(self, header: codec.Header) -> tuple[codec.Header, msgspec.Struct]:
+        body = await self._take(header.length)
+        self.frames_in += 1
+        return header, codec.decode_body(header, body)
+
+    async def shutdown(self) -> None:
+        """Shut the socket down, so that its reading task sees the end and closes it."""
+        try:
+            await self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    async def _take(self, size: int) -> bytes:
+        while len(self.buffer) < size:
+            try:
+                data = await self.sock.recv(READ_BYTES)
+            except OSError as error:
+                raise exceptions.LinkError(str(error), "read", self.name) from error
+            if not data:
+                raise exceptions.LinkError("connection closed", "read", self.name)
+            self.core.metrics.count("link_bytes_in", len(data))
+            self.buffer += data
+        taken = bytes(self.buffer[:size])
+        del self.buffer[:size]
+        return taken
--- a/src/ebonywheel/link.py
+++ b/src/ebonywheel/link.py
@@ -8,25 +8,21 @@
 import hashlib
 import hmac
 import secrets
-import socket
 import typing
 
 import curio
 import msgspec
 
-from ebonywheel import codec, exceptions, kernel, messages, settings, sockets
+from ebonywheel import codec, exceptions, frames, kernel, messages, settings, sockets
 
 CONNECT_TIMEOUT_S = 2.0
 HANDSHAKE_TIMEOUT_S = 2.0
-SEND_TIMEOUT_S = 5.0
 DEFAULT_CALL_TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 300.0
 NONCE_BYTES = 16
-READ_BYTES = 65536
 ACCEPT_BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
 MAX_CONNECTIONS = 2048
-MAX_HANDSHAKE_BYTES = 4096
 
 
 class PeerInfo(msgspec.Struct):
@@ -45,99 +41,6 @@
 ]
 
 
-class FrameStream:
-    """Reads and writes frames on one socket.
-
-    Attributes:
-        broken: True when a frame was cut off, so that nothing may follow it.
-    """
-
-    def __init__(self, core: kernel.Kernel, sock: curio.io.Socket, name: str, delay_s: float = 0.0):
-        self.core = core
-        self.sock = sock
-        self.name = name
-        self.delay_s = delay_s
-        self.buffer = bytearray()
-        self.write_lock = curio.Lock()
-        self.frames_in = 0
-        self.broken = False
-
-    async def write(self, frame: bytes) -> None:
-        """Write one whole frame.
-
-        Raises:
-            LinkError: The connection broke or the peer does not read.
-        """
-        if self.delay_s:
-            await curio.sleep(self.delay_s)
-        try:
-            async with curio.timeout_after(SEND_TIMEOUT_S):
-                async with self.write_lock:
-                    await self._send_whole(frame)
-        except curio.TaskTimeout as error:
-            raise exceptions.LinkTimeout("peer does not read", "write", self.name) from error
-        except OSError as error:
-            raise exceptions.LinkError(str(error), "write", self.name) from error
-        self.core.metrics.count("link_bytes_out", len(frame))
-
-    async def _send_whole(self, frame: bytes) -> None:
-        try:
-            await self.sock.sendall(frame)
-        except curio.CancelledError:
-            # A part of the frame may have left; anything after it would be misread.
-            self.broken = True
-            await self.shutdown()
-            raise
-
-    async def read(self) -> tuple[codec.Header, msgspec.Struct]:
-        """Read one whole frame.
-
-        Raises:
-            FrameError: The frame is malformed.
-            LinkError: The connection ended.
-        """
-        return await self._read_body(codec.decode_header(await self._take(codec.HEADER.size)))
-
-    async def read_handshake(self, kind: type[msgspec.Struct]) -> msgspec.Struct:
-        """Read one message of a peer that is not known yet: only this kind, and only a small one.
-
-        Raises:
-            FrameError: The frame is malformed.
-            HandshakeError: The message is another one.
-            LinkError: The connection ended.
-        """
-        header = codec.decode_header(await self._take(codec.HEADER.size))
-        if header.kind != codec.kind_of(kind) or header.length > MAX_HANDSHAKE_BYTES:
-            raise exceptions.HandshakeError(f"expected {kind.__name__}", "handshake", self.name)
-        return (await self._read_body(header))[1]
-
-    async def _read_body(self, header: codec.Header) -> tuple[codec.Header, msgspec.Struct]:
-        body = await self._take(header.length)
-        self.frames_in += 1
-        return header, codec.decode_body(header, body)
-
-    async def shutdown(self) -> None:
-        """Shut the socket down, so that its reading task sees the end and closes it."""
-        try:
-            await self.sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            return
-
-    async def _take(self, size: int) -> bytes:
-        while len(self.buffer) < size:
-            try:
-                data = await self.sock.recv(READ_BYTES)
-            except OSError as error:
-                raise exceptions.LinkError(str(error), "read", self.name) from error
-            if not data:
-                raise exceptions.LinkError("connection closed", "read", self.name)
-            self.core.metrics.count("link_bytes_in", len(data))
-            self.buffer += data
-        taken = bytes(self.buffer[:size])
-        del self.buffer[:size]
-        return taken
-
-
 class Link:
     """The connection to one peer, opened on first use and again after it breaks."""
 
@@ -146,7 +49,7 @@
         self.name = name
         self.address = address
         self.delay_s = delay_s
-        self.stream: FrameStream | None = None
+        self.stream: frames.FrameStream | None = None
         self.peer: PeerInfo | None = None
         self.pending: dict[int, _Pending] = {}
         self.next_exchange = 1
@@ -203,21 +106,21 @@
         if self.stream is not None:
             await self._drop(self.stream)
 
-    async def _drop(self, stream: FrameStream) -> None:
+    async def _drop(self, stream: frames.FrameStream) -> None:
         if self.stream is not stream:
             return
         self.stream = None
         self.core.metrics.count("link_drops", peer=self.name)
         await stream.shutdown()
 
-    async def _connected(self) -> FrameStream:
+    async def _connected(self) -> frames.FrameStream:
         async with self.connect_lock:
             if self.stream is None or self.stream.broken:
                 self.stream = await self._connect()
                 await self.core.spawn(self._read_answers(self.stream))
             return self.stream
 
-    async def _connect(self) -> FrameStream:
+    async def _connect(self) -> frames.FrameStream:
         host, port = settings.split_address(self.address)
         try:
             async with curio.timeout_after(CONNECT_TIMEOUT_S):
@@ -227,7 +130,7 @@
         except OSError as error:
             raise exceptions.LinkError(str(error), "connect", self.name) from error
         sockets.tune(sock)
-        stream = FrameStream(self.core, sock, self.name, self.delay_s)
+        stream = frames.FrameStream(self.core, sock, self.name, self.delay_s)
         try:
             async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
                 self.peer = await _introduce(self.core, stream)
@@ -240,7 +143,7 @@
         self.core.metrics.count("link_connects", peer=self.name)
         return stream
 
-    async def _read_answers(self, stream: FrameStream) -> None:
+    async def _read_answers(self, stream: frames.FrameStream) -> None:
         error: exceptions.LinkError = exceptions.LinkError("link closed", "read", self.name)
         try:
             while True:
@@ -261,7 +164,7 @@
             await self._fail_pending(stream, error)
             await stream.sock.close()
 
-    async def _fail_pending(self, stream: FrameStream, error: exceptions.LinkError) -> None:
+    async def _fail_pending(self, stream: frames.FrameStream, error: exceptions.LinkError) -> None:
         for waiting in list(self.pending.values()):
             if waiting.stream is stream and not waiting.answer.is_set():
                 await waiting.answer.set_exception(error)
@@ -274,7 +177,7 @@
 
     def __init__(self):
         self.answer = curio.Result()
-        self.stream: FrameStream | None = None
+        self.stream: frames.FrameStream | None = None
 
 
 class LinkServer:
@@ -324,7 +227,7 @@
             self.open -= 1
 
     async def _serve_peer(self, sock: curio.io.Socket, name: str) -> None:
-        stream = FrameStream(self.core, sock, name, self.delay_s)
+        stream = frames.FrameStream(self.core, sock, name, self.delay_s)
         async with sock:
             try:
                 async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
@@ -346,7 +249,7 @@
 
     async def _dispatch(
         self,
-        stream: FrameStream,
+        stream: frames.FrameStream,
         peer: PeerInfo,
         header: codec.Header,
         message: msgspec.Struct,
@@ -359,7 +262,7 @@
             raise exceptions.FrameError("answer without a request", "dispatch", str(peer))
 
     async def _answer(
-        self, stream: FrameStream, peer: PeerInfo, exchange: int, message: msgspec.Struct
+        self, stream: frames.FrameStream, peer: PeerInfo, exchange: int, message: msgspec.Struct
     ) -> None:
         answer = await self._handle(peer, message)
         await stream.write(codec.encode(answer, exchange, codec.FLAG_REPLY))
@@ -378,7 +281,7 @@
             return messages.Failure("internal", "internal error", type(message).__name__)
 
 
-async def _introduce(core: kernel.Kernel, stream: FrameStream) -> PeerInfo:
+async def _introduce(core: kernel.Kernel, stream: frames.FrameStream) -> PeerInfo:
     nonce = secrets.token_bytes(NONCE_BYTES)
     hello = messages.Hello(core.role, core.host.name, core.host.data_centre, nonce)
     await stream.write(codec.encode(hello, 0, codec.FLAG_REQUEST))
@@ -392,7 +295,7 @@
     return PeerInfo("", challenge.host, challenge.data_centre)
 
 
-async def _admit(core: kernel.Kernel, stream: FrameStream) -> PeerInfo:
+async def _admit(core: kernel.Kernel, stream: frames.FrameStream) -> PeerInfo:
     hello = await stream.read_handshake(messages.Hello)
     nonce = secrets.token_bytes(NONCE_BYTES)
     proof = _sign(core.secret, b"accept", core.host.name, hello.nonce, nonce)
