Go by the leader's time and limits, not by each host's own clock and settings

Cause: a new leader took its wall clock for the replicated time, so that one host whose clock is a year ahead would have expired every idempotency key for good; and each host applied the ledger's horizon from its own settings, so that hosts with other settings would have diverged. Excluded: a bound on how far a wall clock may jump (it still moves the time by the bound, at each election); refusing settings that differ (hosts are restarted one by one with new ones). Change: heartbeats carry the replicated time and a new leader goes on from it; the leader's first entry carries the limits, which are part of the state. Before (mechanism off): the tests of the new leader and of the wall clock fail, seen. After: they pass, as do those of ledger, suspicion, state, replica and control. Conclusion: a wall clock counts only where no leader was heard since the start.

--- a/scripts/measure_calls.py
+++ b/scripts/measure_calls.py
@@ -95,7 +95,7 @@
 def measure_ledger() -> dict:
     """Return the ledger's size for each key, in memory and in a snapshot."""
     registry.load_plugins()
-    machine = state.State(state.Limits(86_400_000, 1000))
+    machine = state.State(commands.Limits(86_400_000, 1000))
     now_ms = int(time.time() * 1000)
     before = machine.snapshot()
     resident = resident_bytes()
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -197,7 +197,7 @@
 
 
 def _machine() -> state.State:
-    return state.State(state.Limits(86_400_000, 3_600_000))
+    return state.State(commands.Limits(86_400_000, 3_600_000))
 
 
 def _call() -> commands.BeginCall:
--- a/src/ebonywheel/callstate.py
+++ b/src/ebonywheel/callstate.py
@@ -7,7 +7,7 @@
 
 import enum
 
-from ebonywheel import commands, configuration, hoststate, idempotency, registry, state, statedata
+from ebonywheel import commands, configuration, hoststate, idempotency, registry, statedata
 
 UNKNOWN_TEXT = "the entry host that ran the call went away before it recorded an outcome"
 
@@ -28,16 +28,13 @@
 class CallHandler:
     """What the handlers of calls share."""
 
-    def __init__(self, limits: state.Limits):
-        self.limits = limits
-
     def target(self, command: commands.BeginCall | commands.EndCall) -> str:
         """Return customer, service and key."""
         return call_key(command)
 
     def forget(self, data: statedata.StateData) -> None:
         """Advance the horizon and drop the records behind it."""
-        horizon_ms = data.at_ms - self.limits.key_horizon_ms
+        horizon_ms = data.at_ms - data.limits.key_horizon_ms
         data.call_horizon_ms = max(data.call_horizon_ms, horizon_ms)
         # A record outlives its key's acceptance: the key was made before the call was begun,
         # or at most the allowed skew after it.
--- a/src/ebonywheel/commands.py
+++ b/src/ebonywheel/commands.py
@@ -25,8 +25,26 @@
     at_ms: int = 0
 
 
+class Limits(msgspec.Struct):
+    """Times that are part of the state, so that all control hosts go by the same ones.
+
+    Attributes:
+        key_horizon_ms: How long outcomes of calls are kept.
+        quarantine_ms: How long a suspicion lasts.
+    """
+
+    key_horizon_ms: int = 86_400_000
+    quarantine_ms: int = 3_600_000
+
+
 class Noop(Command):
-    """First entry of each leader's term."""
+    """First entry of each leader's term.
+
+    Attributes:
+        limits: The leader's limits, in force from here on; None leaves them as they are.
+    """
+
+    limits: Limits | None = None
 
 
 class ApplyDocument(Command):
--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -38,7 +38,7 @@
         self.delay_s = loaded.link_delay_ms / 1000
         self.store = storage.Storage(loaded.data_folder, core.host.name)
         core.stack.callback(self.store.close)
-        limits = state.Limits(int(loaded.key_horizon_s * 1000), int(loaded.quarantine_s * 1000))
+        limits = commands.Limits(int(loaded.key_horizon_s * 1000), int(loaded.quarantine_s * 1000))
         self.machine = state.State(limits)
         self.replica = replica.Replica(
             core,
--- a/src/ebonywheel/documentstate.py
+++ b/src/ebonywheel/documentstate.py
@@ -5,7 +5,7 @@
 import msgspec
 import result
 
-from ebonywheel import commands, configuration, documents, registry, state, statedata
+from ebonywheel import commands, configuration, documents, registry, statedata
 
 # Configuration keys of all environments begin with this.
 RESERVED_ENVIRONMENTS = frozenset({"control"})
@@ -19,9 +19,6 @@
 class DocumentHandler:
     """What the handlers of environment changes share."""
 
-    def __init__(self, limits: state.Limits):
-        self.limits = limits
-
     def target(self, command: commands.AnyCommand) -> str:
         """Return the environment."""
         return command.environment
--- a/src/ebonywheel/follower.py
+++ b/src/ebonywheel/follower.py
@@ -43,6 +43,7 @@
         vote = self.store.vote
         if request.term < vote.term:
             return messages.AppendReply(vote.term, False)
+        self.owner.proposals.stamps.observe(request.at_ms)
         await self.owner.elections.follow(request.term, request.leader)
         # The term must be durable before its entries, or a crash could leave them without it.
         await self.store.save_vote()
--- a/src/ebonywheel/hoststate.py
+++ b/src/ebonywheel/hoststate.py
@@ -2,15 +2,12 @@
 
 import msgspec
 
-from ebonywheel import commands, configuration, registry, state, statedata
+from ebonywheel import commands, configuration, registry, statedata
 
 
 class HostHandler:
     """What the handlers of hosts share."""
 
-    def __init__(self, limits: state.Limits):
-        self.limits = limits
-
     def target(self, command: commands.AnyCommand) -> str:
         """Return the host."""
         return command.host
@@ -23,7 +20,9 @@
     def apply(
         self, data: statedata.StateData, index: int, command: commands.Noop
     ) -> commands.Outcome:
-        """Change nothing."""
+        """Put the leader's limits in force."""
+        if command.limits is not None:
+            data.limits = command.limits
         return commands.Accepted(index=index)
 
     def target(self, command: commands.Noop) -> str:
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -86,7 +86,12 @@
 
 
 class AppendRequest(msgspec.Struct):
-    """Replicate log entries; without entries a heartbeat."""
+    """Replicate log entries; without entries a heartbeat.
+
+    Attributes:
+        target: Member id that the request is meant for.
+        at_ms: Replicated time at the leader.
+    """
 
     term: int = 0
     leader: str = ""
@@ -95,6 +100,7 @@
     commit: int = 0
     entries: list[LogEntry] = []
     target: str = ""
+    at_ms: int = 0
 
 
 class AppendReply(msgspec.Struct):
--- a/src/ebonywheel/orderstate.py
+++ b/src/ebonywheel/orderstate.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ebonywheel import commands, exceptions, registry, state, statedata
+from ebonywheel import commands, exceptions, registry, statedata
 
 _SERVER_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,62}\Z")
 
@@ -12,9 +12,6 @@
 class OrderHandler:
     """What the handlers of orders share."""
 
-    def __init__(self, limits: state.Limits):
-        self.limits = limits
-
 
 @registry.plugins.register("command", "IssueOrder")
 class IssueOrderHandler(OrderHandler):
--- a/src/ebonywheel/proposals.py
+++ b/src/ebonywheel/proposals.py
@@ -6,7 +6,16 @@
 import curio
 import msgspec
 
-from ebonywheel import commands, exceptions, hoststate, membership, messages, settings, state
+from ebonywheel import (
+    commands,
+    exceptions,
+    hoststate,
+    membership,
+    messages,
+    settings,
+    stamps,
+    state,
+)
 
 if typing.TYPE_CHECKING:
     from ebonywheel import replica
@@ -32,18 +41,16 @@
         self.store = owner.store
         self.clock = owner.core.clock
         self.waiters: dict[int, Waiter] = {}
-        self.stamp_base_ms = 0
-        self.stamp_at = 0.0
+        self.stamps = stamps.StampClock(owner.core.clock)
 
     async def begin_term(self) -> None:
         """Start the leader's term with an entry of its own."""
-        self.stamp_base_ms = max(
-            self.owner.machine.data.at_ms,
-            self._last_stamp_ms(),
-            int(self.clock.wall() * 1000),
+        self.stamps.lead(max(self.owner.machine.data.at_ms, self._last_stamp_ms()))
+        command = commands.Noop(
+            actor=self.owner.core.host.name,
+            at_ms=self.stamps.now_ms(),
+            limits=self.owner.machine.limits,
         )
-        self.stamp_at = self.clock.monotonic()
-        command = commands.Noop(actor=self.owner.core.host.name, at_ms=self._now_ms())
         self._append(commands.encode(command))
         await self.owner.notify()
 
@@ -64,7 +71,7 @@
             return first.index, state.first_outcome(first, command)
         if isinstance(command, membership.MembershipCommand):
             self._check_membership_change(command)
-        command.at_ms = self._now_ms()
+        command.at_ms = self.stamps.now_ms()
         data = commands.encode(command)
         if len(data) > MAX_COMMAND_BYTES:
             raise exceptions.NotRunError(
@@ -137,9 +144,6 @@
         last = self.store.last_entry()
         return 0 if last is None else commands.decode(last.data).at_ms
 
-    def _now_ms(self) -> int:
-        return self.stamp_base_ms + int((self.clock.monotonic() - self.stamp_at) * 1000)
-
 
 def _check_addresses(command: commands.AddMember) -> None:
     for address in (command.link, command.http):
--- a/src/ebonywheel/replication.py
+++ b/src/ebonywheel/replication.py
@@ -153,6 +153,7 @@
             self.owner.commit,
             self.store.entries_from(progress.next, MAX_ENTRIES, MAX_BATCH_BYTES),
             member,
+            self.owner.proposals.stamps.now_ms(),
         )
         sent_at = self.clock.monotonic()
         reply = await self.owner.link_to(member).call(request, self.timeout_s)
--- a/src/ebonywheel/state.py
+++ b/src/ebonywheel/state.py
@@ -37,18 +37,20 @@
     """The state machine of one control host.
 
     Attributes:
+        limits: This host's limits; those in force are in the data.
         data: The state itself.
         applied: Index of the last applied entry.
         applied_term: Term of the last applied entry.
     """
 
-    def __init__(self, limits: "Limits"):
-        self.data = statedata.StateData()
+    def __init__(self, limits: commands.Limits):
+        self.limits = limits
+        self.data = statedata.StateData(limits=limits)
         self.applied = 0
         self.applied_term = 0
         self.handlers: dict[type, Handler] = {}
         for kind in commands.AnyCommand.__args__:
-            self.handlers[kind] = registry.plugins.find("command", kind.__name__)(limits)
+            self.handlers[kind] = registry.plugins.find("command", kind.__name__)()
 
     def apply(self, entry: messages.LogEntry) -> commands.Outcome:
         """Apply one committed log entry."""
@@ -114,18 +116,6 @@
             del operations[oldest]
 
 
-class Limits(msgspec.Struct):
-    """Times that the handlers need.
-
-    Attributes:
-        key_horizon_ms: How long outcomes of calls are kept.
-        quarantine_ms: How long a suspicion lasts.
-    """
-
-    key_horizon_ms: int
-    quarantine_ms: int
-
-
 def first_outcome(
     first: statedata.OperationRecord, command: commands.AnyCommand
 ) -> commands.Outcome:
--- a/src/ebonywheel/statedata.py
+++ b/src/ebonywheel/statedata.py
@@ -121,6 +121,7 @@
     """
 
     at_ms: int = 0
+    limits: commands.Limits = msgspec.field(default_factory=commands.Limits)
     items: dict[str, Item] = {}
     tombstones: dict[str, int] = {}
     complete_from: int = 0
--- a/src/ebonywheel/suspectstate.py
+++ b/src/ebonywheel/suspectstate.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ebonywheel import commands, configuration, registry, state, statedata
+from ebonywheel import commands, configuration, registry, statedata
 
 QUARANTINE_DEATHS = 2
 
@@ -10,9 +10,6 @@
 class SuspectHandler:
     """What the handlers of suspicion share."""
 
-    def __init__(self, limits: state.Limits):
-        self.limits = limits
-
     def target(self, command: commands.AnyCommand) -> str:
         """Return the fingerprint."""
         return command.fingerprint.hex()
@@ -27,7 +24,7 @@
     ) -> commands.Outcome:
         """Count once for each incarnation and request; quarantine at the second death."""
         _expire(data, index, command.environment)
-        _forget_crashes(data, data.at_ms - self.limits.quarantine_ms)
+        _forget_crashes(data, data.at_ms - data.limits.quarantine_ms)
         key = _crash_key(command.environment, command.server, command.incarnation)
         crash = data.crashes.setdefault(key, statedata.CrashRecord(data.at_ms))
         new = [one for one in command.suspects if one.fingerprint not in crash.fingerprints]
@@ -58,7 +55,7 @@
             suspect.customer,
             deaths,
             deaths >= QUARANTINE_DEATHS,
-            data.at_ms + self.limits.quarantine_ms,
+            data.at_ms + data.limits.quarantine_ms,
         )
         key = configuration.suspect_key(command.environment, suspect.fingerprint)
         data.put(key, index, msgspec.json.encode(value))
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -58,6 +58,7 @@
   commit @4 :UInt64;
   entries @5 :List(LogEntry);
   target @6 :Text;
+  atMs @7 :UInt64;
 }
 
 struct AppendReply {
--- a/tests/callbench.py
+++ b/tests/callbench.py
@@ -264,7 +264,7 @@
     """One ledger, some fake services, and entry hosts that share them."""
 
     def __init__(self, services=1):
-        self.machine = state.State(state.Limits(600_000, 60_000))
+        self.machine = state.State(commands.Limits(600_000, 60_000))
         self.services = [FakeService() for _ in range(services)]
         self.hosts = {}
         self.dead = set()
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -111,7 +111,7 @@
         self.core = kernel.Kernel("control", host, b"", self.clock)
         await self.core.__aenter__()
         self.core.stack.callback(self.store.close)
-        self.machine = state.State(state.Limits(86_400_000, 3_600_000))
+        self.machine = state.State(commands.Limits())
         self.replica = replica.Replica(
             self.core,
             self.store,
--- a/tests/test_callstate.py
+++ b/tests/test_callstate.py
@@ -9,7 +9,7 @@
 
 HORIZON_MS = 600_000
 START_MS = 1_800_000_000_000
-LIMITS = state.Limits(HORIZON_MS, 1000)
+LIMITS = commands.Limits(HORIZON_MS, 1000)
 registry.load_plugins()
 
 
@@ -68,10 +68,10 @@
             )
         )
 
-    def restart_from_snapshot(self, limits=LIMITS):
+    def restart_from_snapshot(self):
         content = self.machine.snapshot()
         applied = self.machine.applied
-        self.machine = state.State(limits)
+        self.machine = state.State(LIMITS)
         self.machine.restore(applied, 1, content)
 
 
@@ -185,9 +185,21 @@
         ledger.begin("op1", key)
         ledger.now_ms += HORIZON_MS + idempotency.FUTURE_SKEW_MS + 1
         ledger.begin("op2", make_key(ledger.now_ms, 2))
-        ledger.restart_from_snapshot(state.Limits(10 * HORIZON_MS, 1000))
+        ledger.restart_from_snapshot()
+        ledger.apply(commands.Noop(limits=commands.Limits(10 * HORIZON_MS, 1000)))
         assert ledger.begin("op3", key) == commands.CallExpired()
 
+    def test_hosts_with_other_settings_decide_alike(self, ledger):
+        other = Ledger()
+        other.machine = state.State(commands.Limits(1, 1))
+        for held in (ledger, other):
+            held.apply(commands.Noop(limits=LIMITS))
+            held.join("a", 1)
+            held.now_ms += HORIZON_MS - 1
+        outcomes = [held.begin("op1", make_key()) for held in (ledger, other)]
+        assert outcomes == [commands.CallStarted(), commands.CallStarted()]
+        assert ledger.machine.data.limits == other.machine.data.limits
+
     def test_key_from_the_future_is_refused(self, ledger):
         key = make_key(START_MS + idempotency.FUTURE_SKEW_MS + 1)
         assert ledger.begin("op1", key).code == callstate.RefusalCode.FUTURE_KEY
--- a/tests/test_feedserver.py
+++ b/tests/test_feedserver.py
@@ -65,7 +65,7 @@
 @pytest.fixture
 def server():
     registry.load_plugins()
-    machine = state.State(state.Limits(1000, 1000))
+    machine = state.State(commands.Limits(1000, 1000))
     core = kernel.Kernel("control", HOST, b"secret", clock.ManualClock())
     return feedserver.FeedServer(core, FakeConsensus(machine), machine, LEASE_S)
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -11,7 +11,7 @@
 @pytest.fixture
 def machine():
     registry.load_plugins()
-    return state.State(state.Limits(DAY_MS, DAY_MS))
+    return state.State(commands.Limits(DAY_MS, DAY_MS))
 
 
 def apply(machine, command):
@@ -47,7 +47,7 @@
         first = apply(machine, join("op-1"))
         for number in range(300):
             apply(machine, join(f"other-{number}", address=str(number)))
-        again = state.State(machine.handlers[commands.Noop].limits)
+        again = state.State(machine.limits)
         again.restore(machine.applied, machine.applied_term, machine.snapshot())
         assert apply(again, join("op-1")) == first
         assert again.data.audit == machine.data.audit
--- a/tests/test_suspectstate.py
+++ b/tests/test_suspectstate.py
@@ -13,7 +13,7 @@
     """A state machine with deaths reported to it."""
 
     def __init__(self):
-        self.machine = state.State(state.Limits(1000, QUARANTINE_MS))
+        self.machine = state.State(commands.Limits(1000, QUARANTINE_MS))
         self.now_ms = 1_000_000
 
     def apply(self, command):
