--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+import cluster as bench
 from cluster import (
     Cluster,
-    Reader,
     StandIn,
     example,
     request,
@@ -22,6 +22,16 @@
 AT = 40
 
 
+class Reader(bench.Reader):
+    """A reader that also checks that each event's token is the one that its id names."""
+
+    def _take(self, block):
+        before = len(self.indexes)
+        super()._take(block)
+        if len(self.indexes) > before:
+            assert f'"index":{self.indexes[-1]},'.encode() in block
+
+
 def silent(writer, connection, index):
     """The connection goes silent for good while new ones work."""
     if connection == 1 and index == AT:
