--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -69,6 +69,22 @@
         self._say("the audit trail")
         self._operate("audit")
 
+    def keep(self) -> None:
+        """Start the system and keep it until the user interrupts."""
+        self._start_system()
+        self._operate("status")
+        print(
+            f"\nsettings, secrets, data and logs: {self.folder}\n"
+            f"operate it with: ebonywheel --settings {self.operator} status\n"
+            f"entry hosts: {', '.join(f'{entry_ip(n)}:{HTTP_PORT}' for n in (1, 2, 3))}, "
+            f"customer key: {KEY}\nend it with Ctrl-C",
+            flush=True,
+        )
+        try:
+            signal.pause()
+        except KeyboardInterrupt:
+            print("\n== ending", flush=True)
+
     def _start_system(self) -> None:
         for number, data_centre in enumerate(DATA_CENTRES, start=1):
             settings = self._write(
@@ -235,11 +251,16 @@
     """Run the demonstration."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("programs", type=pathlib.Path, help="folder of the installed programs")
+    parser.add_argument("--keep", action="store_true", help="start it and keep it until Ctrl-C")
     parsed = parser.parse_args()
     started = time.monotonic()
     with contextlib.ExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="ebonywheel-demo-"))
-        Demo(parsed.programs, pathlib.Path(folder), stack).run()
+        demo = Demo(parsed.programs, pathlib.Path(folder), stack)
+        if parsed.keep:
+            demo.keep()
+            return 0
+        demo.run()
         print("\n== ending", flush=True)
     print(f"done in {time.monotonic() - started:.0f} s")
     return 0
