--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -148,21 +148,33 @@
 
 async def _propose_for(address: str, count: int) -> dict:
     times: list[float] = []
+    failures: list[exceptions.LinkError] = []
     until = time.monotonic() + PROPOSE_S
     async with _kernel() as core:
         connection = link.Link(core, "leader", address)
         async with curio.TaskGroup() as group:
             for _ in range(count):
-                await group.spawn(_propose_until, connection, until, times)
+                await group.spawn(_propose_until, connection, until, times, failures)
         await connection.close()
     rate = round(len(times) / PROPOSE_S, 1)
-    return {"proposers": count, "changes_per_s": rate, **_quantiles(times)}
+    counts = {"proposers": count, "changes_per_s": rate, "failures": len(failures)}
+    return {**counts, **_quantiles(times)}
 
 
-async def _propose_until(connection: link.Link, until: float, times: list[float]) -> None:
+async def _propose_until(
+    connection: link.Link,
+    until: float,
+    times: list[float],
+    failures: list[exceptions.LinkError],
+) -> None:
     while time.monotonic() < until:
         started_at = time.monotonic()
-        await connection.call(commands.submit(_call()))
+        try:
+            await connection.call(commands.submit(_call()))
+        except exceptions.LinkError as error:
+            failures.append(error)
+            await curio.sleep(ASK_AGAIN_S)
+            continue
         times.append(time.monotonic() - started_at)
 
 
@@ -221,7 +233,7 @@
 
 
 def _quantiles(seconds: list[float]) -> dict:
-    ordered = sorted(seconds)
+    ordered = sorted(seconds) or [float("nan")]
     picked = {"p50_s": 0.5, "p99_s": 0.99, "max_s": 1.0}
     return {
         name: round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 4)
--- a/src/ebonywheel/elections.py
+++ b/src/ebonywheel/elections.py
@@ -17,6 +17,7 @@
     from ebonywheel import replica
 
 TICK_SHARE = 0.05
+ASK_AGAIN_SHARE = (0.1, 0.4)
 CATCH_UP_CHECKS = 20
 
 
@@ -69,10 +70,14 @@
 
     async def stand(self) -> None:
         """Stand for election if a quorum would vote for this host."""
-        if self.may_vote() and await self._poll(self.store.vote.term + 1, pre=True):
-            # A leader may have been heard during the poll.
-            if self.role is not Role.LEADER and self.may_vote():
-                await self._campaign(transfer=False)
+        if not self.may_vote() or not await self._poll(self.store.vote.term + 1, pre=True):
+            # Asking changes nothing, so it need not wait as long as after a lost election.
+            wait_s = self.timeout_s * random.uniform(*ASK_AGAIN_SHARE)
+            self.stand_at = max(self.heard_at + self.timeout_s, self.clock.monotonic() + wait_s)
+            return
+        # A leader may have been heard during the poll.
+        if self.role is not Role.LEADER and self.may_vote():
+            await self._campaign(transfer=False)
 
     async def _campaign(self, transfer: bool) -> None:
         term = self.store.vote.term + 1
