Leave the region only for servers with room to spare

Excluded: a higher `cross_region_cost` (queues at load 1.3 hold hundreds, no number of them helps). Change: while the own region has servers, a server of another region is a choice only below 85% of its slots and expected memory.

--- a/src/ebonywheel/choices.py
+++ b/src/ebonywheel/choices.py
@@ -11,6 +11,9 @@
 
 from ebonywheel import messages, policies
 
+# How much of a server may be taken for it to get work of another region.
+SPARE_PRESSURE = 0.85
+
 
 class Known(msgspec.Struct):
     """A backend server as this host knows it.
@@ -122,4 +125,11 @@
         if not recent.is_refused(known, job.service)
     ]
     open_ones = [candidate for candidate in candidates if candidate.free() > 0]
+    if policy.by_region and any(known.region == job.region for known in servers):
+        open_ones = [held for held in open_ones if _worth_its_bytes(job, held)]
     return policy.rank(job, open_ones)
+
+
+def _worth_its_bytes(job: policies.Job, candidate: policies.Candidate) -> bool:
+    """Return whether a server is in the own region, or has room that its own region may spare."""
+    return candidate.region == job.region or candidate.pressure() < SPARE_PRESSURE
