--- a/src/ebonywheel/replication.py
+++ b/src/ebonywheel/replication.py
@@ -5,7 +5,7 @@
 import curio
 import msgspec
 
-from ebonywheel import exceptions, messages
+from ebonywheel import elections, exceptions, messages
 
 if typing.TYPE_CHECKING:
     from ebonywheel import replica
@@ -84,7 +84,7 @@
 
     async def advance_commit(self) -> None:
         """Commit what a quorum holds durably, if it is of the current term."""
-        if self.owner.role != "leader":
+        if self.owner.role is not elections.Role.LEADER:
             return
         synced = self.store.synced
         matches = [synced if peer is None else peer.match for peer in self._voters()]
@@ -217,7 +217,7 @@
         left = sent_at + self._heartbeat_s() - self.clock.monotonic()
         async with curio.ignore_after(max(left, MIN_WAIT_S)):
             async with self.owner.work:
-                while self.owner.role == "leader" and not self._has_work(progress):
+                while self.owner.role is elections.Role.LEADER and not self._has_work(progress):
                     await self.owner.work.wait()
 
     def _has_work(self, progress: Progress) -> bool:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -10,7 +10,7 @@
 import pytest
 
 import replicas
-from ebonywheel import commands, elections, exceptions, membership, messages
+from ebonywheel import commands, elections, exceptions, membership, messages, replication
 from replicas import ELECTION_TIMEOUT_S, Replicas, add, check_history, copy_of, node_value
 
 # For cases in which a leader must not be lost by a busy machine.
@@ -270,7 +270,7 @@
             one.replica.elections.role = elections.Role.LEADER
             part.begin_term()
             for node in cluster.nodes:
-                progress = part.progress.setdefault(node.member, replicas_progress())
+                progress = part.progress.setdefault(node.member, replication.Progress())
                 progress.acked_at = one.clock.monotonic()
             one.replica.commit = part.term_start
             assert part.has_lease()
@@ -302,12 +302,6 @@
         run(tmp_path, body)
 
 
-def replicas_progress():
-    from ebonywheel import replication
-
-    return replication.Progress()
-
-
 class TestLog:
     def test_entries_of_an_old_term_are_not_committed_by_counting(self, tmp_path):
         async def body(cluster):
