--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -80,10 +80,7 @@
             f"customer key: {KEY}\nend it with Ctrl-C",
             flush=True,
         )
-        try:
-            signal.pause()
-        except KeyboardInterrupt:
-            print("\n== ending", flush=True)
+        signal.pause()
 
     def _start_system(self) -> None:
         for number, data_centre in enumerate(DATA_CENTRES, start=1):
@@ -237,6 +234,10 @@
     return str(uuid.UUID(int=number))
 
 
+def _interrupt(number: int, frame: object) -> None:
+    raise SystemExit(f"\n== ending because of {signal.Signals(number).name}")
+
+
 def _end(process: subprocess.Popen) -> None:
     if process.poll() is None:
         process.send_signal(signal.SIGTERM)
@@ -254,6 +255,9 @@
     parser.add_argument("--keep", action="store_true", help="start it and keep it until Ctrl-C")
     parsed = parser.parse_args()
     started = time.monotonic()
+    # Also when started in the background, where a shell ignores SIGINT.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, _interrupt)
     with contextlib.ExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory(prefix="ebonywheel-demo-"))
         demo = Demo(parsed.programs, pathlib.Path(folder), stack)
