Test that a vote which cannot be saved ends the host

Seen: since each host syncs its log in one task, the case of a failed sync stayed green with the fail-stop of the handlers off; this case fails with it off.

--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -369,6 +369,19 @@
 
         run(tmp_path, body)
 
+    def test_vote_that_cannot_be_saved_is_not_given_and_ends_the_host(self, tmp_path):
+        async def body(cluster):
+            one, two = followers(cluster)
+            cluster.isolate(one)
+            await curio.sleep(ELECTION_TIMEOUT_S * 1.2)
+            cluster.disk.failing.add(one.folder)
+            with pytest.raises(exceptions.StorageError):
+                await one.replica.handle_vote(vote_request(two, one, one.store.vote.term + 9))
+            assert one.core.stopped.is_set()
+            assert isinstance(one.core.failed, exceptions.StorageError)
+
+        run(tmp_path, body)
+
     def test_leader_that_cannot_sync_acknowledges_nothing_by_itself(self, tmp_path):
         async def body(cluster):
             leader = await cluster.wait_leader()
