--- a/src/ebonywheel/feed.py
+++ b/src/ebonywheel/feed.py
@@ -187,8 +187,3 @@
     if isinstance(error, exceptions.RemoteError):
         return error.remote_code in NOT_PROPOSED
     return error.step == "connect"
-
-
-def decode_load(report: bytes) -> typing.Any:
-    """Decode a host's load report for the status screen."""
-    return msgspec.json.decode(report or b"{}")
--- a/tests/test_feedserver.py
+++ b/tests/test_feedserver.py
@@ -62,14 +62,18 @@
         return index, self.machine.apply(entry)
 
 
-@pytest.fixture
-def server():
+def make_server():
     registry.load_plugins()
     machine = state.State(commands.Limits(1000, 1000))
     core = kernel.Kernel("control", HOST, b"secret", clock.ManualClock())
     return feedserver.FeedServer(core, FakeConsensus(machine), machine, LEASE_S)
 
 
+@pytest.fixture
+def server():
+    return make_server()
+
+
 def lease(host, incarnation=1, draining=False, have=0):
     return messages.LeaseRequest(host, incarnation, "puget", "127.0.0.1:9", "trial", have, draining)
 
