--- a/src/ebonywheel/standinengine.py
+++ b/src/ebonywheel/standinengine.py
@@ -72,6 +72,7 @@
 
     async def start(self) -> None:
         """Start stepping, serving and announcing."""
+        self.core.metrics.gauge("preemptions", lambda: self.model.preemptions)
         await self.core.spawn(self._run_steps(), essential=True)
         await http.Server(
             self.core, self.settings.address, self.handle, standin.MAX_BODY_BYTES
