Move the experiment's servers and entry hosts to a module of their own

Excluded: nothing. Change: participants.py holds variants, scenarios, servers and entry hosts; no behaviour changes.

--- a/src/ebonywheel/comparison.py
+++ b/src/ebonywheel/comparison.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ebonywheel import experiment, figures, memorygate, program, registry, workload
+from ebonywheel import experiment, figures, memorygate, participants, program, registry, workload
 
 BASELINE = "least_outstanding"
 ORACLE = "oracle"
@@ -38,37 +38,37 @@
     ratios: dict[str, dict[str, float | None]]
 
 
-def variants(names: list[str]) -> list[experiment.Variant]:
+def variants(names: list[str]) -> list[participants.Variant]:
     """Return the variants with these names: routing policies and the oracle."""
     registry.load_plugins()
     found = []
     for name in names:
         if name == ORACLE:
             policy = registry.plugins.find("policy", "length_aware")
-            found.append(experiment.Variant(name, policy, True, ORACLE_MARGIN, ORACLE_HEADROOM))
+            found.append(participants.Variant(name, policy, True, ORACLE_MARGIN, ORACLE_HEADROOM))
         else:
             policy = registry.plugins.find("policy", name)
-            found.append(experiment.Variant(name, policy, False, memorygate.MARGIN))
+            found.append(participants.Variant(name, policy, False, memorygate.MARGIN))
     return found
 
 
 def scenario(name: str, load: float, setup: workload.Setup, parsed: argparse.Namespace):
     """Return a scenario by its name."""
-    made = experiment.Scenario(
+    made = participants.Scenario(
         name, load, parsed.seconds, parsed.warm_up_s, warm_slots=parsed.warm_slots
     )
     if name == "burst":
         customer = setup.customers[1].name
         made.burst = workload.Burst(customer, BURST_START_S, BURST_END_S, BURST_FACTOR)
     elif name == "move":
-        made.move = experiment.Move(MOVED_REGION, MOVE_OUT_S, MOVE_BACK_S)
+        made.move = participants.Move(MOVED_REGION, MOVE_OUT_S, MOVE_BACK_S)
     return made
 
 
 def compare(
     setup: workload.Setup,
-    made: experiment.Scenario,
-    tried: list[experiment.Variant],
+    made: participants.Scenario,
+    tried: list[participants.Variant],
     seeds: list[int],
 ) -> Comparison:
     """Run all variants under one scenario."""
--- a/src/ebonywheel/experiment.py
+++ b/src/ebonywheel/experiment.py
@@ -5,23 +5,18 @@
 variants of one run see the same arrivals.
 """
 
-import collections
 import heapq
 import itertools
 import typing
 
-import msgspec
-
 from ebonywheel import (
     admission,
     choices,
-    documents,
     enginemodel,
     exceptions,
     figures,
-    lengths,
-    memorygate,
     messages,
+    participants,
     policies,
     slots,
     workload,
@@ -30,157 +25,34 @@
 REGION_LATENCY_S = 0.012
 LOCAL_LATENCY_S = 0.001
 REPORT_EVERY_S = 0.5
-REPORT_LAG_S = 0.5
 VIEW_EVERY_S = 0.25
 HOLDINGS_EVERY_S = 0.5
 EXPIRE_EVERY_S = 0.25
-QUEUE_BOUND = 512
 WAIT_LIMIT_S = 30.0
 CROSS_REGION_COST = 4.0
-COLD_SLOTS = 2
-COLD_BEARABLE = 4
-WARM_AFTER = 2
 MAX_TOKENS = 32_768
 CACHED_PREFIXES_KEPT = 64
 
 
-class Variant(msgspec.Struct):
-    """A policy under test.
-
-    Attributes:
-        policy: Name of the routing policy.
-        known_lengths: Whether it is told the lengths.
-        margin: Standard deviations of margin over the expected memory.
-        headroom: Share of the memory left free.
-    """
-
-    name: str
-    policy: type[policies.Policy]
-    known_lengths: bool = False
-    margin: float = memorygate.MARGIN
-    headroom: float = 0.0
-
-
-class Move(msgspec.Struct):
-    """A data centre that is taken out, then brought back with all its servers cold."""
-
-    region: int
-    out_s: float
-    back_s: float
-
-
-class Scenario(msgspec.Struct):
-    """What happens in a run."""
-
-    name: str
-    load: float
-    seconds: float = 180.0
-    warm_up_s: float = 40.0
-    warm_slots: int = 32
-    burst: workload.Burst | None = None
-    move: Move | None = None
-
-
-class Generation(msgspec.Struct, eq=False):
-    """One request on its way.
-
-    Attributes:
-        remote: Whether the server stands in another region than the entry host.
-        last_at: When the reader's last token was decoded.
-        stall_s: Sum of what its gaps were too long.
-    """
-
-    arrival: workload.Arrival
-    request: admission.Request
-    loan: str
-    host: "EntryHost | None" = None
-    server: "Server | None" = None
-    sequence: enginemodel.Sequence | None = None
-    remote: bool = False
-    blocks: float = 0.0
-    last_at: float = 0.0
-    stall_s: float = 0.0
-
-
-class Server:
-    """A backend server: its engine model, and the ledger that its home keeps."""
-
-    def __init__(self, shape: workload.EngineShape, scenario: Scenario):
-        self.shape = shape
-        self.engine = documents.Engine(COLD_SLOTS, scenario.warm_slots, WARM_AFTER)
-        self.incarnation = 0
-        self.generations: dict[str, Generation] = {}
-        self.prefixes: list[str] = []
-        self.restart(0.0)
-
-    def restart(self, now: float) -> None:
-        """Start anew, cold."""
-        self.incarnation += 1
-        settings = enginemodel.ModelSettings(
-            self.shape.total_blocks,
-            workload.BLOCK_TOKENS,
-            self.shape.step_s,
-            workload.STEP_PER_SEQUENCE_S,
-            workload.PREFILL_PER_TOKEN_S,
-            cold_bearable=COLD_BEARABLE,
-        )
-        state = messages.ServerState(
-            self.shape.name,
-            self.incarnation,
-            data_centre=str(self.shape.region),
-            total_blocks=self.shape.total_blocks,
-            block_tokens=workload.BLOCK_TOKENS,
-        )
-        self.step_s = self.shape.step_s
-        self.model = enginemodel.EngineModel(settings)
-        self.ledger = slots.SlotLedger(state, self.engine)
-        self.ledger.report(self.load(), now)
-        self.stepping = False
-        self.generations.clear()
-        self.prefixes.clear()
-
-    def load(self) -> messages.ServerLoad:
-        """Return the load as the server reports it."""
-        return messages.ServerLoad(
-            self.shape.name,
-            self.incarnation,
-            len(self.model.running),
-            len(self.model.waiting),
-            self.model.used_blocks(),
-            int(self.step_s * 1e6),
-            self.model.preemptions,
-            int(REPORT_LAG_S * 1000),
-        )
-
-
-class EntryHost:
-    """An entry host: its waiting queue and what it knows of the servers."""
-
-    def __init__(self, region: int, variant: Variant):
-        self.region = region
-        self.policy = variant.policy()
-        self.queue = admission.WaitingQueue(QUEUE_BOUND, self.policy.fair)
-        self.estimator = _estimator(variant)
-        self.gate = memorygate.MemoryGate(_estimator(variant), variant.margin, variant.headroom)
-        self.recent = choices.RecentChanges()
-        self.known: dict[str, choices.Known] = {}
-        self.running: collections.Counter[str] = collections.Counter()
-        self.asking = False
-
-
 class Run:
     """One variant under one scenario."""
 
-    def __init__(self, setup: workload.Setup, scenario: Scenario, variant: Variant, seed: int):
+    def __init__(
+        self,
+        setup: workload.Setup,
+        scenario: participants.Scenario,
+        variant: participants.Variant,
+        seed: int,
+    ):
         self.setup = setup
         self.scenario = scenario
         self.variant = variant
         self.now = 0.0
         self.numbers = itertools.count()
         self.events: list[tuple[float, int, typing.Callable, tuple]] = []
-        self.servers = {shape.name: Server(shape, scenario) for shape in setup.engines}
+        self.servers = {shape.name: participants.Server(shape, scenario) for shape in setup.engines}
         regions = sorted({shape.region for shape in setup.engines})
-        self.hosts = {region: EntryHost(region, variant) for region in regions}
+        self.hosts = {region: participants.EntryHost(region, variant) for region in regions}
         self.out: set[int] = set()
         self.open = 0
         self.figures = figures.Recorder(scenario.warm_up_s, scenario.seconds)
@@ -227,7 +99,9 @@
         request = admission.Request(
             job, cost, self.now, self.now + WAIT_LIMIT_S, arrival.customer.share
         )
-        request.owner = Generation(arrival, request, f"loan-{next(self.numbers)}", host)
+        request.owner = participants.Generation(
+            arrival, request, f"loan-{next(self.numbers)}", host
+        )
         request.owner.blocks = (arrival.prompt_tokens + cost) / workload.BLOCK_TOKENS
         self.figures.arrived(arrival)
         try:
@@ -243,13 +117,13 @@
         self.open -= 1
         self.figures.refused(request.owner.arrival, self.now)
 
-    def _expire(self, host: EntryHost) -> None:
+    def _expire(self, host: participants.EntryHost) -> None:
         for request in host.queue.expire(self.now):
             self._refuse(request)
         self._dispatch(host)
         self._at(self.now + EXPIRE_EVERY_S, self._expire, host)
 
-    def _dispatch(self, host: EntryHost) -> None:
+    def _dispatch(self, host: participants.EntryHost) -> None:
         """Ask for a slot for the first request that has a server to ask; one at a time."""
         if host.asking or not host.queue.count:
             return
@@ -267,7 +141,10 @@
                 return
 
     def _ask(
-        self, host: EntryHost, request: admission.Request, candidate: policies.Candidate
+        self,
+        host: participants.EntryHost,
+        request: admission.Request,
+        candidate: policies.Candidate,
     ) -> None:
         host.asking = True
         server = self.servers[candidate.view.state.server]
@@ -276,9 +153,9 @@
 
     def _lend(
         self,
-        host: EntryHost,
+        host: participants.EntryHost,
         request: admission.Request,
-        server: Server,
+        server: participants.Server,
         view: messages.ServerView,
     ) -> None:
         job = request.job
@@ -307,7 +184,11 @@
         self._at(self.now + self._latency(host, server), self._lent, host, request, server, lent)
 
     def _lent(
-        self, host: EntryHost, request: admission.Request, server: Server, lent: bool
+        self,
+        host: participants.EntryHost,
+        request: admission.Request,
+        server: participants.Server,
+        lent: bool,
     ) -> None:
         host.asking = False
         if not request.queued:
@@ -324,7 +205,7 @@
             self._at(self.now + self._latency(host, server), self._start, request.owner, server)
         self._dispatch(host)
 
-    def _start(self, generation: Generation, server: Server) -> None:
+    def _start(self, generation: participants.Generation, server: participants.Server) -> None:
         arrival = generation.arrival
         generation.server = server
         generation.remote = server.shape.region != generation.host.region
@@ -345,13 +226,13 @@
         if not server.stepping:
             self._step(server)
 
-    def _fall_over(self, server: Server) -> None:
+    def _fall_over(self, server: participants.Server) -> None:
         self.figures.fell_over()
         for generation in list(server.generations.values()):
             self._end(generation, "failed")
         server.restart(self.now)
 
-    def _step(self, server: Server) -> None:
+    def _step(self, server: participants.Server) -> None:
         server.stepping = bool(server.model.load())
         if not server.stepping:
             return
@@ -363,7 +244,7 @@
         self._at(self.now + step.duration_s, self._stepped, server, step, server.model)
 
     def _stepped(
-        self, server: Server, step: enginemodel.Step, model: enginemodel.EngineModel
+        self, server: participants.Server, step: enginemodel.Step, model: enginemodel.EngineModel
     ) -> None:
         if model is not server.model:
             return
@@ -379,7 +260,7 @@
             self._end(server.generations[sequence.name], "finished")
         self._step(server)
 
-    def _joined(self, generation: Generation) -> None:
+    def _joined(self, generation: participants.Generation) -> None:
         back = self._latency(generation.host, generation.server)
         if generation.sequence.tokens <= 1 and not generation.last_at:
             self.figures.first_token(generation.arrival, self.now + back)
@@ -388,7 +269,7 @@
             generation.stall_s += max(0.0, gap - figures.STALL_S)
             self.figures.gap(self.now, gap, 1)
 
-    def _end(self, generation: Generation, outcome: str) -> None:
+    def _end(self, generation: participants.Generation, outcome: str) -> None:
         server = generation.server
         server.generations.pop(generation.loan, None)
         tokens = generation.sequence.tokens if generation.sequence else 0
@@ -403,7 +284,11 @@
         )
 
     def _release(
-        self, generation: Generation, ledger: slots.SlotLedger, tokens: int, outcome: str
+        self,
+        generation: participants.Generation,
+        ledger: slots.SlotLedger,
+        tokens: int,
+        outcome: str,
     ) -> None:
         host, server = generation.host, generation.server
         job = generation.request.job
@@ -428,8 +313,8 @@
             self._home(server).gate.released(ledger, record.holding, message)
         self._dispatch(host)
 
-    def _report(self, server: Server) -> None:
-        self._at(self.now + REPORT_LAG_S, self._reported, server, server.load())
+    def _report(self, server: participants.Server) -> None:
+        self._at(self.now + participants.REPORT_LAG_S, self._reported, server, server.load())
         for event in server.model.take_cache_events():
             if event.prefix in server.prefixes:
                 server.prefixes.remove(event.prefix)
@@ -438,11 +323,11 @@
         del server.prefixes[:-CACHED_PREFIXES_KEPT]
         self._at(self.now + REPORT_EVERY_S, self._report, server)
 
-    def _reported(self, server: Server, load: messages.ServerLoad) -> None:
+    def _reported(self, server: participants.Server, load: messages.ServerLoad) -> None:
         if load.incarnation == server.incarnation:
             server.ledger.report(load, self.now)
 
-    def _tell_view(self, server: Server) -> None:
+    def _tell_view(self, server: participants.Server) -> None:
         ledger = server.ledger
         ledger.forget(self.now)
         expected = 0
@@ -462,11 +347,11 @@
             self._at(self.now + self._latency(host, server), self._take_view, host, view)
         self._at(self.now + VIEW_EVERY_S, self._tell_view, server)
 
-    def _take_view(self, host: EntryHost, view: messages.ServerView) -> None:
+    def _take_view(self, host: participants.EntryHost, view: messages.ServerView) -> None:
         host.known[view.state.server] = choices.Known(view, view.state.data_centre, self.now)
         self._dispatch(host)
 
-    def _tell_holdings(self, host: EntryHost) -> None:
+    def _tell_holdings(self, host: participants.EntryHost) -> None:
         for server in self.servers.values():
             for generation in server.generations.values():
                 if generation.host is host:
@@ -486,14 +371,14 @@
             server.restart(self.now)
         self.out.discard(region)
 
-    def _home(self, server: Server) -> EntryHost:
+    def _home(self, server: participants.Server) -> participants.EntryHost:
         return self.hosts[server.shape.region]
 
-    def _latency(self, host: EntryHost, server: Server) -> float:
+    def _latency(self, host: participants.EntryHost, server: participants.Server) -> float:
         return LOCAL_LATENCY_S if host.region == server.shape.region else REGION_LATENCY_S
 
 
-def _holding(generation: Generation, server: Server) -> messages.Holding:
+def _holding(generation: participants.Generation, server: participants.Server) -> messages.Holding:
     job = generation.request.job
     return messages.Holding(
         generation.loan,
@@ -506,7 +391,3 @@
         max_tokens=job.max_tokens,
         expected_tokens=job.expected_tokens,
     )
-
-
-def _estimator(variant: Variant) -> lengths.Estimator:
-    return lengths.KnownLengths() if variant.known_lengths else lengths.LengthHistograms()
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ebonywheel import comparison, experiment, workload
+from ebonywheel import comparison, experiment, participants, workload
 
 SEED = 1
 STALL_AIM = 0.1
@@ -11,7 +11,7 @@
 
 
 def run(setup, variant, load=1.0, seconds=90.0, **options):
-    made = experiment.Scenario("test", load, seconds, 40.0, **options)
+    made = participants.Scenario("test", load, seconds, 40.0, **options)
     return experiment.Run(workload.SETUPS[setup], made, variant, SEED).run()
 
 
@@ -30,6 +30,6 @@
 
 class TestMove:
     def test_no_request_fails_while_a_data_centre_leaves_and_returns_cold(self):
-        move = experiment.Move(1, 45.0, 65.0)
+        move = participants.Move(1, 45.0, 65.0)
         found = run("kommunalforbund", OURS, 0.5, 100.0, move=move)
         assert (found.refused, found.failed, found.fell_over) == (0, 0, 0)
