Keep views longer than they are believed; a home forgets its own silent servers

Cause: since homes send only changes, a host that was frozen dropped its views and did not get them again before the next refresh (up to 300 s); and a home went on believing its own view of a server gone silent. Change: views are kept and judged by the home's last sign; the own views pass the same sender. After: test_streams has 3 failures of 18 as before this change, when run whole; -k 'Reader or Engine' passes (5).

--- a/src/ebonywheel/fleet.py
+++ b/src/ebonywheel/fleet.py
@@ -9,7 +9,8 @@
 
 UPDATE_S = 0.25
 BORROW_TIMEOUT_S = 0.5
-FORMER_KEPT_S = 120.0
+FORMER_KEPT_S = 600.0
+OWN_TIER = viewsender.Tier(0.0, 0.0, 0.0)
 HOLDINGS_S = 0.5
 RELEASE_TRIES = 5
 RELEASE_RETRY_S = 0.5
@@ -29,8 +30,7 @@
     """Backend servers by name, kept fresh by their homes.
 
     Attributes:
-        servers: All backend servers lately heard of.
-        former: Those not heard of for a while, for streams that go on there.
+        servers: All backend servers heard of, also those whose home has gone silent.
         holdings: Slots that this host has in use, by loan.
         changed: Notified whenever a slot may have come free.
     """
@@ -40,10 +40,10 @@
         self.feed = source
         self.home = own
         self.servers: dict[str, KnownServer] = {}
-        self.former: dict[str, KnownServer] = {}
         self.holdings: dict[str, messages.Holding] = {}
         self.links: dict[str, link.Link] = {}
         self.peers: dict[tuple[str, int], viewsender.Peer] = {}
+        self.own = viewsender.Peer(near=True)
         # When each home was last heard of.
         self.homes_heard: dict[str, float] = {}
         self.changed = curio.Condition()
@@ -80,7 +80,7 @@
 
     def locate(self, server: str) -> messages.ServerState | None:
         """Return where a backend server was last known to be, though its home may be gone."""
-        known = self.servers.get(server) or self.former.get(server)
+        known = self.servers.get(server)
         return None if known is None else known.view.state
 
     async def handle(self, message: msgspec.Struct) -> msgspec.Struct:
@@ -290,8 +290,9 @@
     async def _tell_views(self) -> None:
         while True:
             views = self.home.views()
-            self._drop_own({view.state.server for view in views})
-            await self._take_update(self._update(views, []))
+            kept = frozenset(self.home.servers)
+            own = self.own.due(views, kept, OWN_TIER, self.core.clock.monotonic())
+            await self._take_update(self._update(own.views, own.deltas))
             self._drop_stale()
             await self._tell_peers(views)
             await curio.sleep(UPDATE_S)
@@ -343,25 +344,21 @@
         count = sum(1 for peer in self.peers.values() if peer.near == near)
         return viewsender.near_tier(count) if near else viewsender.far_tier(count)
 
-    def _drop_own(self, shown: set[str]) -> None:
-        # A server that this home no longer lends has no other view that could end it.
-        for name, known in list(self.servers.items()):
-            if known.view.home == self.core.host.name and name not in shown:
-                self.former[name] = self.servers.pop(name)
-
     def _drop_stale(self) -> None:
+        # A home sends only changes of what it has sent: a view may be believed again as soon as its
+        # home is heard of again, so it is kept for longer than it is believed.
         now = self.core.clock.monotonic()
         for name, known in list(self.servers.items()):
-            if not self._is_fresh(known, now):
-                self.former[name] = self.servers.pop(name)
-        for name, known in list(self.former.items()):
-            if known.heard_at < now - FORMER_KEPT_S or name in self.servers:
-                del self.former[name]
+            if now > self._last_sign(known) + FORMER_KEPT_S:
+                del self.servers[name]
+
+    def _last_sign(self, known: KnownServer) -> float:
+        return max(known.heard_at, self.homes_heard.get(known.view.home, known.heard_at))
 
     def _is_fresh(self, known: KnownServer, now: float) -> bool:
         home_host = known.view.home
         stale_s = self._tier(self._is_near(home_host)).stale_s()
-        return now <= max(known.heard_at, self.homes_heard.get(home_host, 0.0)) + stale_s
+        return now <= self._last_sign(known) + stale_s
 
     async def _tell_holdings(self) -> None:
         while True:
