--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -244,7 +244,10 @@
                 await propose(leader)
             other = await cluster.wait_leader()
             assert other is not leader
-            assert leader.replica.role is elections.Role.FOLLOWER
+            assert not leader.leads()
+            await cluster.wait_until(
+                lambda: leader.replica.role is elections.Role.FOLLOWER, "the old leader's step down"
+            )
             await cluster.verify()
 
         run(tmp_path, body)
