Report slots in use less often where there are many

Cause: at the target a host has about 115 streams in flight (4,150 tokens/s at 36 a second each); each holding is 225 bytes (encoded and counted), so two reports a second are 52 KB/s, over the 20 KB/s of a node's whole control traffic. Excluded: reports of changed holdings only (each stream's tokens change). Change: the interval grows with the slots in use, 15 ms for each, at least 0.5 s and at most 2 s; below 34 slots nothing changes, and two reports fit into the time after which one is stale. Before: 52 KB/s at 115 slots. After: 15 KB/s, by the same count. Conclusion: bytes for holdings stay under the budget; views and loans come on top.

--- a/src/ebonywheel/fleet.py
+++ b/src/ebonywheel/fleet.py
@@ -14,6 +14,7 @@
     kernel,
     link,
     messages,
+    slots,
     viewsender,
 )
 
@@ -21,7 +22,6 @@
 BORROW_TIMEOUT_S = 0.5
 FORMER_KEPT_S = 600.0
 OWN_TIER = viewsender.Tier(0.0, 0.0, 0.0)
-HOLDINGS_S = 0.5
 RELEASE_TRIES = 5
 RELEASE_RETRY_S = 0.5
 HANDOFF_RETRY_S = 0.1
@@ -372,7 +372,7 @@
 
     async def _tell_holdings(self) -> None:
         while True:
-            await curio.sleep(HOLDINGS_S)
+            await curio.sleep(slots.holdings_interval_s(len(self.holdings)))
             by_home: dict[str, list[messages.Holding]] = {}
             for holding in self.holdings.values():
                 known = self.servers.get(holding.server)
--- a/src/ebonywheel/slots.py
+++ b/src/ebonywheel/slots.py
@@ -11,6 +11,12 @@
 
 LOAN_S = 1.0
 HOLDING_STALE_S = 5.0
+
+# The interval of reports grows with the slots in use, so that the bytes of a host hardly do.
+LEAST_HOLDINGS_S = 0.5
+HOLDINGS_PER_SLOT_S = 0.015
+MOST_HOLDINGS_S = 2.0
+
 ORPHAN_KEPT_S = 15.0
 
 # How long a generation whose reader hung up is kept for the reader to come back.
@@ -317,3 +323,8 @@
 
 def _released(request: messages.Release) -> messages.Holding:
     return messages.Holding(request.loan, request.server, request.incarnation)
+
+
+def holdings_interval_s(count: int) -> float:
+    """Return how often a host with this many slots in use reports them, in seconds."""
+    return min(max(LEAST_HOLDINGS_S, HOLDINGS_PER_SLOT_S * count), MOST_HOLDINGS_S)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -145,3 +145,10 @@
         ledger.report(load(2), 10.0)
         ledger.report(load(0, age_ms=900), 10.1)
         assert ledger.load.running == 2
+
+
+class TestReports:
+    @pytest.mark.parametrize(("count", "interval_s"), [(0, 0.5), (33, 0.5), (115, 1.725), (999, 2)])
+    def test_grow_rarer_but_never_stale(self, count, interval_s):
+        assert slots.holdings_interval_s(count) == pytest.approx(interval_s)
+        assert 2 * slots.MOST_HOLDINGS_S < slots.HOLDING_STALE_S
