Wait for entry hosts that are about to join before saying that none serves an environment

Excluded: going back to 30 s and a failure for environments without entry hosts. Change: none is believed only after 5 s; a test for it; the operators' program checks its own settings too.

--- a/src/ebonywheel/operator.py
+++ b/src/ebonywheel/operator.py
@@ -27,6 +27,8 @@
 DEFAULT_SETTINGS = "operator.toml"
 DEFAULT_WAIT_S = 30.0
 IN_FORCE_POLL_S = 0.1
+# After this long without any, no entry host of the environment is about to join.
+NO_HOST_S = 5.0
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -34,8 +36,8 @@
     parser.add_argument("--settings", default=DEFAULT_SETTINGS, help="operator's settings file")
     parser.add_argument("--json", action="store_true", help="print JSON")
     actions = parser.add_subparsers(dest="action", required=True)
-    check = actions.add_parser("check", help="check documents offline")
-    check.add_argument("documents", nargs="+")
+    check = actions.add_parser("check", help="check documents offline, or without any the settings")
+    check.add_argument("documents", nargs="*")
     diff = actions.add_parser("diff", help="show what applying or promoting would change")
     diff.add_argument("source", help="document file, or environment with --promote")
     diff.add_argument("--promote", metavar="TARGET", help="environment to promote to")
@@ -97,6 +99,9 @@
 
     async def _check(self) -> int:
         wrong = 0
+        if not self.parsed.documents:
+            load_settings(self.parsed.settings)
+            print(f"{self.parsed.settings}: settings are valid")
         for path in self.parsed.documents:
             try:
                 adminclient.parse_document(path)
@@ -271,10 +276,10 @@
         shown = ""
         while time.monotonic() < started + self.parsed.wait_s:
             behind, count = await self._behind(environment, index)
-            if not count:
+            if not count and time.monotonic() >= started + NO_HOST_S:
                 self._tell(f"no entry host serves {environment}: in force for each that will")
                 return program.EXIT_OK
-            if not behind:
+            if count and not behind:
                 elapsed_s = time.monotonic() - started
                 self._tell(f"in force on all {count} entry hosts after {elapsed_s:.2f} s")
                 return program.EXIT_OK
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -48,6 +48,21 @@
 
 
 class TestCheck:
+    @pytest.mark.parametrize(
+        ("line", "code", "said"),
+        [
+            ('operator = "ann"', 0, "settings are valid"),
+            ("operator = 7", EXIT_BAD_INPUT, "Expected `str`, got `int` - at `$.operator`"),
+        ],
+    )
+    def test_own_settings_are_checked(self, tmp_path, line, code, said):
+        text = f'{line}\ntoken_file = "token"\ncontrol = ["127.0.0.1:1"]\n'
+        path = write(tmp_path, text, "operator.toml")
+        command = [sys.executable, "-m", "ebonywheel.operator", "--settings", path, "check"]
+        done = subprocess.run(command, capture_output=True, text=True)
+        assert (done.returncode, path in done.stdout + done.stderr) == (code, True)
+        assert said in done.stdout + done.stderr
+
     @pytest.mark.parametrize(("right", "wrong", "place"), MISTAKES)
     def test_each_mistake_names_file_and_place(self, tmp_path, right, wrong, place):
         path = write(tmp_path, TEXT.replace(right, wrong))
@@ -178,6 +193,12 @@
         thread.join()
         listener.close()
 
+    def test_wait_ends_where_no_entry_host_serves(self, cluster, tmp_path):
+        path = write(tmp_path, example("cooperative").replace('"production"', '"unserved"', 1))
+        done = run(cluster, "apply", path, "--wait")
+        assert done.returncode == 0
+        assert "no entry host serves unserved" in done.stderr
+
 
 class TestPromotion:
     ROUNDS = 3
