Call the check, the dispatch and the handler that already stood, in place of their copies

Excluded: home.lend and placement (they judge by the configuration that they already hold); one class for the six parameters that Calls and Generations share (it would touch how tests build both). Change: one check, Replica.handle, one MembershipHandler; the dead code is gone. No assertion is touched; the tests' feeds take the real check. What a caller reads when a data centre is out is now "data centre is out of service", with the same step, code and "not run"; for a stream the peer is the data centre in place of the server, and Retry-After is set as for calls. Conclusion: each of these stands once.

--- a/src/ebonywheel/calls.py
+++ b/src/ebonywheel/calls.py
@@ -216,12 +216,7 @@
 
     def _check_still_allowed(self, attempt: Attempt, place: placement.Placement) -> None:
         # The process may have been frozen since it got the intent and the slot.
-        current = self.feed.require_lease()
-        data_centre = place.view.state.data_centre
-        if data_centre in current.out:
-            raise exceptions.NotRunError(
-                "data centre was taken out", "send", data_centre, retry_after=1
-            )
+        self.feed.require_in_service(place.view.state.data_centre, "send")
         if attempt.deadline.passed():
             raise exceptions.NotRunError("no time left", "send", retry_after=1)
         if self.poison.admit(attempt.job.fingerprint) and not place.holding.alone:
--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -75,15 +75,10 @@
 
     async def handle(self, message: msgspec.Struct, peer: link.PeerInfo) -> msgspec.Struct:
         """Answer one message from another process."""
+        answer = await self.replica.handle(message)
+        if answer is not None:
+            return answer
         match message:
-            case messages.AppendRequest():
-                return await self.replica.handle_append(message)
-            case messages.VoteRequest():
-                return await self.replica.handle_vote(message)
-            case messages.SnapshotChunk():
-                return await self.replica.handle_snapshot(message)
-            case messages.TimeoutNow():
-                return await self.replica.handle_timeout_now(message)
             case messages.LeaseRequest():
                 return await self.feed.grant(message)
             case messages.ConfirmRequest():
--- a/src/ebonywheel/documents.py
+++ b/src/ebonywheel/documents.py
@@ -2,7 +2,6 @@
 
 import enum
 import hashlib
-import hmac
 import re
 import typing
 
@@ -202,16 +201,6 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def find_customer(document: Document, key: str) -> str | None:
-    """Return the name of the customer with this key, comparing in constant time."""
-    digest = key_digest(key)
-    found = None
-    for name, customer in document.customers.items():
-        if hmac.compare_digest(customer.key_sha256, digest):
-            found = name
-    return found
-
-
 def find_call(service: Service, method: str, path: str) -> Call | None:
     """Return the service's call with this method and path."""
     for call in service.calls:
--- a/src/ebonywheel/feed.py
+++ b/src/ebonywheel/feed.py
@@ -72,7 +72,7 @@
             )
         return self.current
 
-    def require_in_service(self, data_centre: str) -> None:
+    def require_in_service(self, data_centre: str, step: str) -> None:
         """Check, just before work is sent, that a data centre may be given new work.
 
         Raises:
@@ -80,7 +80,7 @@
         """
         if data_centre in self.require_lease().out:
             raise exceptions.NotRunError(
-                "data centre is out of service", "check lease", data_centre, retry_after=1
+                "data centre is out of service", step, data_centre, retry_after=1
             )
 
     async def submit(self, command: commands.AnyCommand, timeout_s: float) -> commands.AnyOutcome:
--- a/src/ebonywheel/hoststate.py
+++ b/src/ebonywheel/hoststate.py
@@ -69,28 +69,19 @@
 
 
 @registry.plugins.register("command", "AddMember")
-class AddMemberHandler(HostHandler):
-    """Adds a control host or changes a learner to a voter."""
-
-    def apply(
-        self, data: statedata.StateData, index: int, command: commands.AddMember
-    ) -> commands.Outcome:
-        """Replace the host's entry in the list of members."""
-        data.members = changed_members(data.members, command)
-        _publish_members(data, index)
-        return commands.Accepted(index=index)
-
-
 @registry.plugins.register("command", "RemoveMember")
-class RemoveMemberHandler(HostHandler):
-    """Removes a control host."""
+class MembershipHandler(HostHandler):
+    """Adds, changes or removes a control host."""
 
     def apply(
-        self, data: statedata.StateData, index: int, command: commands.RemoveMember
+        self,
+        data: statedata.StateData,
+        index: int,
+        command: commands.AddMember | commands.RemoveMember,
     ) -> commands.Outcome:
-        """Remove the host's entry from the list of members."""
+        """Change the list of members."""
         data.members = changed_members(data.members, command)
-        _publish_members(data, index)
+        data.put(configuration.MEMBERS_KEY, index, msgspec.json.encode(data.members))
         return commands.Accepted(index=index)
 
 
@@ -122,7 +113,3 @@
 
 def _advance_epoch(data: statedata.StateData, index: int, environment: str) -> None:
     data.put(configuration.roster_epoch_key(environment), index, str(index).encode())
-
-
-def _publish_members(data: statedata.StateData, index: int) -> None:
-    data.put(configuration.MEMBERS_KEY, index, msgspec.json.encode(data.members))
--- a/src/ebonywheel/relay.py
+++ b/src/ebonywheel/relay.py
@@ -177,9 +177,7 @@
         # Nothing may come between these checks and the first byte: this process may have been
         # paused, the server's data centre taken out.
         self.fleet.check_loan(self.place.holding)
-        current = self.feed.require_lease()
-        if self.place.view.state.data_centre in current.out:
-            raise exceptions.NotRunError("data centre is out", "start", self.stream.server)
+        self.feed.require_in_service(self.place.view.state.data_centre, "start")
 
     async def _pump(self, engine: engineclient.EngineStream) -> engineclient.End:
         while True:
--- a/src/ebonywheel/replica.py
+++ b/src/ebonywheel/replica.py
@@ -8,6 +8,7 @@
 import typing
 
 import curio
+import msgspec
 
 from ebonywheel import (
     commands,
@@ -186,6 +187,19 @@
         """Give the leadership away, for a graceful end."""
         await self.elections.transfer()
 
+    async def handle(self, message: msgspec.Struct) -> msgspec.Struct | None:
+        """Answer a message of the replicated log; None when it is none."""
+        match message:
+            case messages.AppendRequest():
+                return await self.handle_append(message)
+            case messages.VoteRequest():
+                return await self.handle_vote(message)
+            case messages.SnapshotChunk():
+                return await self.handle_snapshot(message)
+            case messages.TimeoutNow():
+                return await self.handle_timeout_now(message)
+        return None
+
     async def handle_append(self, request: messages.AppendRequest) -> messages.AppendReply:
         """Store a leader's entries."""
         self._check_target(request.target)
--- a/tests/callbench.py
+++ b/tests/callbench.py
@@ -14,6 +14,7 @@
     configuration,
     documents,
     exceptions,
+    feed,
     http,
     idempotency,
     kernel,
@@ -94,6 +95,8 @@
     def holds_lease(self):
         return self.lease
 
+    require_in_service = feed.Feed.require_in_service
+
     def require_lease(self):
         if not self.lease:
             raise exceptions.NotRunError("this host holds no lease", "check lease")
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -161,15 +161,7 @@
         self.thawed.clear()
 
     async def handle(self, message):
-        match message:
-            case messages.AppendRequest():
-                return await self.replica.handle_append(message)
-            case messages.VoteRequest():
-                return await self.replica.handle_vote(message)
-            case messages.SnapshotChunk():
-                return await self.replica.handle_snapshot(message)
-            case messages.TimeoutNow():
-                return await self.replica.handle_timeout_now(message)
+        return await self.replica.handle(message)
 
 
 class MemoryLink:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -80,9 +80,9 @@
     def test_data_centre_out_of_service_is_refused_before_sending(self):
         made = make_feed(messages.LeaseGrant(5, 3000, [out_item(5)], True))
         renew(made)
-        made.require_in_service("yakima")
+        made.require_in_service("yakima", "send")
         with pytest.raises(exceptions.NotRunError):
-            made.require_in_service("puget")
+            made.require_in_service("puget", "send")
 
 
 class TestNearest:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,7 +4,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from ebonywheel import engineclient, exceptions, messages, placement, relay
+from ebonywheel import engineclient, exceptions, feed, messages, placement, relay
 from homes import announced, manual
 
 LENGTH = 20
@@ -102,6 +102,8 @@
 
 
 class Source:
+    require_in_service = feed.Feed.require_in_service
+
     def require_lease(self):
         return self
 
