Replicate routing content, watch backend servers from every control host, and change members by itself

Entry hosts keep one watch open at each control host; servers' reports are merged by incarnation and sequence alone. A control host that lost its disk or stands at a new address joins as a learner, votes once it has caught up, and takes the place of a silent voter.

--- a/src/ebonywheel/auditlog.py
+++ b/src/ebonywheel/auditlog.py
@@ -31,6 +31,7 @@
         self.path = pathlib.Path(folder) / AUDIT_FILE
         self.machine = machine
         self.last = 0
+        self.pending = curio.Event()
         self.lines = 0
         # Index of every STRIDE-th entry and the byte at which its line begins.
         self.places: list[tuple[int, int]] = []
@@ -40,6 +41,17 @@
         """Close the file."""
         self.file.close()
 
+    async def run(self) -> None:
+        """Follow the state for good, in a task of its own so that a slow disk delays no answer."""
+        while True:
+            await self.follow()
+            await self.pending.wait()
+            self.pending.clear()
+
+    async def wake(self) -> None:
+        """Have `run` look for new entries."""
+        await self.pending.set()
+
     async def follow(self) -> None:
         """Append what was applied since the last call.
 
--- a/src/ebonywheel/commands.py
+++ b/src/ebonywheel/commands.py
@@ -237,6 +237,25 @@
     member: str
 
 
+class PublishRouting(Command):
+    """Put routing content in force if its version is higher than the one in force.
+
+    Attributes:
+        version: The operator's number of the content.
+        content: As the operator sent it, compressed by zlib.
+    """
+
+    version: int
+    content: bytes
+
+
+class SetServing(Command):
+    """Take a data centre out of service for all routes, or bring it back."""
+
+    data_centre: str
+    out: bool
+
+
 AnyCommand = (
     Noop
     | ApplyDocument
@@ -253,6 +272,8 @@
     | EndOrder
     | AddMember
     | RemoveMember
+    | PublishRouting
+    | SetServing
 )
 
 
--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -1,5 +1,7 @@
 """The program ``ebonywheel-control``: one host of the replicated control state."""
 
+import typing
+
 import curio
 import msgspec
 
@@ -12,8 +14,10 @@
     feedserver,
     formation,
     http,
+    joiner,
     kernel,
     link,
+    membermanager,
     messages,
     orders,
     program,
@@ -23,9 +27,14 @@
     settings,
     state,
     storage,
+    watcher,
+    watchserver,
 )
 
 FORWARD_TIMEOUT_S = 6.0
+# Callers of reads go on to another host after a second.
+READ_TIMEOUT_S = 0.8
+APPLIED_POLL_S = 0.01
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
@@ -52,9 +61,11 @@
         self.orders = orders.OrderSender(core, self.replica, self.machine, self.feed)
         self.audit = auditlog.AuditLog(loaded.data_folder, self.machine)
         core.stack.callback(self.audit.close)
-        self.replica.on_applied.append(self.audit.follow)
         self.queries = queries.Queries(self.replica, self.machine, self.feed, self.audit)
         self.formation = formation.Formation(core, self.store, loaded, self.delay_s)
+        self.watches = watchserver.WatchServer(core, self.replica, self.machine)
+        self.watcher = watcher.Watcher(core, PeerView(core, self.watches), core.host.link)
+        self.members = membermanager.MemberManager(core, self.replica)
         self.admin = admin.Admin(core, loaded.operators, self)
         self.admin.identity = self.formation.info
 
@@ -66,8 +77,20 @@
         await self.replica.start()
         await self.feed.start()
         await self.orders.start()
+        await self.watches.start()
+        self.replica.on_applied.append(self.audit.wake)
+        await self.core.spawn(self.audit.run(), essential=True)
         if not self.formation.belongs() and not self.settings.join:
             await self.core.spawn(self._form(), essential=True)
+        if self.settings.membership == "automatic":
+            await self._start_membership()
+
+    async def _start_membership(self) -> None:
+        seeds = [peer.link for peer in self.settings.peers]
+        await self.watcher.follow(seeds)
+        joining = joiner.Joiner(self.core, self.replica, self.formation.info, lambda: seeds)
+        await self.core.spawn(joining.run(), essential=True)
+        await self.core.spawn(self.members.run(), essential=True)
 
     async def drain(self) -> None:
         """Give the leadership away before ending."""
@@ -89,6 +112,14 @@
                 return await self.query(message, forward=peer.role != "control")
             case messages.IdentityRequest():
                 return self.formation.identify()
+            case messages.WatchRequest():
+                return await self.watches.watch(message)
+            case messages.RoutingRequest():
+                return self.watches.routing()
+            case messages.ReadIndexRequest():
+                return self._read_index()
+            case messages.JoinRequest():
+                return await self._join(message, forward=message.ask)
         raise exceptions.FrameError(f"unexpected {type(message).__name__}", "dispatch", str(peer))
 
     async def submit(self, request: messages.Submit, forward: bool = True) -> messages.SubmitReply:
@@ -122,6 +153,58 @@
         content = self.queries.answer(request.name, argument)
         return messages.QueryReply(self.machine.applied, msgspec.json.encode(content))
 
+    async def publish_routing(self, version: int, content: bytes) -> commands.AnyOutcome:
+        """Put routing content in force, here or at the leader.
+
+        Raises:
+            NotLeaderError: It was not proposed.
+            UnknownOutcomeError: It may still take effect.
+            LinkError: The leader did not answer.
+        """
+        command = commands.PublishRouting(actor="operator", version=version, content=content)
+        return await self._decide(command)
+
+    async def set_serving(self, data_centre: str, out: bool) -> commands.AnyOutcome:
+        """Take a data centre out of service or bring it back; raises as `publish_routing`."""
+        command = commands.SetServing(actor="operator", data_centre=data_centre, out=out)
+        return await self._decide(command)
+
+    async def _decide(self, command: commands.Command) -> commands.AnyOutcome:
+        reply = await self.submit(commands.submit(command))
+        return commands.decode_outcome(reply.outcome)
+
+    async def read_routing(self) -> messages.RoutingReply:
+        """Return the routing content, no older than any that was acknowledged before the call.
+
+        Raises:
+            NotLeaderError: No quorum-backed leader could be asked, or this host is behind it.
+            LinkError: The leader did not answer.
+        """
+        if self.replica.role is replica.Role.LEADER:
+            index = self._read_index().index
+        else:
+            request = messages.ReadIndexRequest()
+            reply = await self._leader_link("read").call(request, READ_TIMEOUT_S)
+            index = reply.index
+        async with curio.ignore_after(READ_TIMEOUT_S):
+            await self._wait_applied(index)
+            return self.watches.routing()
+        raise exceptions.NotLeaderError("behind the leader", "read", self.core.host.name)
+
+    def _read_index(self) -> messages.ReadIndexReply:
+        self.replica.require_lease("read")
+        return messages.ReadIndexReply(self.replica.commit)
+
+    async def _wait_applied(self, index: int) -> None:
+        while self.machine.applied < index:
+            await curio.sleep(APPLIED_POLL_S)
+
+    async def _join(self, request: messages.JoinRequest, forward: bool) -> messages.JoinReply:
+        if forward and self.replica.role is not replica.Role.LEADER:
+            relayed = messages.JoinRequest(request.info, False)
+            return await self._leader_link("join").call(relayed, FORWARD_TIMEOUT_S)
+        return self.members.join(request)
+
     async def _forward(self, request: messages.Submit) -> messages.SubmitReply:
         try:
             return await self._leader_link("submit").call(request, FORWARD_TIMEOUT_S)
@@ -145,11 +228,46 @@
             self.replica.form(members)
 
 
-async def run(core: kernel.Kernel, loaded: settings.ControlSettings) -> None:
-    """Run a control host until it is asked to end."""
+class PeerView:
+    """What one control host takes from the others: their view of the backend servers."""
+
+    def __init__(self, core: kernel.Kernel, watches: watchserver.WatchServer):
+        self.core = core
+        self.watches = watches
+
+    def request(self) -> messages.WatchRequest:
+        """Return a watch by this control host."""
+        routing = self.watches.machine.data.routing
+        return messages.WatchRequest(
+            host=self.core.host.name, routing_index=routing.index, out_index=routing.out_index
+        )
+
+    async def update(self, reply: messages.WatchReply, connection: link.Link) -> None:
+        """Take in the records that another control host received."""
+        for record in reply.records:
+            await self.watches.observe(record, direct=False)
+
+
+Extension = typing.Callable[[ControlHost], typing.Awaitable[None]]
+
+
+async def run(
+    core: kernel.Kernel,
+    loaded: settings.ControlSettings,
+    extension: Extension | None = None,
+) -> None:
+    """Run a control host until it is asked to end.
+
+    Args:
+        core: The process's kernel.
+        loaded: Its settings.
+        extension: Starts further interfaces once the host serves.
+    """
     registry.load_plugins()
     host = ControlHost(core, loaded)
     await host.start()
+    if extension is not None:
+        await extension(host)
     await core.draining.wait()
     async with curio.ignore_after(4 * loaded.election_timeout_s):
         await host.drain()
--- a/src/ebonywheel/formation.py
+++ b/src/ebonywheel/formation.py
@@ -52,7 +52,8 @@
                 if reply.formed:
                     return self._join_formed(reply.members)
             if len(replies) == len(self.settings.peers):
-                return self._take([replies[name].info for name in sorted(replies)])
+                found = [reply.info for reply in replies.values()]
+                return self._take(sorted(found, key=lambda info: info.host))
             await curio.sleep(RETRY_S)
 
     async def _ask_all(self) -> dict[str, messages.IdentityReply]:
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -494,6 +494,141 @@
     incarnation: int = 0
 
 
+class DirectoryRecord(msgspec.Struct):
+    """What a backend server last said of itself, as passed between hosts.
+
+    Attributes:
+        server: Id of the backend server.
+        born_ms: When its process started, Unix milliseconds; orders incarnations of one id.
+        sequence: Grows with each report of one incarnation.
+        gone: True once it has said that it leaves for good.
+        slots: Requests it runs at once.
+        cold_ms: How long it stays cold, milliseconds from the report on.
+        age_ms: Milliseconds since the report was received.
+        version: Version of the weights that it has loaded, 0 when it has none.
+    """
+
+    server: str = ""
+    born_ms: int = 0
+    sequence: int = 0
+    gone: bool = False
+    draining: bool = False
+    service: str = ""
+    address: str = ""
+    data_centre: str = ""
+    slots: int = 0
+    cold_ms: int = 0
+    age_ms: int = 0
+    version: int = 0
+
+
+class ServerUse(msgspec.Struct):
+    """What one entry host, or all others together, have in flight at a backend server.
+
+    Attributes:
+        requests: Requests in flight.
+        tokens: Tokens of memory that they are expected to need.
+    """
+
+    server: str = ""
+    requests: int = 0
+    tokens: int = 0
+
+
+class WatchRequest(msgspec.Struct):
+    """Ask a control host for what changed since the last answer, waiting until something has.
+
+    Attributes:
+        epoch: Epoch of the last answer, 0 at first; another one starts anew.
+        seen: Position of the last answer.
+        routing_index: Log index of the routing content that the asker has.
+        out_index: Log index of the data centres out of service that the asker knows.
+        wait_ms: How long to wait for a change.
+        relayed: True to get records that other control hosts received as well.
+        uses: What the asker has in flight, by backend server.
+        uses_wanted: True to get the sums over all other entry hosts.
+    """
+
+    host: str = ""
+    incarnation: int = 0
+    epoch: int = 0
+    seen: int = 0
+    routing_index: int = 0
+    out_index: int = 0
+    wait_ms: int = 0
+    relayed: bool = False
+    uses: list[ServerUse] = []
+    uses_wanted: bool = False
+
+
+class WatchReply(msgspec.Struct):
+    """What changed at a control host.
+
+    Attributes:
+        routing_index: Log index of the routing content in force here, 0 when there is none.
+        routing_version: Its version as its operator numbered it.
+        out_index: Log index of the last change of the data centres out of service.
+        out: Data centres out of service.
+        members: Addresses of the links of all control hosts.
+        entry_hosts: Entry hosts that watch this control host.
+        uses: Sums over all other entry hosts, where asked for.
+    """
+
+    epoch: int = 0
+    seen: int = 0
+    records: list[DirectoryRecord] = []
+    routing_index: int = 0
+    routing_version: int = 0
+    out_index: int = 0
+    out: list[str] = []
+    members: list[str] = []
+    entry_hosts: int = 0
+    uses: list[ServerUse] = []
+
+
+class RoutingRequest(msgspec.Struct):
+    """Ask a control host for the routing content in force there."""
+
+
+class RoutingReply(msgspec.Struct):
+    """The routing content in force at a control host.
+
+    Attributes:
+        content: As its operator sent it, compressed by zlib.
+    """
+
+    index: int = 0
+    version: int = 0
+    content: bytes = b""
+
+
+class ReadIndexRequest(msgspec.Struct):
+    """Ask the leader up to which log index a read must have been applied."""
+
+
+class ReadIndexReply(msgspec.Struct):
+    """A log index that covers all that was acknowledged before the question."""
+
+    index: int = 0
+
+
+class JoinRequest(msgspec.Struct):
+    """A control host asks to be, or to stay, a member.
+
+    Attributes:
+        ask: True to have the request passed on to the leader.
+    """
+
+    info: MemberInfo = msgspec.field(default_factory=MemberInfo)
+    ask: bool = True
+
+
+class JoinReply(msgspec.Struct):
+    """The members in force, as the leader knows them."""
+
+    members: list[MemberInfo] = []
+
+
 # Order gives each message its type number on the wire: append only.
 MESSAGES: tuple[type[msgspec.Struct], ...] = (
     Hello,
@@ -526,4 +661,12 @@
     DeathNotice,
     IdentityRequest,
     IdentityReply,
+    WatchRequest,
+    WatchReply,
+    RoutingRequest,
+    RoutingReply,
+    ReadIndexRequest,
+    ReadIndexReply,
+    JoinRequest,
+    JoinReply,
 )
--- a/src/ebonywheel/registry.py
+++ b/src/ebonywheel/registry.py
@@ -13,6 +13,7 @@
     "ebonywheel.callstate",
     "ebonywheel.suspectstate",
     "ebonywheel.orderstate",
+    "ebonywheel.routingstate",
     "ebonywheel.ordertypes",
     "ebonywheel.policies",
     "ebonywheel.services",
--- a/src/ebonywheel/statedata.py
+++ b/src/ebonywheel/statedata.py
@@ -111,6 +111,24 @@
     fingerprints: list[bytes] = []
 
 
+class RoutingState(msgspec.Struct):
+    """Routing content in force.
+
+    Attributes:
+        index: Log index of the command that put it in force.
+        version: Its operator's number.
+        content: As the operator sent it, compressed by zlib.
+        out: Data centres out of service for all routes.
+        out_index: Log index of the last change of `out`.
+    """
+
+    index: int = 0
+    version: int = 0
+    content: bytes = b""
+    out: list[str] = []
+    out_index: int = 0
+
+
 class StateData(msgspec.Struct):
     """Everything that the control hosts keep for good.
 
@@ -133,6 +151,7 @@
     orders: dict[str, OrderRecord] = {}
     crashes: dict[str, CrashRecord] = {}
     members: list[configuration.Member] = []
+    routing: RoutingState = msgspec.field(default_factory=RoutingState)
 
     def put(self, key: str, index: int, value: bytes) -> None:
         """Set a configuration item if its value changes."""
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -293,3 +293,75 @@
   server @0 :Text;
   incarnation @1 :UInt64;
 }
+
+struct DirectoryRecord {
+  server @0 :Text;
+  bornMs @1 :UInt64;
+  sequence @2 :UInt64;
+  gone @3 :Bool;
+  draining @4 :Bool;
+  service @5 :Text;
+  address @6 :Text;
+  dataCentre @7 :Text;
+  slots @8 :UInt64;
+  coldMs @9 :UInt64;
+  ageMs @10 :UInt64;
+  version @11 :UInt64;
+}
+
+struct ServerUse {
+  server @0 :Text;
+  requests @1 :UInt64;
+  tokens @2 :UInt64;
+}
+
+struct WatchRequest {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  epoch @2 :UInt64;
+  seen @3 :UInt64;
+  routingIndex @4 :UInt64;
+  outIndex @5 :UInt64;
+  waitMs @6 :UInt64;
+  relayed @7 :Bool;
+  uses @8 :List(ServerUse);
+  usesWanted @9 :Bool;
+}
+
+struct WatchReply {
+  epoch @0 :UInt64;
+  seen @1 :UInt64;
+  records @2 :List(DirectoryRecord);
+  routingIndex @3 :UInt64;
+  routingVersion @4 :UInt64;
+  outIndex @5 :UInt64;
+  out @6 :List(Text);
+  members @7 :List(Text);
+  entryHosts @8 :UInt64;
+  uses @9 :List(ServerUse);
+}
+
+struct RoutingRequest {
+}
+
+struct RoutingReply {
+  index @0 :UInt64;
+  version @1 :UInt64;
+  content @2 :Data;
+}
+
+struct ReadIndexRequest {
+}
+
+struct ReadIndexReply {
+  index @0 :UInt64;
+}
+
+struct JoinRequest {
+  info @0 :MemberInfo;
+  ask @1 :Bool;
+}
+
+struct JoinReply {
+  members @0 :List(MemberInfo);
+}
