--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -14,6 +14,8 @@
 from ebonywheel import exceptions, kernel, settings, sockets
 
 MAX_HEADER_BYTES = 16 * 1024
+# Request line, separators and white space, which do not count as headers.
+HEAD_SPARE_BYTES = 8 * 1024
 MAX_CONNECTIONS = 8192
 READ_BYTES = 65536
 HEADER_TIMEOUT_S = 10.0
@@ -36,6 +38,7 @@
 
     Attributes:
         raw_query: The query as it was sent, without the question mark.
+        fields: All headers in order, with lower-case names.
     """
 
     method: str
@@ -45,6 +48,7 @@
     body: bytes
     peer: str
     raw_query: str = ""
+    fields: list[tuple[str, str]] = []
 
     def json(self) -> dict:
         """Return the body as a JSON object.
@@ -90,6 +94,10 @@
         fields = [("content-type", content_type), *(headers or [])]
         if status not in STATUSES_WITHOUT_BODY:
             fields.append(("content-length", str(len(body))))
+        await self.respond_raw(status, fields, body)
+
+    async def respond_raw(self, status: int, fields: Headers, body: bytes) -> None:
+        """Send a whole answer with exactly these headers, its length among them."""
         self.started = True
         conn = self.connection
         data = conn.encode_response(status, fields)
@@ -106,6 +114,11 @@
         """Send a whole answer encoded as JSON."""
         await self.respond(status, msgspec.json.encode(value), JSON, headers)
 
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer whose headers tell its length, or that is chunked."""
+        self.started = True
+        await self.connection.send(self.connection.encode_response(status, headers))
+
     async def start_stream(self, content_type: str, headers: Headers | None = None) -> None:
         """Send the head of a chunked answer."""
         fields = [("content-type", content_type), ("cache-control", "no-store"), *(headers or [])]
@@ -146,6 +159,24 @@
     run: str = ""
 
 
+class ServerLimits(msgspec.Struct):
+    """What a caller may send, and how long it may take.
+
+    Attributes:
+        header_bytes: Largest sum of header names and values.
+        body_bytes: Largest body.
+        header_s: Longest time to send the head of a request.
+        body_s: Longest time to send its body.
+        idle_s: Longest time between two requests.
+    """
+
+    body_bytes: int
+    header_bytes: int = MAX_HEADER_BYTES
+    header_s: float = HEADER_TIMEOUT_S
+    body_s: float = BODY_TIMEOUT_S
+    idle_s: float = IDLE_TIMEOUT_S
+
+
 class ServerConnection:
     """One caller's connection."""
 
@@ -153,7 +184,9 @@
         self.server = server
         self.sock = sock
         self.peer = peer
-        self.conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+        self.conn = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes + HEAD_SPARE_BYTES
+        )
         self.pipelined_bytes = 0
 
     def encode_response(self, status: int, headers: Headers) -> bytes:
@@ -190,11 +223,11 @@
         """Wait for the first byte of the next request; False at the end of the connection.
 
         Raises:
-            HttpError: The connection broke or was idle for `IDLE_TIMEOUT_S`.
+            HttpError: The connection broke or was idle for too long.
         """
         if self.conn.trailing_data[0]:
             return True
-        data = await self._in_time(self._receive(), IDLE_TIMEOUT_S)
+        data = await self._in_time(self._receive(), self.server.limits.idle_s)
         self.conn.receive_data(data)
         return bool(data)
 
@@ -204,19 +237,21 @@
         Raises:
             HttpError: The request is malformed, too large or too slow.
         """
-        head = await self._in_time(self._next_event(), HEADER_TIMEOUT_S)
+        head = await self._in_time(self._next_event(), self.server.limits.header_s)
         if isinstance(head, h11.ConnectionClosed):
             return None
-        headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
-        if sum(len(name) + len(value) for name, value in headers.items()) > MAX_HEADER_BYTES:
+        fields = [(name.decode(), value.decode("latin-1")) for name, value in head.headers]
+        headers = dict(fields)
+        if sum(len(name) + len(value) for name, value in fields) > self.server.limits.header_bytes:
             raise exceptions.HttpError("headers too large", "read head", self.peer, 431)
         path, raw_query = _split_target(head.target.decode("latin-1"), self.peer)
         self._check_length(headers)
         if self.conn.they_are_waiting_for_100_continue:
             await self.send(self.conn.send(h11.InformationalResponse(status_code=100, headers=[])))
-        body = await self._in_time(self._read_body(), BODY_TIMEOUT_S)
+        body = await self._in_time(self._read_body(), self.server.limits.body_s)
         query = dict(urllib.parse.parse_qsl(raw_query))
-        return Request(head.method.decode(), path, query, headers, body, self.peer, raw_query)
+        method = head.method.decode()
+        return Request(method, path, query, headers, body, self.peer, raw_query, fields)
 
     async def linger(self) -> None:
         """Close without cutting off what the caller has still to read.
@@ -248,7 +283,7 @@
 
     def _check_length(self, headers: dict[str, str]) -> None:
         length = headers.get("content-length", "")
-        if length.isdecimal() and int(length) > self.server.max_body_bytes:
+        if length.isdecimal() and int(length) > self.server.limits.body_bytes:
             raise self._too_large()
 
     async def _in_time(self, work: typing.Coroutine, timeout_s: float) -> typing.Any:
@@ -279,11 +314,11 @@
             if not isinstance(event, h11.Data):
                 raise exceptions.HttpError("connection ended in a body", "read body", self.peer)
             body += event.data
-            if len(body) > self.server.max_body_bytes:
+            if len(body) > self.server.limits.body_bytes:
                 raise self._too_large()
 
     def _too_large(self) -> exceptions.HttpError:
-        text = f"body over {self.server.max_body_bytes} bytes"
+        text = f"body over {self.server.limits.body_bytes} bytes"
         return exceptions.HttpError(text, "read body", self.peer, 413)
 
     async def _receive(self) -> bytes:
@@ -319,7 +354,8 @@
         self.core = core
         self.address = address
         self.handler = handler
-        self.max_body_bytes = max_body_bytes
+        self.limits = ServerLimits(max_body_bytes, header_s=HEADER_TIMEOUT_S, body_s=BODY_TIMEOUT_S)
+        self.limits.idle_s = IDLE_TIMEOUT_S
         self.busy = 0
         self.open = 0
         self.lingering = 0
--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import select
 import typing
 
 import curio
@@ -26,14 +27,20 @@
 
     Attributes:
         sent: True once any byte of the current request may have left.
+        ends_by_close: True to take the end of the connection as the end of an answer that has
+            neither a length nor chunks.
+        last_used: When the last exchange ended, on the owner's clock.
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, ends_by_close: bool = False):
         self.address = address
+        self.ends_by_close = ends_by_close
+        self.last_used = 0.0
         self.sock: curio.io.Socket | None = None
         self.conn = h11.Connection(h11.CLIENT)
         self.sent = False
         self.method = ""
+        self.head: h11.Request | None = None
 
     async def connect(self, timeout_s: float) -> None:
         """Open the connection.
@@ -59,8 +66,11 @@
         Raises:
             UpstreamError: The write failed; `sent` tells whether bytes may have left.
         """
-        fields = [("host", self.address), ("content-length", str(len(body))), *headers]
-        data = self.conn.send(h11.Request(method=method, target=target, headers=fields))
+        fields = [("content-length", str(len(body))), *headers]
+        if all(name != "host" for name, _ in headers):
+            fields.insert(0, ("host", self.address))
+        self.head = h11.Request(method=method, target=target, headers=fields)
+        data = self.conn.send(self.head)
         if body:
             data += self.conn.send(h11.Data(data=body))
         data += self.conn.send(h11.EndOfMessage())
@@ -91,7 +101,7 @@
         if not isinstance(event, h11.Response):
             raise self._error("connection ended before the answer", "wait")
         headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
-        if not self._has_end(event.status_code, headers):
+        if not self.ends_by_close and not self._has_end(event.status_code, headers):
             raise self._error("answer has neither a length nor chunks", "wait")
         return ResponseHead(event.status_code, headers)
 
@@ -138,10 +148,35 @@
                 raise self._error(f"answer over {limit} bytes", "read")
         return bytes(whole)
 
+    async def skip_answer(self, timeout_s: float) -> None:
+        """Read an answer that belongs to no request to its end; the awaited one comes next.
+
+        Raises:
+            UpstreamError: It broke off, or the connection ends with it.
+        """
+        while await self.read_chunk(timeout_s) is not None:
+            pass
+        if not self.reusable():
+            raise self._error("connection ended with another request's answer", "wait")
+        following, _ = self.conn.trailing_data
+        self.conn = h11.Connection(h11.CLIENT)
+        # The request has left already; this only brings the parser to where it was.
+        self.conn.send(self.head)
+        self.conn.send(h11.EndOfMessage())
+        self.conn.receive_data(following)
+
     def reusable(self) -> bool:
         """Return whether the last exchange ended whole, so that another may follow."""
         return self.conn.our_state is h11.DONE and self.conn.their_state is h11.DONE
 
+    def quiet(self) -> bool:
+        """Return whether nothing has come since the last exchange, not even an end."""
+        if self.conn.trailing_data[0]:
+            return False
+        poll = select.poll()
+        poll.register(self.sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
+        return not poll.poll(0)
+
     def start_next(self) -> None:
         """Make ready for the next exchange."""
         self.conn.start_next_cycle()
--- a/src/ebonywheel/kernel.py
+++ b/src/ebonywheel/kernel.py
@@ -21,6 +21,7 @@
         stack: Owns everything that must be closed.
         draining: Set when the process has been asked to end gracefully.
         failed: The fault that ends the process, or None.
+        on_reload: Called when the settings may have changed.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self.stopped = curio.Event()
         self.failed: BaseException | None = None
         self.tasks: set[curio.Task] = set()
+        self.on_reload: list[typing.Callable[[], typing.Awaitable[None]]] = []
 
     async def __aenter__(self) -> "Kernel":
         await self.stack.__aenter__()
@@ -69,6 +71,12 @@
         self.log.error("process_failed", error=error, kind=type(error).__name__)
         await self.stopped.set()
 
+    async def reload(self) -> None:
+        """Tell all parts that the settings may have changed."""
+        self.log.info("reload", parts=len(self.on_reload))
+        for call in self.on_reload:
+            await call()
+
     async def cancel_tasks(self) -> None:
         """Cancel all tasks that still run."""
         for task in list(self.tasks):
--- a/src/ebonywheel/program.py
+++ b/src/ebonywheel/program.py
@@ -84,17 +84,37 @@
 
 
 def _run(role: str, loaded: typing.Any, body: Body) -> int:
-    with logs.handler(loaded.host.log_level).applicationbound():
+    try:
+        secret = settings.read_secret(loaded.host.secret_file)
+    except exceptions.SettingsError as error:
+        exit_with(error)
+    return run_server(role, loaded.host, secret, loaded, body)
+
+
+def run_server(
+    role: str, host: settings.HostSettings, secret: bytes, loaded: typing.Any, body: Body
+) -> int:
+    """Run a program until it is asked to end, and return its exit code.
+
+    Args:
+        role: Name of the role, for the kernel.
+        host: Identity of the host.
+        secret: Secret that the system's processes share.
+        loaded: Settings, handed to the body.
+        body: Coroutine function that runs the program.
+    """
+    with logs.handler(host.log_level).applicationbound():
         try:
-            return curio.run(_supervise, role, loaded, body)
+            return curio.run(_supervise, role, host, secret, loaded, body)
         except exceptions.EbonywheelError as error:
             print(f"error: {error}", file=sys.stderr)
             return exit_code(error)
 
 
-async def _supervise(role: str, loaded: typing.Any, body: Body) -> int:
-    secret = settings.read_secret(loaded.host.secret_file)
-    async with kernel.Kernel(role, loaded.host, secret) as core:
+async def _supervise(
+    role: str, host: settings.HostSettings, secret: bytes, loaded: typing.Any, body: Body
+) -> int:
+    async with kernel.Kernel(role, host, secret) as core:
         await core.spawn(signals.watch(core), essential=True)
         core.log.info("started", host=core.host.name, pid=os.getpid(), http=core.host.http)
         await core.spawn(_run_body(core, loaded, body), essential=True)
--- a/src/ebonywheel/retries.py
+++ b/src/ebonywheel/retries.py
@@ -16,15 +16,17 @@
     """A budget that each first try adds to and each retry takes from.
 
     Attributes:
+        burst: Most retries that may be held.
         held: Retries that may be made now.
     """
 
-    def __init__(self):
-        self.held = BURST_RETRIES
+    def __init__(self, burst: float = BURST_RETRIES):
+        self.burst = burst
+        self.held = burst
 
     def add_first_try(self, share: float) -> None:
         """Note a first try; `share` is the part of a retry that it allows."""
-        self.held = min(BURST_RETRIES, self.held + share)
+        self.held = min(self.burst, self.held + share)
 
     def take(self) -> bool:
         """Take one retry from the budget; return whether there was one."""
--- a/src/ebonywheel/signals.py
+++ b/src/ebonywheel/signals.py
@@ -1,4 +1,4 @@
-"""Turn SIGTERM and SIGINT into a graceful drain; a second one ends the process at once."""
+"""Turn SIGTERM and SIGINT into a graceful drain, a second one into an end at once, SIGHUP into a reload."""
 
 import os
 import signal
@@ -10,7 +10,8 @@
 from ebonywheel import kernel
 
 EXIT_SECOND_SIGNAL = 130
-HANDLED = (signal.SIGTERM, signal.SIGINT)
+ENDING = (signal.SIGTERM, signal.SIGINT)
+HANDLED = (*ENDING, signal.SIGHUP)
 
 
 async def watch(core: kernel.Kernel) -> None:
@@ -26,7 +27,9 @@
     async with curio.io.Socket(reader) as source:
         while True:
             for number in await source.recv(16):
-                if number in HANDLED:
+                if number == signal.SIGHUP:
+                    await core.reload()
+                elif number in ENDING:
                     await _handle(core, signal.Signals(number))
 
 
