Weigh prompts that wait to be read, and move runs one after the other to a neighbour

Copies within a data centre take 0.15 to 0.25 s one by one; started together they finish together, too late. Between regions one copy takes 1.5 s and more, and the engine refuses further ones meanwhile. Ruled out: lack of memory at the destination (refusals come in 1 to 3 ms, without a round trip there).

--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -1,8 +1,9 @@
 """Choice of a backend server, from what this host knows of all of them. Needs no network.
 
-Plain services go by requests in flight against slots. Model engines go by memory: what is in
-flight is counted with its prompt and the length it is expected to reach, and a request goes where
-the fullest engine stays emptiest.
+Plain services go by requests in flight against slots. Model engines go by memory, where what is in
+flight counts with its prompt and the length it is expected to reach, and by the prompts that wait
+to be read: an engine that has just started is empty, and must not get every request of the next
+moment.
 """
 
 import random
@@ -17,6 +18,12 @@
 # between regions are paid for and add two one-way delays.
 OTHER_DATA_CENTRE = 0.1
 OTHER_REGION = 0.25
+# Prompts are read one after the other, each delaying the first token of those behind it and the
+# steps of all that run: a prompt that waits counts for more than one in memory.
+UNREAD_WEIGHT = 2.5
+# Running generations can be copied to a neighbour within the notice of a leaving server, but not
+# between data centres: one without a neighbour loses them all.
+ALONE = 0.35
 # A server's failures fade with this share for each answer.
 FAILURE_FADE = 0.1
 # A failure rate above that of its best peer counts as this much load for each whole part.
@@ -41,8 +48,10 @@
     Attributes:
         requests: Own requests in flight.
         tokens: Own tokens in flight, as expected.
+        unread: Own tokens of prompts whose answers have not begun.
         other_requests: Requests of all other hosts, as last told.
         other_tokens: Tokens of all other hosts, as last told.
+        other_unread: Unread tokens of all other hosts, as last told.
         failure_rate: Share of late answers that were failures, fading.
         down_until: Not chosen before this, monotonic seconds.
         down_s: Next pause after a failure to reach it.
@@ -52,8 +61,10 @@
 
     requests: int = 0
     tokens: int = 0
+    unread: int = 0
     other_requests: int = 0
     other_tokens: int = 0
+    other_unread: int = 0
     failure_rate: float = 0.0
     down_until: float = 0.0
     down_s: float = DOWN_S
@@ -76,12 +87,14 @@
 
     Attributes:
         age_s: Seconds since its last report.
+        alone: True when no other server of the service is in service in its data centre.
     """
 
     record: messages.DirectoryRecord
     state: ServerState
     age_s: float
     region: str
+    alone: bool = False
 
 
 class Wish(msgspec.Struct):
@@ -92,6 +105,8 @@
         regions: Regions that may serve it; empty for all.
         avoid: Ids of servers not to choose.
         limit: Highest load, as a share of capacity, that the server may reach.
+        near_weight: How much distance counts, 1 as usual.
+        lasting: True when the request lasts longer than the notice that servers leave with.
     """
 
     service: routes.Service
@@ -99,6 +114,8 @@
     regions: frozenset[str] = frozenset()
     avoid: frozenset[str] = frozenset()
     limit: float = float("inf")
+    near_weight: float = 1.0
+    lasting: bool = False
 
 
 def load_after(candidate: Candidate, wish: Wish) -> float:
@@ -112,6 +129,15 @@
     return max(requests, tokens / engine.memory_tokens)
 
 
+def reading_ahead(candidate: Candidate, wish: Wish) -> float:
+    """Return what waits to be read at an engine before the request, as a share of its capacity."""
+    engine = wish.service.engine
+    if engine is None or not engine.memory_tokens:
+        return 0.0
+    unread = candidate.state.unread + candidate.state.other_unread
+    return UNREAD_WEIGHT * unread / engine.memory_tokens
+
+
 def distance(candidate: Candidate, place: Place) -> float:
     """Return what the way to a server costs, as a share of its capacity."""
     if candidate.record.data_centre == place.data_centre:
@@ -142,7 +168,9 @@
 
     def cost(one: Candidate) -> float:
         failing = FAILURE_WEIGHT * (one.state.failure_rate - best_rate)
-        return load_after(one, wish) + distance(one, place) + failing
+        near = wish.near_weight * distance(one, place)
+        alone = ALONE if wish.lasting and one.alone else 0.0
+        return load_after(one, wish) + reading_ahead(one, wish) + near + failing + alone
 
     random.shuffle(chosen_from)
     return min(chosen_from, key=cost)
--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -1,17 +1,28 @@
-"""Moves of running generations off a server that ends, one after the other.
+"""Moves of running generations off a server that ends.
 
 A run is copied while it goes on, then stopped and copied again, which takes only what was made
-meanwhile; then it goes on at the other server as the same run.
+meanwhile; then it goes on at the other server as the same run. Copies from one server share its
+link, so all hosts take its runs in the same order, one after the other: a few whole copies in time
+are worth more than many parts.
 """
 
 import curio
 
 from ebonywheel import exceptions, kernel, messages
-from ebonywheel.gateway import balance, dialect, sender, streaming
+from ebonywheel.gateway import balance, dialect, routes, sender, streaming
 
-# Longest time for one copy: those of other hosts from the same server go first.
+# Longest time for one copy: engines that leave give notice of about as much.
 COPY_TIMEOUT_S = 3.0
-MAX_DESTINATIONS = 2
+REPORT_TIMEOUT_S = 0.5
+MAX_DESTINATIONS = 3
+# A copy within a data centre is faster by a factor than one across, so nearness counts for more
+# here than where a request is placed.
+NEAR_WEIGHT = 3.0
+# Beside its bytes a move takes two calls from a host up to 12 ms away, and what the second copies.
+COPY_OVERHEAD_S = 0.08
+# How often a run that has not begun is looked at again.
+NOT_BEGUN_PAUSE_S = 0.1
+RETRY_PAUSE_S = 0.05
 
 
 class Mover:
@@ -36,39 +47,54 @@
             await self.core.spawn(self._empty(server))
 
     async def _empty(self, server: str) -> None:
-        failed: set[str] = set()
+        started_at = self.core.clock.monotonic()
         try:
-            while run := self._next_run(server, failed):
-                if not await self._move(run):
-                    failed.add(run.attempt())
+            runs = self._movable(server)
+            if not runs:
+                return
+            report = await self._report(runs[0])
+            for delay_s, run in schedule(runs, report):
+                left_s = started_at + delay_s - self.core.clock.monotonic()
+                if left_s > 0:
+                    await curio.sleep(left_s)
+                if not run.done and not self.streams.has_copy(run):
+                    await self._move(run)
         finally:
             self.busy.discard(server)
 
-    def _next_run(self, server: str, failed: set[str]) -> streaming.Run | None:
+    def _movable(self, server: str) -> list[streaming.Run]:
         held = self.streams.runs.get(server, {})
-        waiting = [run for run in held.values() if run.attempt() not in failed]
-        movable = [run for run in waiting if self._engine(run) is not None]
-        if not movable:
-            return None
-        # The longest prompt has cost most so far.
-        return max(movable, key=lambda run: run.flight.request.prompt.tokens)
+        return [
+            run for run in held.values() if _moves(run.flight.service) and not self.streams.has_copy(run)
+        ]
 
-    def _engine(self, run: streaming.Run):
-        engine = run.flight.service.engine
-        return engine if engine is not None and engine.moves else None
+    async def _report(self, run: streaming.Run) -> list[dialect.EngineRun]:
+        """Ask the engine for all of its runs, those of other hosts among them."""
+        try:
+            call = self.dialect.report_call()
+            status, body = await self.sender.call_engine(run.record, call, REPORT_TIMEOUT_S)
+        except exceptions.UpstreamError as error:
+            self.core.log.warning("report_failed", server=run.record.server, error=error)
+            return []
+        report = self.dialect.decode_report(status, body)
+        return [] if report is None else report.runs
 
     async def _move(self, run: streaming.Run) -> bool:
         avoid = {run.record.server}
-        for _ in range(MAX_DESTINATIONS):
+        while len(avoid) <= MAX_DESTINATIONS and not run.done:
             candidate = self._destination(run, avoid)
-            if candidate is None or run.done:
+            if candidate is None:
                 break
-            avoid.add(candidate.record.server)
-            first = await self._copy(run, candidate.record, stop=False)
-            if first.finished:
-                return True
-            if first.done:
+            copied = await self._copy(run, candidate.record, stop=False)
+            if copied.finished:
+                if run.cutter.count:
+                    return True
+                await curio.sleep(NOT_BEGUN_PAUSE_S)
+                continue
+            if copied.done:
                 return await self._hand_over(run, candidate.record)
+            avoid.add(candidate.record.server)
+            await curio.sleep(RETRY_PAUSE_S)
         self.core.log.warning("move_failed", request=run.attempt(), server=run.record.server)
         return False
 
@@ -77,15 +103,12 @@
         run.handover = curio.Result()
         run.stopping = True
         second = await self._copy(run, record, stop=True)
+        handover = None
         if second.done:
             handover = streaming.Handover(record, source.address, second.handle)
         elif second.handle:
             # The run has stopped but its copy did not arrive: it goes on where it was.
             handover = streaming.Handover(source, source.address, second.handle)
-        else:
-            handover = None
-            if not second.finished:
-                self.core.log.warning("hand_over_failed", request=run.attempt())
         await run.handover.set_value(handover)
         return handover is not None
 
@@ -93,20 +116,25 @@
         flight = run.flight
         tokens = streaming.expected_tokens(flight.request.prompt)
         wish = balance.Wish(
-            flight.service, tokens, flight.regions(), frozenset(avoid), streaming.ADMISSION_LIMIT
+            flight.service,
+            tokens,
+            flight.regions(),
+            frozenset(avoid),
+            streaming.ADMISSION_LIMIT,
+            NEAR_WEIGHT,
         )
-        return self.view.choose(wish)
+        return self.view.choose(wish, self.view.place_of(run.record))
 
     async def _copy(
         self, run: streaming.Run, record: messages.DirectoryRecord, stop: bool
     ) -> dialect.CopyResult:
         call = self.dialect.copy_call(run.attempt(), record.address, stop)
         started_at = self.core.clock.monotonic()
+        status = 0
         try:
             status, body = await self.sender.call_engine(run.record, call, COPY_TIMEOUT_S)
             copied = self.dialect.decode_copy(status, body)
         except exceptions.UpstreamError as error:
-            status = 0
             copied = dialect.CopyResult(False, "", False)
             self.core.log.warning("copy_failed", request=run.attempt(), error=error)
         self.core.log.info(
@@ -116,6 +144,34 @@
             destination=record.server,
             stop=stop,
             status=status,
+            events=run.cutter.count,
             took_ms=int((self.core.clock.monotonic() - started_at) * 1000),
         )
         return copied
+
+
+def schedule(
+    runs: list[streaming.Run], report: list[dialect.EngineRun]
+) -> list[tuple[float, streaming.Run]]:
+    """Return when to begin moving each run, in seconds from the notice.
+
+    Args:
+        runs: Own runs at the server.
+        report: All runs at the server, as it reports them to every host alike; short copies go
+            first, so that as many runs as possible are moved in time.
+    """
+    own = {run.attempt(): run for run in runs}
+    planned = []
+    delay_s = 0.0
+    for reported in sorted(report, key=lambda each: (each.tokens, each.attempt)):
+        run = own.pop(reported.attempt, None)
+        if run is not None:
+            planned.append((delay_s, run))
+        engine = runs[0].flight.service.engine
+        delay_s += engine.copy_s(reported.tokens) + COPY_OVERHEAD_S
+    # What the report does not show has begun lately, or not at all.
+    return planned + [(delay_s, run) for run in own.values()]
+
+
+def _moves(service: routes.Service) -> bool:
+    return service.engine is not None and service.engine.moves
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -107,7 +107,7 @@
         )
         try:
             async with curio.timeout_after(left_s):
-                reply = await self.sender.send(flight, candidate.record, sending, 0, left_s)
+                reply = await self.sender.send(flight, candidate.record, sending, left_s)
                 return await self._read(exchange, reply, may_stream)
         except curio.TaskTimeout as error:
             raise exceptions.UpstreamError(
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -43,16 +43,25 @@
         flight: view.Flight,
         record: messages.DirectoryRecord,
         sending: dialect.Sending,
-        tokens: int,
         timeout_s: float,
+        tokens: int = 0,
+        unread: int = 0,
     ) -> Reply:
         """Send a request and read the head of the answer.
 
+        Args:
+            flight: The request.
+            record: The server.
+            sending: What is added for it.
+            timeout_s: Longest time to the head of the answer.
+            tokens: Memory that it is expected to need there.
+            unread: Tokens that the server has to read first.
+
         Raises:
             UpstreamError: There is no answer; `sent` tells whether the request may have run.
         """
         state = self.view.state_of(record)
-        use = view.Use(state, tokens)
+        use = view.Use(state, tokens, unread=unread)
         connection = None
         try:
             connection = await self.pool.acquire(record, timeout_s)
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -10,6 +10,10 @@
 ADMISSION_LIMIT = 1.0
 # Share of the longest answer that is expected where the caller gives no estimate.
 UNKNOWN_SHARE = 0.5
+# Load up to which a server is chosen to keep a copy of another one's run.
+BACKUP_LIMIT = 0.0
+# Shorter generations end within the notice that a leaving server gives.
+LASTING_TOKENS = 64
 MAX_REFUSALS = 3
 OK = 200
 # How long a stopped run waits to be told where it goes on.
@@ -39,9 +43,20 @@
         cutter: Cuts its events; knows the last one passed on.
         stopping: True from the moment at which the run is about to be stopped for a move.
         handover: Where it goes on; set by the mover.
+        backup: The server that holds a copy of the run, None when there is none.
     """
 
-    __slots__ = ("flight", "record", "reply", "cutter", "stopping", "handover", "done")
+    __slots__ = (
+        "flight",
+        "record",
+        "reply",
+        "cutter",
+        "stopping",
+        "handover",
+        "done",
+        "backup",
+        "backup_use",
+    )
 
     def __init__(self, flight: view.Flight, reply: sender.Reply):
         self.flight = flight
@@ -51,12 +66,28 @@
         self.stopping = False
         self.handover: curio.Result | None = None
         self.done = False
+        self.backup: messages.DirectoryRecord | None = None
+        self.backup_use: view.Use | None = None
+
+    def keep_backup(self, backup: "Backup | None") -> None:
+        """Take over a copy that is kept up to date, in place of the one before."""
+        if self.backup_use is not None:
+            self.backup_use.close()
+        self.backup = None if backup is None else backup.record
+        self.backup_use = None if backup is None else backup.use
 
     def attempt(self) -> str:
         """Return the id of the run's request."""
         return self.flight.request.attempt
 
 
+class Backup(msgspec.Struct):
+    """A server that keeps a copy of a run, with the memory that this takes there."""
+
+    record: messages.DirectoryRecord
+    use: view.Use
+
+
 class StreamForwarder:
     """Relays event streams.
 
@@ -79,51 +110,94 @@
             HttpError: Whether it ran is not known.
             UpstreamError: The stream broke off after its first part was passed on.
         """
-        reply = await self._start(flight)
-        if reply.answer.status != OK:
-            await self._pass_failure(exchange, reply)
-            return
+        reply, backup = await self._start(flight)
         run = Run(flight, reply)
+        run.keep_backup(backup)
         self._register(run)
         try:
+            if reply.answer.status != OK:
+                await self._pass_failure(exchange, reply)
+                return
             await exchange.start(reply.answer.status, reply.answer.headers)
             await self._relay(exchange, run)
             await exchange.end()
         finally:
             self._unregister(run)
+            run.keep_backup(None)
             run.done = True
 
     # -- start -----------------------------------------------------------------------------
 
-    async def _start(self, flight: view.Flight) -> sender.Reply:
+    async def _start(self, flight: view.Flight) -> tuple[sender.Reply, Backup | None]:
         tokens = expected_tokens(flight.request.prompt)
         for _ in range(MAX_REFUSALS):
             candidate = self._choose(flight, tokens)
             if candidate is None:
                 break
             flight.tried.append(candidate.record.server)
-            sending = dialect.Sending(
-                candidate.record.server,
-                "" if flight.customer is None else flight.customer.name,
-                flight.caller_deadline_at - self.core.clock.monotonic(),
-                flight.route.priority,
-            )
-            left_s = flight.deadline_at - self.core.clock.monotonic()
+            backup = self._choose_backup(flight, candidate.record)
             try:
-                reply = await self.sender.send(flight, candidate.record, sending, tokens, left_s)
+                reply = await self._send(flight, candidate.record, None, backup)
             except exceptions.UpstreamError as error:
                 flight.reason = str(error)
                 if error.sent:
                     raise refusals.unknown(flight) from error
                 continue
             if not reply.answer.not_run:
-                return reply
+                return reply, backup
+            if backup is not None:
+                backup.use.close()
             flight.reason = f"refused by {candidate.record.server}"
             await self._drop(reply)
             if not self.budgets.take(flight.service.name):
                 break
         raise refusals.not_run(flight)
 
+    async def _send(
+        self,
+        flight: view.Flight,
+        record: messages.DirectoryRecord,
+        resume: dialect.Resume | None,
+        backup: Backup | None,
+    ) -> sender.Reply:
+        """Send the request, or its continuation; gives the backup up when that fails."""
+        now = self.core.clock.monotonic()
+        sending = dialect.Sending(
+            record.server,
+            "" if flight.customer is None else flight.customer.name,
+            flight.caller_deadline_at - now,
+            flight.route.priority,
+            resume,
+            "" if backup is None else backup.record.address,
+        )
+        prompt = flight.request.prompt
+        unread = prompt.tokens if resume is None else 0
+        try:
+            return await self.sender.send(
+                flight, record, sending, flight.deadline_at - now, expected_tokens(prompt), unread
+            )
+        except BaseException:
+            if backup is not None:
+                backup.use.close()
+            raise
+
+    def _choose_backup(
+        self, flight: view.Flight, record: messages.DirectoryRecord
+    ) -> Backup | None:
+        """Return a server to keep a copy of a run, None where that is not worth its memory."""
+        engine = flight.service.engine
+        prompt = flight.request.prompt
+        if engine is None or not engine.backups or expected_answer(prompt) < LASTING_TOKENS:
+            return None
+        tokens = expected_tokens(prompt)
+        wish = balance.Wish(
+            flight.service, tokens, flight.regions(), frozenset({record.server}), BACKUP_LIMIT
+        )
+        chosen = self.view.choose(wish, self.view.place_of(record))
+        if chosen is None:
+            return None
+        return Backup(chosen.record, view.Use(chosen.state, tokens, requests=0))
+
     def _choose(self, flight: view.Flight, tokens: int) -> balance.Candidate | None:
         wish = balance.Wish(
             flight.service,
@@ -131,6 +205,7 @@
             flight.regions(),
             frozenset(flight.tried),
             ADMISSION_LIMIT,
+            lasting=expected_answer(flight.request.prompt) >= LASTING_TOKENS,
         )
         chosen = self.view.choose(wish)
         if chosen is None:
@@ -174,46 +249,26 @@
                 await self.sender.abandon(run.reply)
                 if not run.stopping:
                     self.view.state_of(run.record).note_answer(failed=True)
-                    raise
                 self._unregister(run)
-                await self._continue(run, error)
+                await self._go_on(run, error)
                 self._register(run)
             except BaseException:
                 await self.sender.abandon(run.reply)
                 raise
 
-    async def _pass_events(self, exchange: http.Exchange, run: Run) -> None:
-        left_s = run.flight.deadline_at - self.core.clock.monotonic()
-        async for chunk in run.reply.connection.chunks(left_s):
-            whole = run.cutter.feed(chunk)
-            if whole:
-                await exchange.write(whole)
-        if run.cutter.buffer:
-            # What follows the last event without a blank line still belongs to the answer.
-            await exchange.write(run.cutter.buffer)
-
-    async def _continue(self, run: Run, error: exceptions.UpstreamError) -> None:
-        """Wait for the mover's word and open the run where it goes on.
+    async def _go_on(self, run: Run, error: exceptions.UpstreamError) -> None:
+        """Open a run that broke off at the server where it goes on.
 
         Raises:
             UpstreamError: It goes on nowhere.
         """
-        handover = None
-        async with curio.ignore_after(HAND_OVER_S):
-            handover = await run.handover.unwrap()
+        handover = await self._find_handover(run)
         if handover is None:
             raise error
         resume = dialect.Resume(handover.source, handover.handle, run.cutter.last_id)
-        sending = dialect.Sending(
-            handover.record.server,
-            "" if run.flight.customer is None else run.flight.customer.name,
-            run.flight.caller_deadline_at - self.core.clock.monotonic(),
-            run.flight.route.priority,
-            resume,
-        )
-        tokens = expected_tokens(run.flight.request.prompt)
-        left_s = run.flight.deadline_at - self.core.clock.monotonic()
-        reply = await self.sender.send(run.flight, handover.record, sending, tokens, left_s)
+        backup = self._choose_backup(run.flight, handover.record)
+        reply = await self._send(run.flight, handover.record, resume, backup)
+        run.keep_backup(backup)
         if reply.answer.status != OK:
             await self._drop(reply)
             raise exceptions.UpstreamError(
@@ -228,6 +283,7 @@
             server=handover.record.server,
             before=run.record.server,
             last_event=run.cutter.last_id,
+            cause=error,
         )
         run.record = reply.record
         run.reply = reply
@@ -235,6 +291,31 @@
         run.handover = None
         run.cutter.buffer = b""
 
+    def has_copy(self, run: Run) -> bool:
+        """Return whether the run can go on from a copy when its server ends."""
+        return run.backup is not None and self.view.stays(run.backup)
+
+    async def _find_handover(self, run: Run) -> Handover | None:
+        if run.stopping:
+            async with curio.ignore_after(HAND_OVER_S):
+                return await run.handover.unwrap()
+            return None
+        if not self.has_copy(run):
+            return None
+        # The copy is named by the run's own id, at the server that received it.
+        return Handover(run.backup, run.backup.address, run.attempt())
+
+    async def _pass_events(self, exchange: http.Exchange, run: Run) -> None:
+        left_s = run.flight.deadline_at - self.core.clock.monotonic()
+        async for chunk in run.reply.connection.chunks(left_s):
+            whole = run.cutter.feed(chunk)
+            if whole:
+                run.reply.use.begun()
+                await exchange.write(whole)
+        if run.cutter.buffer:
+            # What follows the last event without a blank line still belongs to the answer.
+            await exchange.write(run.cutter.buffer)
+
     def _register(self, run: Run) -> None:
         self.runs.setdefault(run.record.server, {})[run.attempt()] = run
 
@@ -246,9 +327,12 @@
                 del self.runs[run.record.server]
 
 
+def expected_answer(prompt: dialect.Prompt) -> int:
+    """Return how many tokens a generation is expected to make."""
+    answer = prompt.expected_tokens or int(prompt.most_tokens * UNKNOWN_SHARE)
+    return min(answer, prompt.most_tokens) if prompt.most_tokens else answer
+
+
 def expected_tokens(prompt: dialect.Prompt) -> int:
     """Return how much memory a generation is expected to need in the end."""
-    answer = prompt.expected_tokens or int(prompt.most_tokens * UNKNOWN_SHARE)
-    if prompt.most_tokens:
-        answer = min(answer, prompt.most_tokens)
-    return prompt.tokens + answer
+    return prompt.tokens + expected_answer(prompt)
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -1,5 +1,6 @@
 """What an entry host knows: routing content, backend servers, and where work is in flight."""
 
+import collections
 import collections.abc
 import typing
 
@@ -73,9 +74,9 @@
 
     def _uses(self) -> list[messages.ServerUse]:
         return [
-            messages.ServerUse(server, state.requests, state.tokens)
+            messages.ServerUse(server, state.requests, state.tokens, state.unread)
             for (server, _), state in self.states.items()
-            if state.requests
+            if state.requests or state.tokens
         ]
 
     async def update(self, reply: messages.WatchReply, connection: link.Link) -> None:
@@ -104,6 +105,7 @@
             use = told.get(server, nothing)
             state.other_requests = use.requests
             state.other_tokens = use.tokens
+            state.other_unread = use.unread
 
     async def _observe(self, record: messages.DirectoryRecord) -> None:
         if not self.directory.observe(record):
@@ -168,14 +170,37 @@
                     self.region_of.get(record.data_centre, ""),
                 )
             )
+        places = collections.Counter(one.record.data_centre for one in found)
+        for one in found:
+            one.alone = places[one.record.data_centre] == 1
         return found
 
-    def choose(self, wish: balance.Wish) -> balance.Candidate | None:
-        """Return the best server for a request, or None when none can take it."""
+    def stays(self, record: messages.DirectoryRecord) -> bool:
+        """Return whether a server's incarnation is in service and does not leave."""
+        held = self.directory.held.get(record.server)
+        if held is None or held.record.born_ms != record.born_ms:
+            return False
+        return not (
+            held.record.gone or held.record.draining or held.record.data_centre in self.out
+        )
+
+    def place_of(self, record: messages.DirectoryRecord) -> balance.Place:
+        """Return where a server stands."""
+        return balance.Place(record.data_centre, self.region_of.get(record.data_centre, ""))
+
+    def choose(
+        self, wish: balance.Wish, place: balance.Place | None = None
+    ) -> balance.Candidate | None:
+        """Return the best server for a request, or None when none can take it.
+
+        Args:
+            wish: What is looked for.
+            place: Where it should be near to; this host where not given.
+        """
         return balance.choose(
             self.candidates(wish.service.name),
             wish,
-            self.place,
+            place or self.place,
             self.core.clock.monotonic(),
             self.entry_hosts,
         )
@@ -192,20 +217,37 @@
 
 
 class Use:
-    """A request in flight at a server, counted while it is open."""
+    """A request in flight at a server, or a copy of one, counted while it is open.
+
+    Attributes:
+        tokens: Memory that it is expected to need.
+        unread: Tokens of its prompt, until its answer begins.
+    """
 
-    __slots__ = ("state", "tokens")
+    __slots__ = ("state", "tokens", "requests", "unread")
 
-    def __init__(self, state: balance.ServerState, tokens: int):
-        self.state = state
+    def __init__(
+        self, state: balance.ServerState, tokens: int, requests: int = 1, unread: int = 0
+    ):
+        self.state: balance.ServerState | None = state
         self.tokens = tokens
-        state.requests += 1
+        self.requests = requests
+        self.unread = unread
+        state.requests += requests
         state.tokens += tokens
+        state.unread += unread
+
+    def begun(self) -> None:
+        """Note that the answer has begun: its prompt has been read."""
+        if self.state is not None:
+            self.state.unread -= self.unread
+            self.unread = 0
 
     def close(self) -> None:
         """Stop counting it; may be called again."""
         if self.state is not None:
-            self.state.requests -= 1
+            self.begun()
+            self.state.requests -= self.requests
             self.state.tokens -= self.tokens
             self.state = None
 
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -528,11 +528,13 @@
     Attributes:
         requests: Requests in flight.
         tokens: Tokens of memory that they are expected to need.
+        unread: Tokens of prompts whose answer has not begun.
     """
 
     server: str = ""
     requests: int = 0
     tokens: int = 0
+    unread: int = 0
 
 
 class WatchRequest(msgspec.Struct):
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -137,6 +137,7 @@
                 total = sums.setdefault(use.server, messages.ServerUse(use.server))
                 total.requests += use.requests
                 total.tokens += use.tokens
+                total.unread += use.unread
         return list(sums.values())
 
     async def _wake_for_routing(self) -> None:
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -313,6 +313,7 @@
   server @0 :Text;
   requests @1 :UInt64;
   tokens @2 :UInt64;
+  unread @3 :UInt64;
 }
 
 struct WatchRequest {
