Move runs in two steps and fall back on the first copy

Cause: a run whose second copy failed (no room, or the server ended meanwhile) was lost though its first copy was whole.

--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -111,6 +111,9 @@
         except curio.CancelledError:
             outcome = "caller left"
             raise
+        except Exception as error:
+            outcome = f"fault: {error!r}"
+            raise
         finally:
             self._log(exchange, flight, outcome, started_at)
 
@@ -190,6 +193,8 @@
             servers=" ".join(flight.tried),
             outcome=outcome,
             reason=flight.reason,
+            first_ms=int(max(0.0, flight.first_at - started_at) * 1000),
+            gap_ms=int(flight.longest_gap_s * 1000),
             took_ms=int(took_s * 1000),
         )
 
--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -1,15 +1,15 @@
 """Moves of running generations off a server that ends.
 
 A run is copied while it goes on, then stopped and copied again, which takes only what was made
-meanwhile; then it goes on at the other server as the same run. Copies from one server share its
-link, so all hosts take its runs in the same order, one after the other: a few whole copies in time
-are worth more than many parts.
+meanwhile; then it goes on at the other server as the same run. Where the second copy fails it goes
+on from the first one. Copies from one server share its link, so all hosts take its runs in the same
+order, one after the other: a few whole copies in time are worth more than many parts.
 """
 
 import curio
 
 from ebonywheel import exceptions, kernel, messages
-from ebonywheel.gateway import balance, dialect, routes, sender, streaming
+from ebonywheel.gateway import balance, dialect, routes, sender, streaming, view
 
 # Longest time for one copy: engines that leave give notice of about as much.
 COPY_TIMEOUT_S = 3.0
@@ -32,7 +32,9 @@
         busy: Ids of the servers that are being emptied.
     """
 
-    def __init__(self, core: kernel.Kernel, send: sender.Sender, streams: streaming.StreamForwarder):
+    def __init__(
+        self, core: kernel.Kernel, send: sender.Sender, streams: streaming.StreamForwarder
+    ):
         self.core = core
         self.sender = send
         self.view = send.view
@@ -52,21 +54,19 @@
             runs = self._movable(server)
             if not runs:
                 return
-            report = await self._report(runs[0])
+            report = [] if self.view.alone(runs[0].record) else await self._report(runs[0])
             for delay_s, run in schedule(runs, report):
                 left_s = started_at + delay_s - self.core.clock.monotonic()
                 if left_s > 0:
                     await curio.sleep(left_s)
-                if not run.done and not self.streams.has_copy(run):
+                if not run.done:
                     await self._move(run)
         finally:
             self.busy.discard(server)
 
     def _movable(self, server: str) -> list[streaming.Run]:
         held = self.streams.runs.get(server, {})
-        return [
-            run for run in held.values() if _moves(run.flight.service) and not self.streams.has_copy(run)
-        ]
+        return [run for run in held.values() if _moves(run.flight.service)]
 
     async def _report(self, run: streaming.Run) -> list[dialect.EngineRun]:
         """Ask the engine for all of its runs, those of other hosts among them."""
@@ -79,73 +79,87 @@
         report = self.dialect.decode_report(status, body)
         return [] if report is None else report.runs
 
-    async def _move(self, run: streaming.Run) -> bool:
+    async def _move(self, run: streaming.Run) -> None:
         avoid = {run.record.server}
         while len(avoid) <= MAX_DESTINATIONS and not run.done:
-            candidate = self._destination(run, avoid)
-            if candidate is None:
+            record = self._next_destination(run, avoid)
+            if record is None:
                 break
-            copied = await self._copy(run, candidate.record, stop=False)
+            copied = await self._copy(run, record, stop=False)
+            if copied.done:
+                await self._hand_over(run, record)
+                return
             if copied.finished:
                 if run.cutter.count:
-                    return True
+                    return
                 await curio.sleep(NOT_BEGUN_PAUSE_S)
                 continue
-            if copied.done:
-                return await self._hand_over(run, candidate.record)
-            avoid.add(candidate.record.server)
+            avoid.add(record.server)
             await curio.sleep(RETRY_PAUSE_S)
         self.core.log.warning("move_failed", request=run.attempt(), server=run.record.server)
-        return False
 
-    async def _hand_over(self, run: streaming.Run, record: messages.DirectoryRecord) -> bool:
-        source = run.record
-        run.handover = curio.Result()
-        run.stopping = True
-        second = await self._copy(run, record, stop=True)
-        handover = None
-        if second.done:
-            handover = streaming.Handover(record, source.address, second.handle)
-        elif second.handle:
-            # The run has stopped but its copy did not arrive: it goes on where it was.
-            handover = streaming.Handover(source, source.address, second.handle)
-        await run.handover.set_value(handover)
-        return handover is not None
-
-    def _destination(self, run: streaming.Run, avoid: set[str]) -> balance.Candidate | None:
+    def _next_destination(
+        self, run: streaming.Run, avoid: set[str]
+    ) -> messages.DirectoryRecord | None:
+        if self.streams.has_copy(run) and run.copy.record.server not in avoid:
+            return run.copy.record
+        candidate = self._destination(run, avoid, streaming.ADMISSION_LIMIT)
+        return None if candidate is None else candidate.record
+
+    async def _hand_over(self, run: streaming.Run, record: messages.DirectoryRecord) -> None:
+        """Stop a run that has been copied, so that it goes on at its copy."""
+        run.moved = curio.Event()
+        try:
+            await self._copy(run, record, stop=True)
+        finally:
+            await run.moved.set()
+
+    def _destination(
+        self, run: streaming.Run, avoid: set[str], limit: float
+    ) -> balance.Candidate | None:
         flight = run.flight
-        tokens = streaming.expected_tokens(flight.request.prompt)
         wish = balance.Wish(
             flight.service,
-            tokens,
+            streaming.expected_tokens(flight.request.prompt),
             flight.regions(),
             frozenset(avoid),
-            streaming.ADMISSION_LIMIT,
+            limit,
             NEAR_WEIGHT,
+            lasting=True,
         )
         return self.view.choose(wish, self.view.place_of(run.record))
 
     async def _copy(
         self, run: streaming.Run, record: messages.DirectoryRecord, stop: bool
     ) -> dialect.CopyResult:
+        """Copy a run to a server, where it takes its room at once."""
+        tokens = streaming.expected_tokens(run.flight.request.prompt)
+        room = view.Use(self.view.state_of(record), tokens, requests=0)
+        source = run.record
         call = self.dialect.copy_call(run.attempt(), record.address, stop)
         started_at = self.core.clock.monotonic()
         status = 0
+        copied = dialect.CopyResult(False, "", False)
         try:
-            status, body = await self.sender.call_engine(run.record, call, COPY_TIMEOUT_S)
+            status, body = await self.sender.call_engine(source, call, COPY_TIMEOUT_S)
             copied = self.dialect.decode_copy(status, body)
         except exceptions.UpstreamError as error:
-            copied = dialect.CopyResult(False, "", False)
             self.core.log.warning("copy_failed", request=run.attempt(), error=error)
+        finally:
+            now = self.core.clock.monotonic()
+            if copied.done and not run.done:
+                run.keep_copy(streaming.Copy(record, source.address, copied.handle, room, now))
+            else:
+                room.close()
         self.core.log.info(
             "run_copied",
             request=run.attempt(),
-            source=run.record.server,
+            source=source.server,
             destination=record.server,
             stop=stop,
             status=status,
             events=run.cutter.count,
-            took_ms=int((self.core.clock.monotonic() - started_at) * 1000),
+            took_ms=int((now - started_at) * 1000),
         )
         return copied
 
@@ -169,8 +183,15 @@
             planned.append((delay_s, run))
         engine = runs[0].flight.service.engine
         delay_s += engine.copy_s(reported.tokens) + COPY_OVERHEAD_S
-    # What the report does not show has begun lately, or not at all.
-    return planned + [(delay_s, run) for run in own.values()]
+    # What the report does not show has begun lately, or not at all; without a report, runs that
+    # need little more go first.
+    rest = sorted(own.values(), key=lambda run: (run.copy is None, -_tokens_to_come(run)))
+    return planned + [(delay_s, run) for run in rest]
+
+
+def _tokens_to_come(run: streaming.Run) -> int:
+    """Return how many tokens a run is still expected to make, by events passed on so far."""
+    return streaming.expected_answer(run.flight.request.prompt) - run.cutter.count
 
 
 def _moves(service: routes.Service) -> bool:
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -1,4 +1,4 @@
-"""Requests with a single answer: sent to a server, again where that is allowed, and answered whole."""
+"""Requests with one answer: sent to a server, again where that is allowed, and answered whole."""
 
 import curio
 import msgspec
@@ -73,9 +73,7 @@
         if self._left_s(flight) <= 0:
             flight.reason = flight.reason or "deadline passed"
             return None
-        wish = balance.Wish(
-            flight.service, regions=flight.regions(), avoid=frozenset(flight.tried)
-        )
+        wish = balance.Wish(flight.service, regions=flight.regions(), avoid=frozenset(flight.tried))
         chosen = self.view.choose(wish)
         if chosen is None:
             flight.reason = flight.reason or "no server"
--- a/src/ebonywheel/gateway/refusals.py
+++ b/src/ebonywheel/gateway/refusals.py
@@ -17,22 +17,22 @@
 def not_run(flight: view.Flight, retry_after_s: float = COME_BACK_S) -> exceptions.NotRunError:
     """Return the error for a request that did not run."""
     return exceptions.NotRunError(
-        flight.reason or "no server", "forward", flight.request.attempt, STATUS_NOT_RUN, retry_after_s
+        flight.reason or "no server",
+        "forward",
+        flight.request.attempt,
+        STATUS_NOT_RUN,
+        retry_after_s,
     )
 
 
 def unknown(flight: view.Flight) -> exceptions.HttpError:
     """Return the error for a request that may have run."""
-    return exceptions.HttpError(
-        flight.reason, "forward", flight.request.attempt, STATUS_UNKNOWN
-    )
+    return exceptions.HttpError(flight.reason, "forward", flight.request.attempt, STATUS_UNKNOWN)
 
 
 def too_late(flight: view.Flight) -> exceptions.HttpError:
     """Return the error for a request whose time ran out."""
-    return exceptions.HttpError(
-        "time ran out", "forward", flight.request.attempt, STATUS_TIMEOUT
-    )
+    return exceptions.HttpError("time ran out", "forward", flight.request.attempt, STATUS_TIMEOUT)
 
 
 class Budgets:
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -10,27 +10,29 @@
 ADMISSION_LIMIT = 1.0
 # Share of the longest answer that is expected where the caller gives no estimate.
 UNKNOWN_SHARE = 0.5
-# Load up to which a server is chosen to keep a copy of another one's run.
-BACKUP_LIMIT = 0.0
 # Shorter generations end within the notice that a leaving server gives.
 LASTING_TOKENS = 64
 MAX_REFUSALS = 3
 OK = 200
-# How long a stopped run waits to be told where it goes on.
+# How long a stopped run waits for its second copy.
 HAND_OVER_S = 3.0
+DROP_TIMEOUT_S = 0.5
 
 
-class Handover(msgspec.Struct):
-    """Where a stopped run goes on.
+class Copy(msgspec.Struct):
+    """A copy of a run at another server, up to date as of `made_at`.
 
     Attributes:
-        record: The server that continues it.
-        source: Address that names the copy together with the handle.
+        source: Address of the server that made it, which names it together with the handle.
+        use: The memory that it takes at its server.
+        made_at: Monotonic seconds.
     """
 
     record: messages.DirectoryRecord
     source: str
     handle: str
+    use: view.Use
+    made_at: float
 
 
 class Run:
@@ -41,9 +43,8 @@
         record: The server that runs it now.
         reply: Its open answer.
         cutter: Cuts its events; knows the last one passed on.
-        stopping: True from the moment at which the run is about to be stopped for a move.
-        handover: Where it goes on; set by the mover.
-        backup: The server that holds a copy of the run, None when there is none.
+        copy: The last copy made of the run, None when there is none.
+        moved: Set once the run has been stopped for a move, or could not be; None without one.
     """
 
     __slots__ = (
@@ -51,11 +52,9 @@
         "record",
         "reply",
         "cutter",
-        "stopping",
-        "handover",
         "done",
-        "backup",
-        "backup_use",
+        "copy",
+        "moved",
     )
 
     def __init__(self, flight: view.Flight, reply: sender.Reply):
@@ -63,31 +62,21 @@
         self.record = reply.record
         self.reply = reply
         self.cutter = events.EventCutter()
-        self.stopping = False
-        self.handover: curio.Result | None = None
         self.done = False
-        self.backup: messages.DirectoryRecord | None = None
-        self.backup_use: view.Use | None = None
+        self.copy: Copy | None = None
+        self.moved: curio.Event | None = None
 
-    def keep_backup(self, backup: "Backup | None") -> None:
-        """Take over a copy that is kept up to date, in place of the one before."""
-        if self.backup_use is not None:
-            self.backup_use.close()
-        self.backup = None if backup is None else backup.record
-        self.backup_use = None if backup is None else backup.use
+    def keep_copy(self, copy: Copy | None) -> None:
+        """Put a copy in the place of the one before."""
+        if self.copy is not None:
+            self.copy.use.close()
+        self.copy = copy
 
     def attempt(self) -> str:
         """Return the id of the run's request."""
         return self.flight.request.attempt
 
 
-class Backup(msgspec.Struct):
-    """A server that keeps a copy of a run, with the memory that this takes there."""
-
-    record: messages.DirectoryRecord
-    use: view.Use
-
-
 class StreamForwarder:
     """Relays event streams.
 
@@ -110,9 +99,8 @@
             HttpError: Whether it ran is not known.
             UpstreamError: The stream broke off after its first part was passed on.
         """
-        reply, backup = await self._start(flight)
+        reply = await self._start(flight)
         run = Run(flight, reply)
-        run.keep_backup(backup)
         self._register(run)
         try:
             if reply.answer.status != OK:
@@ -123,30 +111,27 @@
             await exchange.end()
         finally:
             self._unregister(run)
-            run.keep_backup(None)
             run.done = True
+            await self._drop_copy(run)
 
     # -- start -----------------------------------------------------------------------------
 
-    async def _start(self, flight: view.Flight) -> tuple[sender.Reply, Backup | None]:
+    async def _start(self, flight: view.Flight) -> sender.Reply:
         tokens = expected_tokens(flight.request.prompt)
         for _ in range(MAX_REFUSALS):
             candidate = self._choose(flight, tokens)
             if candidate is None:
                 break
             flight.tried.append(candidate.record.server)
-            backup = self._choose_backup(flight, candidate.record)
             try:
-                reply = await self._send(flight, candidate.record, None, backup)
+                reply = await self._send(flight, candidate.record, None)
             except exceptions.UpstreamError as error:
                 flight.reason = str(error)
                 if error.sent:
                     raise refusals.unknown(flight) from error
                 continue
             if not reply.answer.not_run:
-                return reply, backup
-            if backup is not None:
-                backup.use.close()
+                return reply
             flight.reason = f"refused by {candidate.record.server}"
             await self._drop(reply)
             if not self.budgets.take(flight.service.name):
@@ -158,9 +143,8 @@
         flight: view.Flight,
         record: messages.DirectoryRecord,
         resume: dialect.Resume | None,
-        backup: Backup | None,
     ) -> sender.Reply:
-        """Send the request, or its continuation; gives the backup up when that fails."""
+        """Send the request, or its continuation."""
         now = self.core.clock.monotonic()
         sending = dialect.Sending(
             record.server,
@@ -168,35 +152,12 @@
             flight.caller_deadline_at - now,
             flight.route.priority,
             resume,
-            "" if backup is None else backup.record.address,
         )
         prompt = flight.request.prompt
         unread = prompt.tokens if resume is None else 0
-        try:
-            return await self.sender.send(
-                flight, record, sending, flight.deadline_at - now, expected_tokens(prompt), unread
-            )
-        except BaseException:
-            if backup is not None:
-                backup.use.close()
-            raise
-
-    def _choose_backup(
-        self, flight: view.Flight, record: messages.DirectoryRecord
-    ) -> Backup | None:
-        """Return a server to keep a copy of a run, None where that is not worth its memory."""
-        engine = flight.service.engine
-        prompt = flight.request.prompt
-        if engine is None or not engine.backups or expected_answer(prompt) < LASTING_TOKENS:
-            return None
-        tokens = expected_tokens(prompt)
-        wish = balance.Wish(
-            flight.service, tokens, flight.regions(), frozenset({record.server}), BACKUP_LIMIT
+        return await self.sender.send(
+            flight, record, sending, flight.deadline_at - now, expected_tokens(prompt), unread
         )
-        chosen = self.view.choose(wish, self.view.place_of(record))
-        if chosen is None:
-            return None
-        return Backup(chosen.record, view.Use(chosen.state, tokens, requests=0))
 
     def _choose(self, flight: view.Flight, tokens: int) -> balance.Candidate | None:
         wish = balance.Wish(
@@ -222,9 +183,7 @@
 
     async def _pass_failure(self, exchange: http.Exchange, reply: sender.Reply) -> None:
         try:
-            body = await reply.connection.body(
-                http.WRITE_TIMEOUT_S, sender.MAX_ENGINE_ANSWER_BYTES
-            )
+            body = await reply.connection.body(http.WRITE_TIMEOUT_S, sender.MAX_ENGINE_ANSWER_BYTES)
         except BaseException:
             await self.sender.abandon(reply)
             raise
@@ -247,7 +206,7 @@
                 return
             except exceptions.UpstreamError as error:
                 await self.sender.abandon(run.reply)
-                if not run.stopping:
+                if self.view.stays(run.record):
                     self.view.state_of(run.record).note_answer(failed=True)
                 self._unregister(run)
                 await self._go_on(run, error)
@@ -262,60 +221,65 @@
         Raises:
             UpstreamError: It goes on nowhere.
         """
-        handover = await self._find_handover(run)
-        if handover is None:
+        if run.moved is not None:
+            async with curio.ignore_after(HAND_OVER_S):
+                await run.moved.wait()
+        copy = run.copy
+        if copy is None or not self.view.stays(copy.record):
             raise error
-        resume = dialect.Resume(handover.source, handover.handle, run.cutter.last_id)
-        backup = self._choose_backup(run.flight, handover.record)
-        reply = await self._send(run.flight, handover.record, resume, backup)
-        run.keep_backup(backup)
+        resume = dialect.Resume(copy.source, copy.handle, run.cutter.last_id)
+        run.keep_copy(None)
+        reply = await self._send(run.flight, copy.record, resume)
         if reply.answer.status != OK:
             await self._drop(reply)
             raise exceptions.UpstreamError(
                 f"continuation refused with {reply.answer.status}",
                 "resume",
-                handover.record.address,
+                copy.record.address,
                 True,
             )
         self.core.log.info(
             "run_resumed",
             request=run.attempt(),
-            server=handover.record.server,
+            server=copy.record.server,
             before=run.record.server,
             last_event=run.cutter.last_id,
             cause=error,
         )
         run.record = reply.record
         run.reply = reply
-        run.stopping = False
-        run.handover = None
+        run.moved = None
         run.cutter.buffer = b""
 
-    def has_copy(self, run: Run) -> bool:
-        """Return whether the run can go on from a copy when its server ends."""
-        return run.backup is not None and self.view.stays(run.backup)
-
-    async def _find_handover(self, run: Run) -> Handover | None:
-        if run.stopping:
-            async with curio.ignore_after(HAND_OVER_S):
-                return await run.handover.unwrap()
-            return None
-        if not self.has_copy(run):
-            return None
-        # The copy is named by the run's own id, at the server that received it.
-        return Handover(run.backup, run.backup.address, run.attempt())
-
     async def _pass_events(self, exchange: http.Exchange, run: Run) -> None:
         left_s = run.flight.deadline_at - self.core.clock.monotonic()
         async for chunk in run.reply.connection.chunks(left_s):
             whole = run.cutter.feed(chunk)
             if whole:
                 run.reply.use.begun()
+                run.flight.note_event(self.core.clock.monotonic())
                 await exchange.write(whole)
         if run.cutter.buffer:
             # What follows the last event without a blank line still belongs to the answer.
             await exchange.write(run.cutter.buffer)
 
+    def has_copy(self, run: Run) -> bool:
+        """Return whether the run can go on from a copy when its server ends."""
+        return run.copy is not None and self.view.stays(run.copy.record)
+
+    async def _drop_copy(self, run: Run) -> None:
+        """Free the copy of a run that has ended."""
+        copy = run.copy
+        run.keep_copy(None)
+        if copy is None or not self.view.stays(run.record):
+            return
+        call = self.sender.dialect.drop_copy_call(copy.handle)
+        try:
+            await self.sender.call_engine(run.record, call, DROP_TIMEOUT_S)
+        except exceptions.UpstreamError as error:
+            # The server forgets it by itself in a few seconds.
+            self.core.log.info("copy_not_dropped", request=run.attempt(), error=error)
+
     def _register(self, run: Run) -> None:
         self.runs.setdefault(run.record.server, {})[run.attempt()] = run
 
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -90,9 +90,7 @@
         if reply.out_index > self.out_index:
             self.out_index = reply.out_index
             self.out = frozenset(reply.out)
-            self.core.log.info(
-                "data_centres_out", out=" ".join(reply.out), index=reply.out_index
-            )
+            self.core.log.info("data_centres_out", out=" ".join(reply.out), index=reply.out_index)
         self.entry_hosts = max(1, reply.entry_hosts)
         self._take_uses(reply.uses)
         if reply.routing_index > self.routing_index:
@@ -140,9 +138,7 @@
                     self.core.log.error("routing_unreadable", index=reply.index, error=error)
                 case result.Ok(table):
                     self.table = table
-                    self.core.log.info(
-                        "routing_in_force", version=table.version, index=reply.index
-                    )
+                    self.core.log.info("routing_in_force", version=table.version, index=reply.index)
             self.routing_index = reply.index
 
     # -- questions -------------------------------------------------------------------------
@@ -180,8 +176,13 @@
         held = self.directory.held.get(record.server)
         if held is None or held.record.born_ms != record.born_ms:
             return False
-        return not (
-            held.record.gone or held.record.draining or held.record.data_centre in self.out
+        return not (held.record.gone or held.record.draining or held.record.data_centre in self.out)
+
+    def alone(self, record: messages.DirectoryRecord) -> bool:
+        """Return whether no other server of its service is in service in a server's data centre."""
+        return not any(
+            one.record.data_centre == record.data_centre and one.record.server != record.server
+            for one in self.candidates(record.service)
         )
 
     def place_of(self, record: messages.DirectoryRecord) -> balance.Place:
@@ -208,9 +209,7 @@
     def prune(self) -> None:
         """Forget servers that are gone for long."""
         self.directory.prune()
-        known = {
-            (held.record.server, held.record.born_ms) for held in self.directory.held.values()
-        }
+        known = {(held.record.server, held.record.born_ms) for held in self.directory.held.values()}
         for key in [key for key in self.states if key not in known]:
             if not self.states[key].requests:
                 del self.states[key]
@@ -226,9 +225,7 @@
 
     __slots__ = ("state", "tokens", "requests", "unread")
 
-    def __init__(
-        self, state: balance.ServerState, tokens: int, requests: int = 1, unread: int = 0
-    ):
+    def __init__(self, state: balance.ServerState, tokens: int, requests: int = 1, unread: int = 0):
         self.state: balance.ServerState | None = state
         self.tokens = tokens
         self.requests = requests
@@ -261,6 +258,9 @@
         caller_deadline_at: When the caller itself gives up, monotonic seconds.
         tried: Servers that it was sent to.
         reason: Why the last try failed, for the log and the answer.
+        first_at: When the first event of a stream arrived, monotonic seconds.
+        last_at: When the last one arrived.
+        longest_gap_s: Longest time between two.
     """
 
     request: typing.Any
@@ -272,6 +272,17 @@
     caller_deadline_at: float
     tried: list[str] = []
     reason: str = ""
+    first_at: float = 0.0
+    last_at: float = 0.0
+    longest_gap_s: float = 0.0
+
+    def note_event(self, now: float) -> None:
+        """Note that a part of a stream arrived."""
+        if self.first_at:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_at)
+        else:
+            self.first_at = now
+        self.last_at = now
 
     def regions(self) -> frozenset[str]:
         """Return the regions that may serve it; empty for all."""
--- a/src/ebonywheel/membermanager.py
+++ b/src/ebonywheel/membermanager.py
@@ -116,9 +116,7 @@
                 self.core.log.info("member_change_waits", step=name, host=command.host, why=error)
             return
         self.refused = ""
-        self.core.log.info(
-            "member_changed", step=name, host=command.host, member=command.member
-        )
+        self.core.log.info("member_changed", step=name, host=command.host, member=command.member)
 
 
 def _add(info: messages.MemberInfo, voter: bool = False) -> commands.AddMember:
--- a/src/ebonywheel/settings.py
+++ b/src/ebonywheel/settings.py
@@ -80,7 +80,7 @@
         peers: All control hosts that start the cluster, this one included.
         operators: Names of operators and the SHA-256 of each one's token.
         join: True when this host joins a running cluster as a learner.
-        membership: ``automatic`` when control hosts join, vote and are replaced without an operator.
+        membership: ``automatic`` when control hosts join, vote and are replaced by themselves.
         snapshot_entries: Log entries after which a snapshot is taken.
         election_timeout_s: Shortest time without a heartbeat before an election.
         lease_s: Length of an entry host's lease.
--- a/src/ebonywheel/signals.py
+++ b/src/ebonywheel/signals.py
@@ -1,4 +1,4 @@
-"""Turn SIGTERM and SIGINT into a graceful drain, a second one into an end at once, SIGHUP into a reload."""
+"""Signals: SIGTERM and SIGINT drain, a second one ends the process at once, SIGHUP reloads."""
 
 import os
 import signal
