Plan moves from the engine's own report: neighbours first as far as they have room, far ones only in time

Cause: copies between regions carry about 1,750 tokens a second against 16,000 within a data centre (state of both ends read after each copy), queue ahead of near ones on the same link, and those cut off by the end of their server keep up to 11,166 tokens at the destination for seconds. Ruled out: destinations short of slots.

--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -105,7 +105,7 @@
         regions: Regions that may serve it; empty for all.
         avoid: Ids of servers not to choose.
         limit: Highest load, as a share of capacity, that the server may reach.
-        near_weight: How much distance counts, 1 as usual.
+        data_centre: The only data centre to choose from; empty for all.
         lasting: True when the request lasts longer than the notice that servers leave with.
     """
 
@@ -114,7 +114,7 @@
     regions: frozenset[str] = frozenset()
     avoid: frozenset[str] = frozenset()
     limit: float = float("inf")
-    near_weight: float = 1.0
+    data_centre: str = ""
     lasting: bool = False
 
 
@@ -168,7 +168,7 @@
 
     def cost(one: Candidate) -> float:
         failing = FAILURE_WEIGHT * (one.state.failure_rate - best_rate)
-        near = wish.near_weight * distance(one, place)
+        near = distance(one, place)
         alone = ALONE if wish.lasting and one.alone else 0.0
         return load_after(one, wish) + reading_ahead(one, wish) + near + failing + alone
 
@@ -179,6 +179,8 @@
 def _may_take(one: Candidate, wish: Wish, now: float, hosts: int) -> bool:
     if one.record.server in wish.avoid:
         return False
+    if wish.data_centre and one.record.data_centre != wish.data_centre:
+        return False
     if wish.regions and one.region not in wish.regions:
         return False
     return one.state.cold_until <= now or _cold_room(one.state, wish.service, now, hosts)
--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -9,17 +9,17 @@
 import curio
 
 from ebonywheel import exceptions, kernel, messages
-from ebonywheel.gateway import balance, dialect, routes, sender, streaming, view
+from ebonywheel.gateway import balance, dialect, moveplan, routes, sender, streaming, view
 
 # Longest time for one copy: engines that leave give notice of about as much.
 COPY_TIMEOUT_S = 3.0
 REPORT_TIMEOUT_S = 0.5
 MAX_DESTINATIONS = 3
-# A copy within a data centre is faster by a factor than one across, so nearness counts for more
-# here than where a request is placed.
-NEAR_WEIGHT = 3.0
-# Beside its bytes a move takes two calls from a host up to 12 ms away, and what the second copies.
-COPY_OVERHEAD_S = 0.08
+# Load up to which a server takes runs of another one: expected lengths are mostly still to come,
+# and a run that is preempted later is better than one that is lost now.
+MOVE_LIMIT = 1.3
+# Notice that is reckoned with where an engine does not tell it yet.
+NOTICE_S = 1.5
 # How often a run that has not begun is looked at again.
 NOT_BEGUN_PAUSE_S = 0.1
 RETRY_PAUSE_S = 0.05
@@ -51,40 +51,77 @@
     async def _empty(self, server: str) -> None:
         started_at = self.core.clock.monotonic()
         try:
-            runs = self._movable(server)
+            runs = {run.attempt(): run for run in self._movable(server)}
             if not runs:
                 return
-            report = [] if self.view.alone(runs[0].record) else await self._report(runs[0])
-            for delay_s, run in schedule(runs, report):
-                left_s = started_at + delay_s - self.core.clock.monotonic()
+            for step in await self._plan(list(runs.values())):
+                run = runs.get(step.attempt)
+                if run is None:
+                    continue
+                left_s = started_at + step.start_s - self.core.clock.monotonic()
                 if left_s > 0:
                     await curio.sleep(left_s)
                 if not run.done:
-                    await self._move(run)
+                    await self._move(run, step.near)
         finally:
             self.busy.discard(server)
 
+    async def _plan(self, runs: list[streaming.Run]) -> list[moveplan.Step]:
+        first = runs[0]
+        engine = first.flight.service.engine
+        report = await self._report(first)
+        reported = {} if report is None else {run.attempt: run for run in report.runs}
+        for run in runs:
+            # A report lags, so the newest runs may be missing.
+            reported.setdefault(run.attempt(), _as_reported(run))
+        left_s = NOTICE_S
+        if report is not None and report.leaves_s is not None:
+            left_s = report.leaves_s
+        room = self._near_room(first)
+        steps = moveplan.plan(list(reported.values()), engine, room, left_s)
+        self.core.log.info(
+            "moves_planned",
+            server=first.record.server,
+            runs=len(reported),
+            own=len(runs),
+            near=sum(step.near for step in steps),
+            far=sum(not step.near for step in steps),
+            near_room=room,
+            left_ms=int(left_s * 1000),
+        )
+        return steps
+
+    def _near_room(self, run: streaming.Run) -> int:
+        """Return how many tokens fit the server's neighbours."""
+        memory = run.flight.service.engine.memory_tokens
+        room = 0
+        for one in self.view.candidates(run.record.service):
+            if one.record.data_centre == run.record.data_centre:
+                used = one.state.tokens + one.state.other_tokens
+                room += max(0, int(memory * MOVE_LIMIT) - used)
+        return room
+
     def _movable(self, server: str) -> list[streaming.Run]:
         held = self.streams.runs.get(server, {})
         return [run for run in held.values() if _moves(run.flight.service)]
 
-    async def _report(self, run: streaming.Run) -> list[dialect.EngineRun]:
+    async def _report(self, run: streaming.Run) -> dialect.EngineReport | None:
         """Ask the engine for all of its runs, those of other hosts among them."""
         try:
             call = self.dialect.report_call()
             status, body = await self.sender.call_engine(run.record, call, REPORT_TIMEOUT_S)
         except exceptions.UpstreamError as error:
             self.core.log.warning("report_failed", server=run.record.server, error=error)
-            return []
-        report = self.dialect.decode_report(status, body)
-        return [] if report is None else report.runs
+            return None
+        return self.dialect.decode_report(status, body)
 
-    async def _move(self, run: streaming.Run) -> None:
+    async def _move(self, run: streaming.Run, near: bool) -> None:
         avoid = {run.record.server}
         while len(avoid) <= MAX_DESTINATIONS and not run.done:
-            record = self._next_destination(run, avoid)
-            if record is None:
+            candidate = self._destination(run, avoid, near)
+            if candidate is None:
                 break
+            record = candidate.record
             copied = await self._copy(run, record, stop=False)
             if copied.done:
                 await self._hand_over(run, record)
@@ -98,14 +135,6 @@
             await curio.sleep(RETRY_PAUSE_S)
         self.core.log.warning("move_failed", request=run.attempt(), server=run.record.server)
 
-    def _next_destination(
-        self, run: streaming.Run, avoid: set[str]
-    ) -> messages.DirectoryRecord | None:
-        if self.streams.has_copy(run) and run.copy.record.server not in avoid:
-            return run.copy.record
-        candidate = self._destination(run, avoid, streaming.ADMISSION_LIMIT)
-        return None if candidate is None else candidate.record
-
     async def _hand_over(self, run: streaming.Run, record: messages.DirectoryRecord) -> None:
         """Stop a run that has been copied, so that it goes on at its copy."""
         run.moved = curio.Event()
@@ -115,7 +144,7 @@
             await run.moved.set()
 
     def _destination(
-        self, run: streaming.Run, avoid: set[str], limit: float
+        self, run: streaming.Run, avoid: set[str], near: bool
     ) -> balance.Candidate | None:
         flight = run.flight
         wish = balance.Wish(
@@ -123,9 +152,9 @@
             streaming.expected_tokens(flight.request.prompt),
             flight.regions(),
             frozenset(avoid),
-            limit,
-            NEAR_WEIGHT,
+            MOVE_LIMIT,
             lasting=True,
+            data_centre=run.record.data_centre if near else "",
         )
         return self.view.choose(wish, self.view.place_of(run.record))
 
@@ -164,34 +193,9 @@
         return copied
 
 
-def schedule(
-    runs: list[streaming.Run], report: list[dialect.EngineRun]
-) -> list[tuple[float, streaming.Run]]:
-    """Return when to begin moving each run, in seconds from the notice.
-
-    Args:
-        runs: Own runs at the server.
-        report: All runs at the server, as it reports them to every host alike; short copies go
-            first, so that as many runs as possible are moved in time.
-    """
-    own = {run.attempt(): run for run in runs}
-    planned = []
-    delay_s = 0.0
-    for reported in sorted(report, key=lambda each: (each.tokens, each.attempt)):
-        run = own.pop(reported.attempt, None)
-        if run is not None:
-            planned.append((delay_s, run))
-        engine = runs[0].flight.service.engine
-        delay_s += engine.copy_s(reported.tokens) + COPY_OVERHEAD_S
-    # What the report does not show has begun lately, or not at all; without a report, runs that
-    # need little more go first.
-    rest = sorted(own.values(), key=lambda run: (run.copy is None, -_tokens_to_come(run)))
-    return planned + [(delay_s, run) for run in rest]
-
-
-def _tokens_to_come(run: streaming.Run) -> int:
-    """Return how many tokens a run is still expected to make, by events passed on so far."""
-    return streaming.expected_answer(run.flight.request.prompt) - run.cutter.count
+def _as_reported(run: streaming.Run) -> dialect.EngineRun:
+    """Return what the engine will report of a run, as far as this host can tell."""
+    return dialect.EngineRun(run.attempt(), run.flight.request.prompt.tokens, run.cutter.count)
 
 
 def _moves(service: routes.Service) -> bool:
