--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -18,6 +18,11 @@
 
 HOUSEKEEPING_S = 1.0
 DRAIN_POLL_S = 0.05
+# A load balancer that asks every second takes a host out after two misses; what was on its way by
+# then is still served.
+DRAIN_TAKES_S = 2.5
+# Time to come back when another host can serve the request now.
+ELSEWHERE_S = 0.1
 NO_ROUTE = 404
 NO_KEY = 401
 # A body may take as long as a caller's patience; without one, the route's longest time is unknown.
@@ -29,7 +34,7 @@
     """All parts of an entry host that forwards by routing content.
 
     Attributes:
-        active: Requests being handled.
+        draining_since: When this host was asked to end, monotonic seconds; None before.
     """
 
     def __init__(
@@ -50,6 +55,7 @@
         self.mover = moves.Mover(core, self.sender, self.streams)
         entry_view.on_leaving.append(self.mover.start)
         self.watcher = watcher.Watcher(core, entry_view)
+        self.draining_since: float | None = None
         self.http = http.Server(core, address, self.handle, DEFAULT_BODY_BYTES)
         self.http.limits.body_s = BODY_TIMEOUT_S
 
@@ -65,10 +71,16 @@
         return self.view.table is not None and not self.core.draining.is_set()
 
     async def drain(self) -> None:
-        """Wait until all that was read has been answered."""
-        while self.http.busy or self.http.lingering:
+        """Go on for as long as new connections may come, then until all is answered."""
+        self.draining_since = self.core.clock.monotonic()
+        while self._takes_requests() or self.http.busy or self.http.lingering:
             await curio.sleep(DRAIN_POLL_S)
 
+    def _takes_requests(self) -> bool:
+        """Return whether a request that comes now is still served."""
+        since = self.draining_since
+        return since is None or self.core.clock.monotonic() - since < DRAIN_TAKES_S
+
     # -- requests --------------------------------------------------------------------------
 
     async def handle(self, exchange: http.Exchange) -> None:
@@ -132,6 +144,7 @@
         route = table.match(request.host, request.path)
         if route is None:
             raise exceptions.HttpError("no route", "route", request.attempt, NO_ROUTE)
+        self._check_draining(route, request)
         customer = self._customer(table, route, request)
         service = table.services[route.service_for(_draw(request.attempt))]
         patience_s = route.timeout_s if request.patience_s is None else request.patience_s
@@ -145,6 +158,20 @@
             started_at + patience_s,
         )
 
+    def _check_draining(self, route: routes.Route, request: dialect.CallerRequest) -> None:
+        """Refuse what this host may not live to finish; another one takes it at once.
+
+        Raises:
+            NotRunError: The request is not taken.
+        """
+        if self.draining_since is None:
+            return
+        lasting = request.prompt is not None and streaming.is_lasting(request.prompt)
+        if lasting or not self._takes_requests():
+            raise exceptions.NotRunError(
+                "this host ends", "route", request.attempt, 503, ELSEWHERE_S
+            )
+
     def _customer(
         self, table: routes.Table, route: routes.Route, request: dialect.CallerRequest
     ) -> routes.Customer | None:
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -166,7 +166,7 @@
             flight.regions(),
             frozenset(flight.tried),
             ADMISSION_LIMIT,
-            lasting=expected_answer(flight.request.prompt) >= LASTING_TOKENS,
+            lasting=is_lasting(flight.request.prompt),
         )
         chosen = self.view.choose(wish)
         if chosen is None:
@@ -291,6 +291,11 @@
                 del self.runs[run.record.server]
 
 
+def is_lasting(prompt: dialect.Prompt) -> bool:
+    """Return whether a generation is expected to outlast the notice of a server that ends."""
+    return expected_answer(prompt) >= LASTING_TOKENS
+
+
 def expected_answer(prompt: dialect.Prompt) -> int:
     """Return how many tokens a generation is expected to make."""
     answer = prompt.expected_tokens or int(prompt.most_tokens * UNKNOWN_SHARE)
--- a/src/ebonywheel/kernel.py
+++ b/src/ebonywheel/kernel.py
@@ -37,7 +37,7 @@
         self.clock = time_source or clock.SystemClock()
         self.metrics = metrics.Metrics()
         self.plugins = registry.plugins
-        self.log = logs.StateLog(role)
+        self.log = logs.StateLog(role, host.name)
         self.stack = contextlib.AsyncExitStack()
         self.draining = curio.Event()
         self.stopped = curio.Event()
--- /dev/null
+++ b/tests/platformserver.py
@@ -0,0 +1,158 @@
+"""A stand-in for the platform's backend servers, for contract tests: one HTTP server, by thread."""
+
+import http.server
+import json
+import threading
+import time
+
+
+class Received:
+    """One request that the stand-in received."""
+
+    def __init__(self, handler, body):
+        self.method = handler.command
+        self.path = handler.path
+        self.headers = {name.lower(): value for name, value in handler.headers.items()}
+        self.body = body
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Answers as the server's script says."""
+
+    protocol_version = "HTTP/1.1"
+
+    def handle_any(self):
+        body = self.read_body()
+        received = Received(self, body)
+        server = self.server.owner
+        if self.path == "/api/report":
+            self.answer_json(200, server.report())
+        elif self.path == "/api/kv-move":
+            server.moves.append(json.loads(body))
+            self.answer_json(*server.move(json.loads(body)))
+        else:
+            server.received.append(received)
+            self.run(server, received)
+
+    do_GET = do_POST = do_PUT = do_DELETE = handle_any
+
+    def read_body(self):
+        if self.headers.get("Transfer-Encoding") == "chunked":
+            body = b""
+            while size := int(self.rfile.readline(), 16):
+                body += self.rfile.read(size)
+                self.rfile.readline()
+            self.rfile.readline()
+            return body
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def run(self, server, received):
+        if received.headers.get("x-expect-instance") not in (None, server.name):
+            self.answer(421, b"", {"X-Instance-Id": server.name})
+            return
+        server.script(self, received)
+
+    def answer_json(self, status, value):
+        self.answer(status, json.dumps(value).encode(), {"Content-Type": "application/json"})
+
+    def answer(self, status, body, headers=None):
+        attempt = self.headers.get("X-Attempt-Id", "")
+        self.send_response(status)
+        for name, value in {"X-Attempt-Id": attempt, **(headers or {})}.items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def start_stream(self):
+        self.send_response(200)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("X-Response-Stamp", f"stamp-{self.server.owner.name}")
+        self.send_header("X-Attempt-Id", self.headers.get("X-Attempt-Id", ""))
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+
+    def send_chunk(self, data):
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+        self.wfile.flush()
+
+    def break_off(self):
+        self.close_connection = True
+        self.connection.close()
+
+    def log_message(self, format, *args):
+        return
+
+
+def answer_plainly(handler, received):
+    """Answer with the server's stamp and a fixed body."""
+    handler.answer(200, b"the answer", {"X-Response-Stamp": f"stamp-{handler.server.owner.name}"})
+
+
+class Quiet(http.server.ThreadingHTTPServer):
+    """A server that keeps broken connections to itself."""
+
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        return
+
+
+class PlatformServer:
+    """One backend server.
+
+    Attributes:
+        received: Requests that were not for the engine's own interface.
+        moves: Bodies of the calls that copy a run.
+        script: Answers a request; tests put their own in.
+    """
+
+    def __init__(self, name, service, zone):
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.received = []
+        self.moves = []
+        self.script = answer_plainly
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        self.runs = []
+        self.http = Quiet(("127.0.0.1", 0), Handler)
+        self.http.owner = self
+        self.address = f"127.0.0.1:{self.http.server_address[1]}"
+        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+
+    def beat(self, state="ready"):
+        """Return the next report of itself."""
+        self.sequence += 1
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 24,
+            "state": state,
+            "cold-remaining-ms": 0,
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+
+    def report(self):
+        """Return the engine's report."""
+        return {
+            "queued": 0,
+            "running": len(self.runs),
+            "kv-used": 0,
+            "kv-total": 34000,
+            "leaves_ms": 1500,
+            "runs": self.runs,
+        }
+
+    def move(self, body):
+        """Answer a copy."""
+        return 200, {"handle": f"handle-{body['id']}", "made": 0}
+
+    def close(self):
+        """End the server."""
+        self.http.shutdown()
+        self.http.server_close()
--- /dev/null
+++ b/tests/test_moveplan.py
@@ -0,0 +1,47 @@
+"""Plans for emptying a server that ends: whole copies in time."""
+
+from ebonywheel.gateway import dialect, moveplan, routes
+
+# One token takes 0.05 ms within a data centre: 3,000 tokens take 0.15 s.
+ENGINE = routes.Engine(24, 34_000, bytes_per_token=312_500, link_bits_per_s=50e9, moves=True)
+
+
+def runs(*tokens):
+    return [dialect.EngineRun(f"r{n}", count, 10) for n, count in enumerate(tokens)]
+
+
+def plan(*tokens, room=100_000, left_s=1.5):
+    return moveplan.plan(runs(*tokens), ENGINE, room, left_s)
+
+
+class TestNear:
+    def test_copies_follow_one_after_the_other_short_ones_first(self):
+        steps = plan(6_000, 2_000, 4_000)
+        assert [step.attempt for step in steps] == ["r1", "r2", "r0"]
+        starts = [step.start_s for step in steps]
+        assert starts[0] == 0.0
+        assert starts[1] >= 0.1 and starts[2] - starts[1] >= 0.2
+
+    def test_every_host_comes_to_the_same_plan(self):
+        reported = runs(3_000, 3_000, 5_000)
+        there = moveplan.plan(list(reversed(reported)), ENGINE, 9_000, 1.5)
+        assert moveplan.plan(reported, ENGINE, 9_000, 1.5) == there
+
+    def test_more_than_the_neighbours_hold_is_not_begun_there(self):
+        steps = plan(3_000, 3_000, 3_000, room=7_000, left_s=0.5)
+        assert [step.near for step in steps] == [True, True]
+
+
+class TestFar:
+    def test_without_a_neighbour_only_what_arrives_in_time_is_begun(self):
+        """Pattern: a server without a neighbour ends at 1.5 s notice with five runs on it."""
+        steps = plan(2_400, 2_500, 3_000, 3_500, 4_000, room=0, left_s=1.5)
+        assert [(step.attempt, step.near) for step in steps] == [("r0", False)]
+
+    def test_nothing_is_begun_that_cannot_arrive(self):
+        assert plan(4_000, room=0, left_s=1.0) == []
+
+    def test_far_copies_wait_behind_all_near_ones(self):
+        steps = plan(2_000, 9_000, 3_000, room=5_500, left_s=30.0)
+        assert [step.near for step in steps] == [True, True, False]
+        assert steps[2].start_s > steps[1].start_s
--- /dev/null
+++ b/tests/test_platform_names.py
@@ -0,0 +1,33 @@
+"""The platform's names stand only in its adapter: a planted one is found."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "scripts"))
+
+import check_names  # noqa: E402
+
+
+def test_the_source_is_free_of_them():
+    assert check_names.find_faults(check_names.ROOT / "src", check_names.platform_names()) == []
+
+
+def test_a_planted_name_is_found(tmp_path):
+    (tmp_path / "module.py").write_text('HEADER = "X-Attempt-Id"\n')
+    (faults,) = check_names.find_faults(tmp_path, check_names.platform_names())
+    assert "x-attempt-id" in faults
+
+
+def test_an_import_of_the_adapter_is_found(tmp_path):
+    (tmp_path / "module.py").write_text("from ebonywheel_platform import names\n")
+    assert check_names.find_faults(tmp_path, check_names.platform_names())
+
+
+def test_the_adapter_stays_small():
+    lines = [
+        line
+        for path in check_names.ADAPTER.rglob("*.py")
+        for line in path.read_text().splitlines()
+        if line.strip()
+    ]
+    assert len(lines) <= 1500
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -49,7 +49,7 @@
     def start(self, tmp_path, host: Host | None = None) -> Process:
         cluster = Cluster(tmp_path, controls=1, entries=1)
         process = cluster.start_entry(host or cluster.entries[0])
-        wait_for(lambda: "event=started" in process.text(), "the process")
+        wait_for(lambda: '"event":"started"' in process.text(), "the process")
         return process
 
     def test_address_in_use_is_named(self, tmp_path):
@@ -57,7 +57,7 @@
         host = cluster.entries[0]
         first = cluster.start_entry(host)
         try:
-            wait_for(lambda: "event=started" in first.text(), "the process")
+            wait_for(lambda: '"event":"started"' in first.text(), "the process")
             second = cluster.start_entry(host)
             assert second.popen.wait(20) == program.EXIT_BAD_INPUT
             assert host.link in second.text()
@@ -75,6 +75,6 @@
     def test_second_signal_ends_at_once(self, tmp_path, number):
         process = self.start(tmp_path)
         process.signal(number)
-        wait_for(lambda: "event=draining" in process.text(), "the drain")
+        wait_for(lambda: '"event":"draining"' in process.text(), "the drain")
         process.signal(number)
         assert process.popen.wait(2) == 130
--- /dev/null
+++ b/tests/test_routingstate.py
@@ -0,0 +1,58 @@
+"""Routing content in the replicated state: the highest version wins and nothing goes back."""
+
+import itertools
+
+from ebonywheel import commands, messages, registry, state
+
+registry.load_plugins()
+
+
+def machine_after(*issued):
+    machine = state.State(commands.Limits())
+    outcomes = []
+    for index, command in enumerate(issued, start=1):
+        outcomes.append(machine.apply(messages.LogEntry(index, 1, commands.encode(command))))
+    return machine, outcomes
+
+
+def publish(version, content=b"x"):
+    return commands.PublishRouting(version=version, content=content)
+
+
+class TestVersions:
+    def test_every_order_ends_at_the_highest_version(self):
+        for order in itertools.permutations([3, 7, 5]):
+            machine, _ = machine_after(*[publish(v, str(v).encode()) for v in order])
+            assert machine.data.routing.content == b"7"
+
+    def test_an_older_version_is_accepted_and_changes_nothing(self):
+        machine, outcomes = machine_after(publish(5, b"new"), publish(4, b"old"))
+        assert isinstance(outcomes[1], commands.Accepted)
+        assert machine.data.routing.content == b"new"
+        assert machine.data.routing.index == 1
+
+    def test_other_content_under_the_version_in_force_is_not_obeyed(self):
+        machine, _ = machine_after(publish(5, b"first"), publish(5, b"second"))
+        assert machine.data.routing.content == b"first"
+
+    def test_the_first_version_may_be_any_number(self):
+        machine, _ = machine_after(publish(0, b"first"))
+        assert machine.data.routing.content == b"first"
+
+
+class TestServing:
+    def test_taking_out_twice_and_bringing_back(self):
+        out = commands.SetServing(data_centre="puget", out=True)
+        back = commands.SetServing(data_centre="puget", out=False)
+        machine, _ = machine_after(out, out)
+        assert (machine.data.routing.out, machine.data.routing.out_index) == (["puget"], 1)
+        machine, _ = machine_after(out, back)
+        assert (machine.data.routing.out, machine.data.routing.out_index) == ([], 2)
+
+    def test_a_snapshot_keeps_both(self):
+        machine, _ = machine_after(
+            publish(9, b"content"), commands.SetServing(data_centre="puget", out=True)
+        )
+        copy = state.State(commands.Limits())
+        copy.restore(2, 1, machine.snapshot())
+        assert copy.data.routing == machine.data.routing
