--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -104,7 +104,9 @@
         tokens: Memory that the request is expected to need, 0 for plain services.
         regions: Regions that may serve it; empty for all.
         avoid: Ids of servers not to choose.
+        unread: Tokens of the request's own prompt.
         limit: Highest load, as a share of capacity, that the server may reach.
+        unread_limit: Most tokens that may wait to be read at the server, the request's among them.
         data_centre: The only data centre to choose from; empty for all.
         lasting: True when the request lasts longer than the notice that servers leave with.
     """
@@ -114,6 +116,8 @@
     regions: frozenset[str] = frozenset()
     avoid: frozenset[str] = frozenset()
     limit: float = float("inf")
+    unread: int = 0
+    unread_limit: float = float("inf")
     data_centre: str = ""
     lasting: bool = False
 
@@ -183,6 +187,8 @@
         return False
     if wish.regions and one.region not in wish.regions:
         return False
+    if one.state.unread + one.state.other_unread + wish.unread > wish.unread_limit:
+        return False
     return one.state.cold_until <= now or _cold_room(one.state, wish.service, now, hosts)
 
 
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -12,6 +12,8 @@
 UNKNOWN_SHARE = 0.5
 # Shorter generations end within the notice that a leaving server gives.
 LASTING_TOKENS = 64
+# Prompt tokens that an engine reads in a second beside the steps of what runs there.
+READ_TOKENS_PER_S = 7000.0
 MAX_REFUSALS = 3
 OK = 200
 # How long a stopped run waits for its second copy.
@@ -166,6 +168,8 @@
             flight.regions(),
             frozenset(flight.tried),
             ADMISSION_LIMIT,
+            unread=flight.request.prompt.tokens,
+            unread_limit=READ_TOKENS_PER_S * flight.route.target_s,
             lasting=is_lasting(flight.request.prompt),
         )
         chosen = self.view.choose(wish)
--- a/src/ebonywheel/standinplain.py
+++ b/src/ebonywheel/standinplain.py
@@ -86,7 +86,8 @@
         self.runs[booking.slot] += 1
         run = self.runs[booking.slot]
         # Kept in the process's output, so that runs can still be counted after it was killed.
-        self.core.log.info("booked", slot=booking.slot)
+        # Not a log line: none of them may be left out.
+        print(f"booked slot={booking.slot}", flush=True)
         self.busy += 1
         try:
             await curio.sleep(booking.delay_s)
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -114,3 +114,11 @@
     def test_regions_bind(self, regions, expected):
         candidates = [server("near"), server("far", "yakima-a")]
         assert choose(candidates, regions=frozenset(regions)) == expected
+
+    def test_no_generation_queues_behind_more_prompts_than_are_read_in_time(self):
+        """Pattern: a data centre is out, and the engines left cannot read all prompts in time."""
+        queued = server("queued", unread=9_000, other_unread=3_000)
+        free = server("free", "yakima-a", tokens=20_000)
+        wish = {"tokens": 4_000, "unread": 3_000, "unread_limit": 12_600}
+        assert choose([queued, free], **wish) == "free"
+        assert choose([queued], **wish) is None
