--- a/src/ebonywheel/gateway/moveplan.py
+++ b/src/ebonywheel/gateway/moveplan.py
@@ -11,8 +11,9 @@
 
 from ebonywheel.gateway import dialect, routes
 
-# Beside its bytes a move takes two calls from a host up to 12 ms away, and what the second copies.
-OVERHEAD_S = 0.08
+# Beside its bytes a move takes two calls from a host up to 12 ms away, and what the second copies
+# must not wait behind the next run.
+OVERHEAD_S = 0.11
 # Links between data centres carry a tenth of what one within a data centre does.
 FAR_SLOWNESS = 10.0
 
