--- a/src/ebonywheel/gateway/dialect.py
+++ b/src/ebonywheel/gateway/dialect.py
@@ -166,6 +166,9 @@
 class Dialect(typing.Protocol):
     """Translates between the wire and the gateway's types."""
 
+    def attempt_of(self, request: http.Request) -> str:
+        """Return the id of a caller's attempt, empty where it has none."""
+
     def decode_request(self, request: http.Request) -> CallerRequest:
         """Read a caller's request.
 
--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -209,7 +209,9 @@
     ) -> None:
         took_s = self.core.clock.monotonic() - started_at
         if flight is None:
-            self.core.log.info("request", path=exchange.request.path, outcome=outcome)
+            request = self.dialect.attempt_of(exchange.request)
+            path = exchange.request.path
+            self.core.log.info("request", request=request, path=path, outcome=outcome)
             return
         self.core.metrics.observe("request", took_s, route=flight.route.kind)
         self.core.log.info(
@@ -219,6 +221,7 @@
             service=flight.service.name,
             servers=" ".join(flight.tried),
             outcome=outcome,
+            status=flight.status,
             reason=flight.reason,
             first_ms=int(max(0.0, flight.first_at - started_at) * 1000),
             gap_ms=int(flight.longest_gap_s * 1000),
--- a/src/ebonywheel/gateway/moveplan.py
+++ b/src/ebonywheel/gateway/moveplan.py
@@ -24,11 +24,13 @@
     Attributes:
         start_s: When to begin, in seconds from the notice.
         near: True when it goes to a neighbour in the data centre.
+        tokens: Memory that it needs there now.
     """
 
     attempt: str
     start_s: float
     near: bool
+    tokens: int
 
 
 def plan(
@@ -51,13 +53,13 @@
         if run.tokens > near_room:
             far.append(run)
             continue
-        steps.append(Step(run.attempt, at_s, True))
+        steps.append(Step(run.attempt, at_s, True, run.tokens))
         near_room -= run.tokens
         at_s += engine.copy_s(run.tokens) + OVERHEAD_S
     for run in far:
         end_s = at_s + FAR_SLOWNESS * engine.copy_s(run.tokens) + OVERHEAD_S
         if end_s > left_s:
             break
-        steps.append(Step(run.attempt, at_s, False))
+        steps.append(Step(run.attempt, at_s, False, run.tokens))
         at_s = end_s
     return steps
--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -62,7 +62,7 @@
                 if left_s > 0:
                     await curio.sleep(left_s)
                 if not run.done:
-                    await self._move(run, step.near)
+                    await self._move(run, step)
         finally:
             self.busy.discard(server)
 
@@ -115,10 +115,10 @@
             return None
         return self.dialect.decode_report(status, body)
 
-    async def _move(self, run: streaming.Run, near: bool) -> None:
+    async def _move(self, run: streaming.Run, step: moveplan.Step) -> None:
         avoid = {run.record.server}
         while len(avoid) <= MAX_DESTINATIONS and not run.done:
-            candidate = self._destination(run, avoid, near)
+            candidate = self._destination(run, avoid, step)
             if candidate is None:
                 break
             record = candidate.record
@@ -144,17 +144,17 @@
             await run.moved.set()
 
     def _destination(
-        self, run: streaming.Run, avoid: set[str], near: bool
+        self, run: streaming.Run, avoid: set[str], step: moveplan.Step
     ) -> balance.Candidate | None:
         flight = run.flight
         wish = balance.Wish(
             flight.service,
-            streaming.expected_tokens(flight.request.prompt),
+            step.tokens,
             flight.regions(),
             frozenset(avoid),
             MOVE_LIMIT,
             lasting=True,
-            data_centre=run.record.data_centre if near else "",
+            data_centre=run.record.data_centre if step.near else "",
         )
         return self.view.choose(wish, self.view.place_of(run.record))
 
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -67,6 +67,7 @@
                 break
         if held is None:
             raise refusals.not_run(flight)
+        flight.status = held.answer.status
         await _respond(exchange, held)
 
     def _choose(self, flight: view.Flight) -> balance.Candidate | None:
@@ -106,20 +107,25 @@
         try:
             async with curio.timeout_after(left_s):
                 reply = await self.sender.send(flight, candidate.record, sending, left_s)
-                return await self._read(exchange, reply, may_stream)
+                return await self._read(exchange, flight, reply, may_stream)
         except curio.TaskTimeout as error:
             raise exceptions.UpstreamError(
                 "no answer in time", "wait", candidate.record.address, True
             ) from error
 
     async def _read(
-        self, exchange: http.Exchange, reply: sender.Reply, may_stream: bool
+        self,
+        exchange: http.Exchange,
+        flight: view.Flight,
+        reply: sender.Reply,
+        may_stream: bool,
     ) -> Whole | None:
         body = bytearray()
         try:
             async for chunk in reply.connection.chunks(http.WRITE_TIMEOUT_S):
                 body += chunk
                 if may_stream and len(body) > BUFFER_BYTES:
+                    flight.status = reply.answer.status
                     await self._pass_on(exchange, reply, bytes(body))
                     return None
         except BaseException:
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -102,6 +102,7 @@
             UpstreamError: The stream broke off after its first part was passed on.
         """
         reply = await self._start(flight)
+        flight.status = reply.answer.status
         run = Run(flight, reply)
         self._register(run)
         try:
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -258,6 +258,7 @@
         caller_deadline_at: When the caller itself gives up, monotonic seconds.
         tried: Servers that it was sent to.
         reason: Why the last try failed, for the log and the answer.
+        status: Status that the caller was answered with, 0 where the answer broke off.
         first_at: When the first event of a stream arrived, monotonic seconds.
         last_at: When the last one arrived.
         longest_gap_s: Longest time between two.
@@ -272,6 +273,7 @@
     caller_deadline_at: float
     tried: list[str] = []
     reason: str = ""
+    status: int = 0
     first_at: float = 0.0
     last_at: float = 0.0
     longest_gap_s: float = 0.0
--- a/src/ebonywheel/operator.py
+++ b/src/ebonywheel/operator.py
@@ -18,6 +18,7 @@
     documentdiff,
     documents,
     exceptions,
+    explain,
     memberchange,
     program,
     screens,
@@ -29,6 +30,8 @@
 IN_FORCE_POLL_S = 0.1
 # After this long without any, no entry host of the environment is about to join.
 NO_HOST_S = 5.0
+# Actions that ask no control host and need no settings.
+OFFLINE_ACTIONS = ("check", "explain")
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -66,6 +69,9 @@
     quarantine = _changing(actions, "quarantine", "list or release quarantined requests")
     quarantine.add_argument("environment")
     quarantine.add_argument("--release", metavar="FINGERPRINT")
+    explained = actions.add_parser("explain", help="tell what happened to a request, from logs")
+    explained.add_argument("request", help="id of the request")
+    explained.add_argument("logs", nargs="+", help="log files of any processes")
     members = _changing(actions, "members", "list, add or remove control hosts")
     members.add_argument("change", nargs="?", choices=["add", "promote", "remove", "replace"])
     members.add_argument("target", nargs="?", help="http address to add; host name otherwise")
@@ -93,7 +99,7 @@
     async def run(self) -> int:
         """Carry out the action and return the exit code."""
         action = self.parsed.action.replace("-", "_")
-        if action != "check":
+        if action not in OFFLINE_ACTIONS:
             self.client = adminclient.AdminClient(load_settings(self.parsed.settings))
         return await getattr(self, f"_{action}")()
 
@@ -112,6 +118,11 @@
                 print(f"{path}: document is valid")
         return program.EXIT_BAD_INPUT if wrong else program.EXIT_OK
 
+    async def _explain(self) -> int:
+        lines = explain.read_lines(self.parsed.logs)
+        found = explain.explain(self.parsed.request, lines)
+        return self._show(found, screens.explanation)
+
     async def _diff(self) -> int:
         if self.parsed.promote:
             held = await self._environment(self.parsed.source)
--- a/src/ebonywheel/screens.py
+++ b/src/ebonywheel/screens.py
@@ -3,7 +3,7 @@
 import datetime
 import typing
 
-from ebonywheel import commands, documentdiff
+from ebonywheel import commands, documentdiff, explain
 
 Rows = list[list[typing.Any]]
 
@@ -27,6 +27,25 @@
     return type(value).__name__
 
 
+def explanation(value: explain.Explanation) -> str:
+    """Return a request's time line and cause."""
+    rows = []
+    for line in value.lines:
+        rest = {
+            name: held
+            for name, held in line.items()
+            if name not in ("at_ms", "node", "event", "level", "part", "request")
+        }
+        fields = " ".join(f"{name}={held}" for name, held in rest.items())
+        rows.append(f"{_time(line['at_ms'])} {line.get('node', '-')} {line['event']} {fields}")
+    return "\n".join([*rows, f"cause: {value.cause}"])
+
+
+def _time(at_ms: int) -> str:
+    moment = datetime.datetime.fromtimestamp(at_ms / 1000, datetime.UTC)
+    return moment.strftime("%H:%M:%S.%f")[:-3]
+
+
 def difference(entries: list[documentdiff.EntryChange], text: list[str]) -> str:
     """Return what a change of a document does, by entry and as text."""
     if not entries and not text:
