Free copies that were not needed, note servers that answer too late, never start a long answer anew

Read as a newcomer would: a copy was dropped only where its server stayed, which is never when there is one; a long answer that broke off midway could be tried again behind its first part (test added); unused pieces removed, one copy of the line about a changed server.

--- a/src/ebonywheel/directory.py
+++ b/src/ebonywheel/directory.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ebonywheel import clock, messages
+from ebonywheel import clock, logs, messages
 
 # A record that was neither renewed nor asked for so long is of no use to anyone.
 FORGET_S = 60.0
@@ -110,6 +110,21 @@
         return max(0, int((self.clock.monotonic() - held.received_at) * 1000))
 
 
+def log_change(log: logs.StateLog, record: messages.DirectoryRecord) -> None:
+    """Log what a host now believes of a backend server."""
+    log.info(
+        "server_changed",
+        server=record.server,
+        service=record.service,
+        address=record.address,
+        gone=record.gone,
+        draining=record.draining,
+        born_ms=record.born_ms,
+        sequence=record.sequence,
+        age_ms=record.age_ms,
+    )
+
+
 def _is_newer(record: messages.DirectoryRecord, other: messages.DirectoryRecord) -> bool:
     return _order(record) > _order(other)
 
--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -177,7 +177,7 @@
         finally:
             now = self.core.clock.monotonic()
             if copied.done and not run.done:
-                run.keep_copy(streaming.Copy(record, source.address, copied.handle, room, now))
+                run.keep_copy(streaming.Copy(record, source.address, copied.handle, room))
             else:
                 room.close()
         self.core.log.info(
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -12,7 +12,6 @@
 MAX_REFUSALS = 3
 # Share of the time left that the first of two tries may take.
 FIRST_TRY_SHARE = 0.5
-SERVER_ERROR = 500
 
 
 class Whole(msgspec.Struct):
@@ -37,6 +36,7 @@
         Raises:
             NotRunError: It did not run and never will.
             HttpError: Whether it ran is not known.
+            UpstreamError: A long answer broke off after a part of it was passed on.
         """
         held: Whole | None = None
         refused = 0
@@ -49,6 +49,8 @@
                 whole = await self._try(exchange, flight, candidate, held is None)
             except exceptions.UpstreamError as error:
                 flight.reason = str(error)
+                if exchange.started:
+                    raise
                 if error.sent and not self._may_run_again(flight):
                     if held is not None:
                         break
@@ -63,7 +65,7 @@
                     continue
                 break
             held = whole
-            if whole.answer.status < SERVER_ERROR or not self._may_run_again(flight):
+            if whole.answer.status < sender.SERVER_ERROR or not self._may_run_again(flight):
                 break
         if held is None:
             raise refusals.not_run(flight)
@@ -109,6 +111,7 @@
                 reply = await self.sender.send(flight, candidate.record, sending, left_s)
                 return await self._read(exchange, flight, reply, may_stream)
         except curio.TaskTimeout as error:
+            self.view.state_of(candidate.record).note_answer(failed=True)
             raise exceptions.UpstreamError(
                 "no answer in time", "wait", candidate.record.address, True
             ) from error
@@ -131,7 +134,7 @@
         except BaseException:
             await self.sender.abandon(reply)
             raise
-        reply_failed = reply.answer.status >= SERVER_ERROR and not reply.answer.not_run
+        reply_failed = reply.answer.status >= sender.SERVER_ERROR and not reply.answer.not_run
         self.view.state_of(reply.record).note_answer(reply_failed)
         await self.sender.finish(reply)
         return Whole(reply.answer, bytes(body))
--- a/src/ebonywheel/gateway/pool.py
+++ b/src/ebonywheel/gateway/pool.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ebonywheel import clock, exceptions, httpclient, messages
+from ebonywheel import clock, httpclient, messages
 
 CONNECT_TIMEOUT_S = 1.0
 # A server closes an idle connection at the time it states in whole seconds; a request must not
@@ -87,8 +87,3 @@
 
 def _key(record: messages.DirectoryRecord) -> tuple[str, int]:
     return (record.server, record.born_ms)
-
-
-def failed(text: str, step: str, record: messages.DirectoryRecord) -> exceptions.UpstreamError:
-    """Return the error of an exchange whose request left."""
-    return exceptions.UpstreamError(text, step, record.address, True)
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -10,6 +10,10 @@
 # mean that the connection is not to be trusted.
 MAX_STRAY_ANSWERS = 2
 WRITE_TIMEOUT_S = 5.0
+# Reports and copies answer with a few kilobytes.
+MAX_ENGINE_ANSWER_BYTES = 256 * 1024
+# Least status of an answer that counts as the server's failure.
+SERVER_ERROR = 500
 
 
 class Reply(msgspec.Struct):
@@ -136,6 +140,3 @@
             raise
         await self.pool.release(record, connection, self.dialect.decode_answer(head).keep_s)
         return head.status, body
-
-
-MAX_ENGINE_ANSWER_BYTES = 256 * 1024
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -22,19 +22,17 @@
 
 
 class Copy(msgspec.Struct):
-    """A copy of a run at another server, up to date as of `made_at`.
+    """A copy of a run at another server.
 
     Attributes:
         source: Address of the server that made it, which names it together with the handle.
         use: The memory that it takes at its server.
-        made_at: Monotonic seconds.
     """
 
     record: messages.DirectoryRecord
     source: str
     handle: str
     use: view.Use
-    made_at: float
 
 
 class Run:
@@ -49,15 +47,7 @@
         moved: Set once the run has been stopped for a move, or could not be; None without one.
     """
 
-    __slots__ = (
-        "flight",
-        "record",
-        "reply",
-        "cutter",
-        "done",
-        "copy",
-        "moved",
-    )
+    __slots__ = ("flight", "record", "reply", "cutter", "done", "copy", "moved")
 
     def __init__(self, flight: view.Flight, reply: sender.Reply):
         self.flight = flight
@@ -113,9 +103,15 @@
             await self._relay(exchange, run)
             await exchange.end()
         finally:
-            self._unregister(run)
-            run.done = True
-            await self._drop_copy(run)
+            await self._close(run)
+
+    async def _close(self, run: Run) -> None:
+        self._unregister(run)
+        run.done = True
+        copy = run.copy
+        run.keep_copy(None)
+        if copy is not None:
+            await self.core.spawn(self._drop_copy(run.attempt(), run.record, copy))
 
     # -- start -----------------------------------------------------------------------------
 
@@ -192,7 +188,7 @@
         except BaseException:
             await self.sender.abandon(reply)
             raise
-        self.view.state_of(reply.record).note_answer(reply.answer.status >= 500)
+        self.view.state_of(reply.record).note_answer(reply.answer.status >= sender.SERVER_ERROR)
         await self.sender.finish(reply)
         fields = [*reply.answer.headers, ("content-length", str(len(body)))]
         await exchange.respond_raw(reply.answer.status, fields, body)
@@ -268,22 +264,14 @@
             # What follows the last event without a blank line still belongs to the answer.
             await exchange.write(run.cutter.buffer)
 
-    def has_copy(self, run: Run) -> bool:
-        """Return whether the run can go on from a copy when its server ends."""
-        return run.copy is not None and self.view.stays(run.copy.record)
-
-    async def _drop_copy(self, run: Run) -> None:
-        """Free the copy of a run that has ended."""
-        copy = run.copy
-        run.keep_copy(None)
-        if copy is None or not self.view.stays(run.record):
-            return
+    async def _drop_copy(self, attempt: str, record: messages.DirectoryRecord, copy: Copy) -> None:
+        """Free the copy of a run that ended at its server before it was needed."""
         call = self.sender.dialect.drop_copy_call(copy.handle)
         try:
-            await self.sender.call_engine(run.record, call, DROP_TIMEOUT_S)
+            await self.sender.call_engine(record, call, DROP_TIMEOUT_S)
         except exceptions.UpstreamError as error:
-            # The server forgets it by itself in a few seconds.
-            self.core.log.info("copy_not_dropped", request=run.attempt(), error=error)
+            # The server that holds it forgets it by itself in a few seconds.
+            self.core.log.info("copy_not_dropped", request=attempt, error=error)
 
     def _register(self, run: Run) -> None:
         self.runs.setdefault(run.record.server, {})[run.attempt()] = run
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -13,7 +13,7 @@
 
 DecodeTable = typing.Callable[[bytes], result.Result[routes.Table, exceptions.DocumentError]]
 FETCH_TIMEOUT_S = 2.0
-# A server that came back under the id of another one starts without its past.
+# Id and start of a server: one that comes back under its id starts without its past.
 _Key = tuple[str, int]
 
 
@@ -111,17 +111,7 @@
         state = self.state_of(record)
         now = self.core.clock.monotonic()
         state.cold_until = now + max(0, record.cold_ms - record.age_ms) / 1000
-        self.core.log.info(
-            "server_changed",
-            server=record.server,
-            service=record.service,
-            address=record.address,
-            gone=record.gone,
-            draining=record.draining,
-            born_ms=record.born_ms,
-            sequence=record.sequence,
-            age_ms=record.age_ms,
-        )
+        directory.log_change(self.core.log, record)
         if record.gone or record.draining:
             for call in self.on_leaving:
                 await call(record.server)
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -51,7 +51,7 @@
     async def observe(self, record: messages.DirectoryRecord, direct: bool) -> None:
         """Take in a record from a backend server or another control host."""
         if self.directory.observe(record, direct):
-            self.log_server(record)
+            directory.log_change(self.core.log, record)
             if direct:
                 await self.wake()
 
@@ -61,20 +61,6 @@
             self.core.log.info("server_left", server=server)
             await self.wake()
 
-    def log_server(self, record: messages.DirectoryRecord) -> None:
-        """Log what changed about a backend server."""
-        self.core.log.info(
-            "server_changed",
-            server=record.server,
-            service=record.service,
-            address=record.address,
-            gone=record.gone,
-            draining=record.draining,
-            born_ms=record.born_ms,
-            sequence=record.sequence,
-            age_ms=record.age_ms,
-        )
-
     async def wake(self) -> None:
         """End the wait of all watches."""
         self.news += 1
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -372,3 +372,29 @@
         assert entry.process.wait(timeout=platformsystem.WAIT_S) == 0
         entry.start()
         platformsystem.wait_for(lambda: serving.ready() == 200, "the new process")
+
+
+class TestLongAnswers:
+    def test_a_long_answer_that_breaks_off_is_not_started_anew(self, serving, servers):
+        first, second = servers(), servers(zone="yakima-a")
+
+        def cut(handler, received):
+            handler.send_response(200)
+            handler.send_header("X-Response-Stamp", "s")
+            handler.send_header("Content-Length", str(1_000_000))
+            handler.end_headers()
+            handler.wfile.write(b"x" * 600_000)
+            handler.break_off()
+
+        first.script = second.script = cut
+        connection = serving.open("GET", "/look/1")
+        answer = connection.getresponse()
+        with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+            answer.read()
+        assert len(first.received) + len(second.received) == 1
+
+    def test_a_long_answer_arrives_whole(self, serving, servers):
+        server = servers()
+        body = bytes(range(256)) * 4_000
+        server.script = lambda handler, _: handler.answer(200, body, {"X-Response-Stamp": "s"})
+        assert serving.request("GET", "/look/1").content == body
