--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -75,12 +75,17 @@
     }
 
 
+def own_block():
+    """Return the first two numbers of loopback addresses that no other run beside this one uses."""
+    return f"127.{1 + os.getpid() % 254}"
+
+
 class Node:
     """One process."""
 
-    def __init__(self, folder, role, number, zone):
+    def __init__(self, folder, role, number, zone, block="127.0"):
         self.role = role
-        self.ip = f"127.0.{1 if role == 'control' else 2}.{number}"
+        self.ip = f"{block}.{1 if role == 'control' else 2}.{number}"
         self.name = f"{role}-{number}"
         self.folder = folder / self.name
         self.folder.mkdir()
@@ -143,9 +148,10 @@
 
     def __init__(self, folder, entries=1):
         zones = list(ZONES)
+        block = own_block()
         self.folder = folder
-        self.controls = [Node(folder, "control", n + 1, zones[n]) for n in range(3)]
-        self.entries = [Node(folder, "entry", n + 1, zones[n]) for n in range(entries)]
+        self.controls = [Node(folder, "control", n + 1, zones[n], block) for n in range(3)]
+        self.entries = [Node(folder, "entry", n + 1, zones[n], block) for n in range(entries)]
         self.seeds = [f"{node.ip}:{CONTROL}" for node in self.controls]
         self.attempts = itertools.count(1)
         for node in self.controls + self.entries:
