--- a/src/ebonywheel/gateway/moveplan.py
+++ b/src/ebonywheel/gateway/moveplan.py
@@ -1,10 +1,10 @@
 """Which runs to copy off a server that ends, where, and when. Needs no network.
 
-Copies from one server go out one after the other. Those to a neighbour in its data centre take a
-quarter of a second; between regions one takes about as long as the whole notice, and holds up all
-that wait behind it. So neighbours come first as far as they have room, short runs before long ones,
-and only what can arrive in time is begun at all: a part of a copy is worth nothing and keeps its
-memory for seconds.
+Copies from one server go out one after the other. Those to a neighbour, another server in its data
+centre, take a quarter of a second; between regions one takes about as long as the whole notice, and
+holds up all that wait behind it. So neighbours come first as far as they have room, short runs
+before long ones, and only what can arrive in time is begun at all: a part of a copy is worth
+nothing and keeps its memory for seconds.
 """
 
 import msgspec
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -43,6 +43,7 @@
         record: The server that runs it now.
         reply: Its open answer.
         cutter: Cuts its events; knows the last one passed on.
+        done: True once the caller has its answer, or never will.
         copy: The last copy made of the run, None when there is none.
         moved: Set once the run has been stopped for a move, or could not be; None without one.
     """
