Never tell a lookup that may have run that it did not; remove what was written twice or not used

Found on reading the change: an idempotent request whose only server broke off was answered 503, which promises that it did not run.

--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -39,6 +39,7 @@
             UpstreamError: A long answer broke off after a part of it was passed on.
         """
         held: Whole | None = None
+        may_have_run = False
         refused = 0
         while True:
             candidate = self._choose(flight)
@@ -51,6 +52,7 @@
                 flight.reason = str(error)
                 if exchange.started:
                     raise
+                may_have_run = may_have_run or error.sent
                 if error.sent and not self._may_run_again(flight):
                     if held is not None:
                         break
@@ -67,6 +69,8 @@
             held = whole
             if whole.answer.status < sender.SERVER_ERROR or not self._may_run_again(flight):
                 break
+        if held is None and may_have_run:
+            raise refusals.unknown(flight)
         if held is None:
             raise refusals.not_run(flight)
         flight.status = held.answer.status
--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -29,13 +29,11 @@
         sent: True once any byte of the current request may have left.
         ends_by_close: True to take the end of the connection as the end of an answer that has
             neither a length nor chunks.
-        last_used: When the last exchange ended, on the owner's clock.
     """
 
     def __init__(self, address: str, ends_by_close: bool = False):
         self.address = address
         self.ends_by_close = ends_by_close
-        self.last_used = 0.0
         self.sock: curio.io.Socket | None = None
         self.conn = h11.Connection(h11.CLIENT)
         self.sent = False
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -8,13 +8,14 @@
 import signal
 import subprocess
 import sys
-import time
+
+import cluster
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PROGRAM = ROOT / "platform" / "run.py"
 FRONT, READY, CONTROL, INTERNAL = 18740, 18749, 18748, 17200
 ZONES = {"puget-a": "puget", "yakima-a": "yakima", "willamette-a": "willamette"}
-WAIT_S = 20.0
+WAIT_S = cluster.WAIT_S
 
 ENGINE = {
     "slots": 24,
@@ -27,15 +28,7 @@
 }
 
 
-def wait_for(check, what):
-    """Wait until a check returns something true, and return that."""
-    end = time.monotonic() + WAIT_S
-    while time.monotonic() < end:
-        found = check()
-        if found:
-            return found
-        time.sleep(0.05)
-    raise AssertionError(f"timed out waiting for {what}")
+wait_for = cluster.wait_for
 
 
 def route(name, prefix, kind="unsafe", service="book", **more):
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -160,6 +160,12 @@
         assert serving.request("POST", "/book/1").status == 502
         assert len(first.received) + len(second.received) == 1
 
+    def test_a_lookup_that_may_have_run_is_never_told_not_run(self, serving, servers):
+        server = servers()
+        server.script = lambda handler, _: handler.break_off()
+        assert serving.request("GET", "/look/1").status == 502
+        assert len(server.received) == 1
+
     def test_a_refusal_of_every_server_is_passed_on_as_not_run(self, serving, servers):
         server = servers()
         server.script = lambda handler, _: handler.answer(503, b"", {"X-Not-Executed": "1"})
