Do not take a late answer of another request for the end of the connection

Cause: where an answer that belongs to no request arrives alone, the awaited one comes in a later read. After skipping the first, the parser was given the empty rest, which tells it that the connection has ended; the caller got 502 "can't handle event type ConnectionClosed". Ruled out: load (the unit test fails each time in the case "apart" and passes in the two others). Change: empty data is not passed to the parser. tests/test_httpclient.py failed first.

--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -161,7 +161,9 @@
         # The request has left already; this only brings the parser to where it was.
         self.conn.send(self.head)
         self.conn.send(h11.EndOfMessage())
-        self.conn.receive_data(following)
+        if following:
+            # Empty data would tell the parser that the connection has ended.
+            self.conn.receive_data(following)
 
     def reusable(self) -> bool:
         """Return whether the last exchange ended whole, so that another may follow."""
