Give up a copy that is complete only after its run has ended; contract tests for all engine calls

Cause: a run may end while it is being copied. The copy was then forgotten here, but kept its memory and a slot at its destination for five seconds and more. Seen by the new contract test of the call that gives up a copy, which failed first. Ruled out: copies made before the end (given up already, by the same call). Change: such a copy is given up as soon as it is complete. Contract tests cover the rest of the engines' calls: those that the system has no use for are not made, and no caller reaches them.

--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -243,10 +243,13 @@
             self.core.log.warning("copy_failed", request=run.attempt(), error=error)
         finally:
             now = self.core.clock.monotonic()
+            copy = streaming.Copy(record, source.address, copied.handle, room)
             if copied.done and not run.done:
-                run.keep_copy(streaming.Copy(record, source.address, copied.handle, room))
+                run.keep_copy(copy)
             else:
                 room.close()
+        if copied.done and run.done:
+            await self.streams.drop_copy(run.attempt(), source, copy)
         self.core.log.info(
             "run_copied",
             request=run.attempt(),
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -125,7 +125,7 @@
         copy = run.copy
         run.keep_copy(None)
         if copy is not None:
-            await self.core.spawn(self._drop_copy(run.attempt(), run.record, copy))
+            await self.core.spawn(self.drop_copy(run.attempt(), run.record, copy))
 
     # -- start -----------------------------------------------------------------------------
 
@@ -278,7 +278,7 @@
             # What follows the last event without a blank line still belongs to the answer.
             await exchange.write(run.cutter.buffer)
 
-    async def _drop_copy(self, attempt: str, record: messages.DirectoryRecord, copy: Copy) -> None:
+    async def drop_copy(self, attempt: str, record: messages.DirectoryRecord, copy: Copy) -> None:
         """Free the copy of a run that ended at its server before it was needed."""
         call = self.sender.dialect.drop_copy_call(copy.handle)
         try:
--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -5,6 +5,24 @@
 import threading
 import time
 
+# What the calls that the system has no use for answer, by the last part of their path.
+UNUSED_ANSWERS = {
+    "kv-events": {"epoch": 1, "next": 1, "lost": False, "events": []},
+    "kv-list": {"epoch": 1, "next": 1, "held": []},
+    "hold-take": {"hold": "hold-1"},
+}
+ENGINE_CALLS = {"report", "kv-move", "kv-handle", "kv-pin", "hold-drop", *UNUSED_ANSWERS}
+
+
+def engine_call(path):
+    """Return the name of the engine's own call that a path means, "healthz" too, or None."""
+    parts = path.partition("?")[0].strip("/").split("/")
+    if parts == ["healthz"]:
+        return "healthz"
+    if parts[0] == "api" and len(parts) > 1 and parts[1] in ENGINE_CALLS:
+        return parts[1]
+    return None
+
 
 class Received:
     """One request that the stand-in received."""
@@ -25,14 +43,22 @@
         body = self.read_body()
         received = Received(self, body)
         server = self.server.owner
-        if self.path == "/api/report":
+        name = engine_call(self.path)
+        if name is None:
+            server.received.append(received)
+            self.run(server, received)
+            return
+        server.engine_calls.append(f"{self.command} {name}")
+        if name == "report":
             self.answer_json(200, server.report())
-        elif self.path == "/api/kv-move":
+        elif name == "kv-move":
             server.moves.append(json.loads(body))
             self.answer_json(*server.move(json.loads(body)))
+        elif name == "kv-handle":
+            server.dropped.append(self.path.rsplit("/", 1)[-1])
+            self.answer_json(200, {})
         else:
-            server.received.append(received)
-            self.run(server, received)
+            self.answer_json(200, UNUSED_ANSWERS.get(name, {}))
 
     do_GET = do_POST = do_PUT = do_DELETE = handle_any
 
@@ -104,6 +130,8 @@
     Attributes:
         received: Requests that were not for the engine's own interface.
         moves: Bodies of the calls that copy a run.
+        dropped: Handles of the copies that were given up.
+        engine_calls: Method and name of each call to the engine's own interface.
         script: Answers a request; tests put their own in.
     """
 
@@ -113,6 +141,8 @@
         self.zone = zone
         self.received = []
         self.moves = []
+        self.dropped = []
+        self.engine_calls = []
         self.script = answer_plainly
         self.sequence = 0
         self.born = int(time.time() * 1000)
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -344,6 +344,65 @@
         ]
         assert other.received[0].headers["kv-from"] == f"{used.address}/h2"
 
+    def test_the_copy_of_a_run_that_ends_before_it_is_needed_is_given_up(self, serving, servers):
+        source, neighbour = servers("plan"), servers("plan")
+        copied = threading.Event()
+
+        def script(handler, received):
+            handler.start_stream()
+            send_events(handler, 1, 1)
+            copied.wait(10)
+            send_events(handler, 2, 2)
+            handler.send_chunk(b"")
+
+        def move(body):
+            copied.set()
+            return 200, {"handle": "h3", "made": 1}
+
+        for server in (source, neighbour):
+            server.script, server.move = script, move
+        answer = serving.open("POST", "/plan/1", headers=PLAN_HEADERS).getresponse()
+        answer.read(1)
+        used = source if source.received else neighbour
+        serving.announce(used, "draining")
+        assert answer.read().count(b"id:") == 1
+        platformsystem.wait_for(lambda: used.dropped == ["h3"], "the copy to be given up")
+        assert used.engine_calls == ["GET report", "POST kv-move", "DELETE kv-handle"]
+
+    def test_engines_are_not_asked_for_what_is_not_used(self, serving, servers):
+        """Lists, events, pins, holds and health checks cost the engine time or room."""
+        server, other = servers("plan"), servers()
+
+        def script(handler, received):
+            handler.start_stream()
+            send_events(handler, 1, 2)
+            handler.send_chunk(b"")
+
+        server.script = script
+        answer = serving.request("POST", "/plan/1", headers=PLAN_HEADERS)
+        assert (answer.status, answer.content.count(b"id:")) == (200, 2)
+        assert serving.request("POST", "/book/1").status == 200
+        assert server.engine_calls == other.engine_calls == []
+
+    @pytest.mark.parametrize(
+        ("method", "path"),
+        [
+            ("GET", "/api/report"),
+            ("GET", "/api/kv-events?since=0"),
+            ("GET", "/api/kv-list"),
+            ("DELETE", "/api/kv-handle/h"),
+            ("DELETE", "/api/kv-pin/p"),
+            ("POST", "/api/hold-take"),
+            ("DELETE", "/api/hold-drop/h"),
+            ("POST", "/api/kv-move"),
+            ("GET", "/healthz"),
+        ],
+    )
+    def test_callers_do_not_reach_an_engines_own_interface(self, serving, servers, method, path):
+        server = servers("plan")
+        assert serving.request(method, path).status == 404
+        assert server.engine_calls == []
+
 
 class TestServers:
     def test_a_report_that_cannot_be_read_names_no_server(self, serving, servers):
