Try a link anew before the kernel does, so that entry hosts route sooner after a loss of power

They are up some tenths of a second before the control hosts, their opening packets are lost, and the kernel sends them again after 1 s; the link waited 2 s for a connection. Ruled out: elections (control hosts answer from the saved commit index before there is a leader), the size of the content (fetched in 15 to 120 ms). Change: 0.3 s for a connection, 0.1 s until a watch is tried again. tests/test_link.py failed first.

--- a/src/ebonywheel/link.py
+++ b/src/ebonywheel/link.py
@@ -15,7 +15,9 @@
 
 from ebonywheel import codec, exceptions, frames, kernel, messages, settings, sockets
 
-CONNECT_TIMEOUT_S = 2.0
+# An opening packet that a host without power has lost is sent again by the kernel after 1 s; a new
+# attempt comes sooner. Round trips take up to 24 ms.
+CONNECT_TIMEOUT_S = 0.3
 HANDSHAKE_TIMEOUT_S = 2.0
 DEFAULT_CALL_TIMEOUT_S = 2.0
 IDLE_TIMEOUT_S = 300.0
--- a/src/ebonywheel/watcher.py
+++ b/src/ebonywheel/watcher.py
@@ -10,7 +10,8 @@
 WAIT_MS = 500
 # Beyond the wait: two one-way delays of 12 ms and a busy control host.
 ANSWER_S = 1.0
-RETRY_S = 0.3
+# After a whole loss of power the control hosts are back some tenths of a second after others.
+RETRY_S = 0.1
 # How long a control host that is no longer a member is still asked.
 FORGET_S = 20.0
 
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,5 +1,8 @@
 """Links between processes: handshakes, malformed frames, peers that die, freeze or lie."""
 
+import contextlib
+import socket
+
 import curio
 import msgspec
 import pytest
@@ -70,6 +73,36 @@
         run(scenario)
 
 
+class TestConnect:
+    def test_a_host_that_takes_no_connection_is_soon_tried_anew(self):
+        """Pattern: after a loss of power the peer is back just after its opening packet was lost.
+
+        The kernel would send it again after 1 s.
+        """
+
+        async def scenario(core):
+            with socket.socket() as listener, contextlib.ExitStack() as waiting:
+                listener.bind(("127.0.0.1", 0))
+                listener.listen(0)
+                fill_queue(listener, waiting)
+                address = f"127.0.0.1:{listener.getsockname()[1]}"
+                own = make_core("right", core.secret)
+                async with own:
+                    with pytest.raises(exceptions.LinkTimeout) as raised:
+                        await link.Link(own, "entry:left", address).call(QUESTION, 0.9)
+            assert raised.value.step == "connect"
+
+        run(scenario)
+
+
+def fill_queue(listener, waiting):
+    """Open connections that nobody accepts until the kernel drops further ones."""
+    for _ in range(3):
+        client = waiting.enter_context(socket.socket())
+        client.setblocking(False)
+        client.connect_ex(listener.getsockname())
+
+
 class TestHandshake:
     @pytest.mark.parametrize(
         "data",
