Log where each stream goes; explain streams whose host ended and callers that waited in vain

Change: one line for each choice of a server for a stream, with its inputs and their age; `explain` tells of a host that started anew and of a server that had sent nothing. Tests failed first.

--- a/src/ebonywheel/explain.py
+++ b/src/ebonywheel/explain.py
@@ -9,6 +9,7 @@
 from ebonywheel import exceptions
 
 REQUEST_EVENT = "request"
+START_EVENT = "started"
 # Changes of servers and routing count as context this long before the request began.
 CONTEXT_MS = 10_000
 MOVE_EVENTS = ("run_copied", "run_resumed", "move_failed", "copy_failed")
@@ -77,7 +78,7 @@
     own = [line for line in held if line.get("request") == request]
     ends = [line for line in own if line.get("event") == REQUEST_EVENT]
     if not ends:
-        return Explanation(request, _missing(held, own), own)
+        return Explanation(request, _why_missing(held, own), own)
     end = ends[-1]
     context = [line for line in held if _is_context(line, end, own)]
     # Clocks of hosts may differ, so order is by host first, the one that took the request last.
@@ -87,11 +88,17 @@
     return Explanation(request, _cause(end, own, context), ordered)
 
 
-def _missing(held: list[Line], own: list[Line]) -> str:
-    if own:
-        return "its last line is missing: the process ended before, or the line was left out"
-    left_out = sum(line.get("left_out", 0) for line in held)
-    return f"no line names the request; {left_out} lines were left out in these logs"
+def _why_missing(held: list[Line], own: list[Line]) -> str:
+    if not own:
+        left_out = sum(line.get("left_out", 0) for line in held)
+        return f"no line names the request; {left_out} lines were left out in these logs"
+    last = own[-1]
+    for line in held:
+        anew = line.get("event") == START_EVENT and line["at_ms"] > last["at_ms"]
+        if anew and line.get("node") == last.get("node"):
+            servers = " ".join(sorted(_servers(own)))
+            return f"host {last['node']} ended while it relayed the answer of {servers}"
+    return "its last line is missing: the process ended before, or the line was left out"
 
 
 def _is_context(line: Line, end: Line, own: list[Line]) -> bool:
@@ -117,6 +124,9 @@
         return _why_broken(own, context)
     if outcome == "answered":
         return _why_answered(end)
+    if outcome == "caller left" and end.get("servers") and not end.get("first_ms"):
+        waited = f"its caller left after {end.get('took_ms', 0)} ms"
+        return f"{waited}; server {end['servers']} had sent nothing"
     for beginning, text in CAUSES:
         if outcome.startswith(beginning):
             return text
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -136,6 +136,7 @@
             if candidate is None:
                 break
             flight.tried.append(candidate.record.server)
+            self._log_choice(flight, candidate, tokens)
             try:
                 reply = await self._send(flight, candidate.record, None)
             except exceptions.UpstreamError as error:
@@ -188,6 +189,20 @@
             flight.reason = flight.reason or "no server with room"
         return chosen
 
+    def _log_choice(self, flight: view.Flight, candidate: balance.Candidate, tokens: int) -> None:
+        """Log where a stream goes; its host may not live to log how it ended."""
+        state = candidate.state
+        self.core.log.info(
+            "server_chosen",
+            request=flight.request.attempt,
+            server=candidate.record.server,
+            tokens=tokens,
+            own_tokens=state.tokens,
+            other_tokens=state.other_tokens,
+            unread=state.unread + state.other_unread,
+            report_age_ms=int(candidate.age_s * 1000),
+        )
+
     async def _drop(self, reply: sender.Reply) -> None:
         try:
             await reply.connection.body(http.WRITE_TIMEOUT_S, sender.MAX_ENGINE_ANSWER_BYTES)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -62,6 +62,11 @@
     def test_a_stream_whose_server_died_without_a_word(self):
         assert "without having told" in cause(request("broken: closed", servers="s1"))
 
+    def test_a_caller_that_left_without_a_first_event(self):
+        told = cause(request("caller left", servers="s1", first_ms=0))
+        assert "s1 had sent nothing" in told and "2000 ms" in told
+        assert "nothing" not in cause(request("caller left", servers="s1", first_ms=300))
+
     def test_what_concerns_other_servers_is_left_out(self):
         found = explain.explain(
             "r1",
@@ -78,6 +83,12 @@
         told = cause(line("request", 1, request="r2", outcome="answered", left_out=9))
         assert "no line names" in told and "9 lines" in told
 
+    def test_a_request_whose_host_started_anew(self):
+        """Pattern: a host loses power with streams on it; its last line never comes."""
+        chosen = line("server_chosen", 1_000, request="r1", server="s1")
+        told = cause(chosen, line("started", 9_000), line("started", 9_500, node="e2"))
+        assert "e1 ended" in told and "s1" in told
+
     def test_a_request_whose_process_ended(self):
         assert "last line is missing" in cause(line("run_copied", 1, request="r1", source="s"))
 
