--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -120,6 +120,13 @@
                 [sys.executable, str(PROGRAM), self.role], env=environment, stdout=log, stderr=log
             )
 
+    def start_unread(self):
+        """Start the process with a standard output that nobody reads."""
+        environment = {**os.environ, "EBONYWHEEL_BOOT": str(self.folder / "boot.toml")}
+        self.process = subprocess.Popen(
+            [sys.executable, str(PROGRAM), self.role], env=environment, stdout=subprocess.PIPE
+        )
+
     def end(self, number=signal.SIGTERM):
         """Send a signal and wait for the end; return the exit code."""
         self.process.send_signal(number)
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -17,6 +17,8 @@
     platformsystem.route("plan", "/plan/", "streaming", "plan", **{"timeout-ms": 20000}),
     platformsystem.route("nobody", "/nobody/", service="plan"),
 ]
+# Lines of 200 bytes and more that fill a pipe of 64 KiB and as much in the process.
+PIPE_LINES = 900
 PLAN_HEADERS = {"X-Token-Counts": "3000,800", "X-Model-Name": "m", "X-Length-Hint": "700"}
 
 
@@ -475,6 +477,28 @@
         platformsystem.wait_for(lambda: serving.ready() == 200, "the new process")
 
 
+class TestUnreadOutput:
+    def test_a_process_whose_output_nobody_reads_serves_on(self, serving, servers):
+        servers()
+        entry = serving.entries[0]
+        assert entry.end() == 0
+        entry.start_unread()
+        try:
+            platformsystem.wait_for(lambda: serving.ready() == 200, "the new process")
+            # More than a pipe holds, and than the process keeps for it.
+            for _ in range(PIPE_LINES):
+                assert serving.request("GET", "/none/1").status == 404
+            platformsystem.wait_for(
+                lambda: serving.request("POST", "/book/1").status == 200, "the server to be known"
+            )
+            assert entry.end() == 0
+        finally:
+            entry.process.kill()
+            entry.process.stdout.close()
+            entry.start()
+            platformsystem.wait_for(lambda: serving.ready() == 200, "the process after it")
+
+
 class TestLongAnswers:
     def test_a_long_answer_that_breaks_off_is_not_started_anew(self, serving, servers):
         first, second = servers(), servers(zone="yakima-a")
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -9,7 +9,7 @@
 import platformsystem
 from ebonywheel import exceptions, http, httpclient
 from ebonywheel.gateway import dialect, routes
-from ebonywheel_platform import boot, language, manifest, reports
+from ebonywheel_platform import boot, language, manifest, programs, reports
 
 MANIFEST = platformsystem.manifest(
     7,
@@ -212,14 +212,16 @@
         assert self.words.decode_copy(404, b"").finished
 
 
-class TestBoot:
-    @pytest.fixture
-    def file(self, tmp_path):
-        node = platformsystem.Node(tmp_path, "control", 1, "puget-a")
-        seeds = [f"127.0.1.{number}:18748" for number in (1, 2, 3)]
-        node.write_boot(seeds, True)
-        return node.folder / "boot.toml"
+@pytest.fixture
+def file(tmp_path):
+    """A control host's settings file."""
+    node = platformsystem.Node(tmp_path, "control", 1, "puget-a")
+    seeds = [f"127.0.1.{number}:18748" for number in (1, 2, 3)]
+    node.write_boot(seeds, True)
+    return node.folder / "boot.toml"
+
 
+class TestBoot:
     def test_a_seed_forms_the_cluster_and_others_join(self, file):
         loaded = boot.load(str(file)).unwrap()
         assert not boot.control_settings(loaded).join
@@ -255,3 +257,47 @@
 
     def test_a_missing_file_is_named(self, tmp_path):
         assert "boot.toml" in str(boot.load(str(tmp_path / "boot.toml")).unwrap_err())
+
+
+# What is wrong with a settings file: the line that is replaced, by what, and what is told of it.
+BROKEN = [
+    ("node-name", "", "node-name"),
+    ("node-name", "node-name = 7", "node-name|node_name"),
+    ("ip", 'ip = "ten"', "ip: expected an IPv4 address, found 'ten'"),
+    ("internal-ports", "internal-ports = [7200]", "internal-ports|internal_ports"),
+    ("internal-ports", "internal-ports = [7215, 7200]", "internal-ports: expected a range"),
+    ("seeds", 'seeds = "10.0.0.1:80"', "seeds"),
+    ("seeds", 'seeds = ["10.0.0.1"]', "seeds: expected addresses with a port, found '10.0.0.1'"),
+    ("bootstrap", 'bootstrap = "yes"', "bootstrap"),
+    ("data-dir", "", "data-dir: expected a folder"),
+    ("control", 'control = "here"', "listen.control: expected an address with a port"),
+    (
+        "retry-budget-ratio",
+        "retry-budget-ratio = -0.5",
+        "bounds.retry-budget-ratio: expected no negative number, found -0.5",
+    ),
+    ("zone", "zone = [", "zone|line"),
+]
+
+
+class TestCheck:
+    def check(self, file, capsys):
+        status = programs.main(["check", str(file)])
+        return status, "".join(capsys.readouterr())
+
+    def test_a_sound_file_is_valid(self, file, capsys):
+        assert self.check(file, capsys) == (0, f"{file}: settings are valid\n")
+
+    @pytest.mark.parametrize(("key", "line", "told"), BROKEN)
+    def test_a_broken_file_is_told_with_its_key(self, file, capsys, key, line, told):
+        lines = file.read_text().splitlines()
+        kept = [line if each.startswith(f"{key} =") else each for each in lines]
+        assert kept != lines
+        file.write_text("\n".join(kept))
+        status, text = self.check(file, capsys)
+        assert status == 2 and str(file) in text
+        assert any(part in text for part in told.split("|"))
+
+    def test_a_file_that_is_not_there_is_named(self, tmp_path, capsys):
+        status, text = self.check(tmp_path / "none.toml", capsys)
+        assert status == 2 and "none.toml" in text
