Tell time-outs by a flag, not by their text; drop what was declared and never used

The joiner's seeds never change, a prompt's parts were never read. Behaviour is unchanged: a server that does not read counts as unreachable as before.

--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -88,7 +88,7 @@
     async def _start_membership(self) -> None:
         seeds = [peer.link for peer in self.settings.peers]
         await self.watcher.follow(seeds)
-        joining = joiner.Joiner(self.core, self.replica, self.formation.info, lambda: seeds)
+        joining = joiner.Joiner(self.core, self.replica, self.formation.info, seeds)
         await self.core.spawn(joining.run(), essential=True)
         await self.core.spawn(self.members.run(), essential=True)
 
--- a/src/ebonywheel/exceptions.py
+++ b/src/ebonywheel/exceptions.py
@@ -92,13 +92,22 @@
 
     Attributes:
         sent: True when any byte of the request may have reached the backend server.
+        timed_out: True when the server was only too slow.
     """
 
     code = "upstream"
 
-    def __init__(self, text: str, step: str = "", peer: str = "", sent: bool = False):
+    def __init__(
+        self,
+        text: str,
+        step: str = "",
+        peer: str = "",
+        sent: bool = False,
+        timed_out: bool = False,
+    ):
         super().__init__(text, step, peer)
         self.sent = sent
+        self.timed_out = timed_out
 
 
 class NotRunError(EbonywheelError):
--- a/src/ebonywheel/gateway/dialect.py
+++ b/src/ebonywheel/gateway/dialect.py
@@ -14,13 +14,11 @@
         tokens: Length of the prompt.
         most_tokens: Longest answer that it asks for.
         expected_tokens: The caller's estimate of the answer's length, 0 where it gives none.
-        parts: Ids and lengths of the prompt's parts, in order.
     """
 
     tokens: int = 0
     most_tokens: int = 0
     expected_tokens: int = 0
-    parts: tuple[tuple[str, int], ...] = ()
 
 
 class CallerRequest(msgspec.Struct):
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from ebonywheel import exceptions, httpclient, kernel, messages
-from ebonywheel.gateway import dialect, pool, view
+from ebonywheel.gateway import balance, dialect, pool, view
 
 # An answer that arrives where another is due belongs to no request; more than a few in a row
 # mean that the connection is not to be trusted.
@@ -80,7 +80,7 @@
             answer = await self._own_answer(connection, request.attempt, timeout_s)
         except exceptions.UpstreamError as error:
             use.close()
-            self._note_failure(record, state, error, timed_out="in time" in error.text)
+            self._note_failure(record, state, error)
             if connection is not None:
                 await connection.close()
             raise
@@ -104,8 +104,13 @@
             "answers of other requests", "wait", connection.address, True
         )
 
-    def _note_failure(self, record, state, error, timed_out: bool) -> None:
-        if error.step == "connect" or not timed_out:
+    def _note_failure(
+        self,
+        record: messages.DirectoryRecord,
+        state: balance.ServerState,
+        error: exceptions.UpstreamError,
+    ) -> None:
+        if error.step == "connect" or not error.timed_out:
             state.note_unreachable(self.core.clock.monotonic())
         state.note_answer(failed=True)
         self.core.metrics.count("upstream_failures", service=record.service, step=error.step)
--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -51,7 +51,7 @@
             async with curio.timeout_after(timeout_s):
                 self.sock = await curio.open_connection(host, port)
         except curio.TaskTimeout as error:
-            raise self._error("no connection in time", "connect") from error
+            raise self._too_slow("no connection in time", "connect") from error
         except OSError as error:
             raise self._error(str(error), "connect") from error
         sockets.tune(self.sock)
@@ -95,7 +95,7 @@
                 while isinstance(event, h11.InformationalResponse):
                     event = await self._next_event(timeout_s, "wait")
         except curio.TaskTimeout as error:
-            raise self._error("no answer in time", "wait") from error
+            raise self._too_slow("no answer in time", "wait") from error
         if not isinstance(event, h11.Response):
             raise self._error("connection ended before the answer", "wait")
         headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
@@ -136,7 +136,7 @@
             async with curio.timeout_after(timeout_s):
                 return await self._read_whole(timeout_s, limit)
         except curio.TaskTimeout as error:
-            raise self._error("no whole answer in time", "read") from error
+            raise self._too_slow("no whole answer in time", "read") from error
 
     async def _read_whole(self, timeout_s: float, limit: int) -> bytes:
         whole = bytearray()
@@ -200,10 +200,13 @@
                 async with curio.timeout_after(timeout_s):
                     data = await self.sock.recv(http.READ_BYTES)
             except curio.TaskTimeout as error:
-                raise self._error("nothing received in time", step) from error
+                raise self._too_slow("nothing received in time", step) from error
             except OSError as error:
                 raise self._error(str(error), step) from error
             self.conn.receive_data(data)
 
     def _error(self, text: str, step: str) -> exceptions.UpstreamError:
         return exceptions.UpstreamError(text, step, self.address, self.sent)
+
+    def _too_slow(self, text: str, step: str) -> exceptions.UpstreamError:
+        return exceptions.UpstreamError(text, step, self.address, self.sent, timed_out=True)
--- a/src/ebonywheel/joiner.py
+++ b/src/ebonywheel/joiner.py
@@ -1,7 +1,5 @@
 """A control host's own part in automatic membership: it asks until a leader counts it in."""
 
-import typing
-
 import curio
 
 from ebonywheel import elections, exceptions, kernel, link, messages, replica
@@ -22,7 +20,7 @@
         core: kernel.Kernel,
         consensus: replica.Replica,
         info: messages.MemberInfo,
-        seeds: typing.Callable[[], list[str]],
+        seeds: list[str],
     ):
         self.core = core
         self.replica = consensus
@@ -50,7 +48,7 @@
 
     def _addresses(self) -> list[str]:
         known = [member.link for member in self.replica.members]
-        return [each for each in dict.fromkeys([*self.seeds(), *known]) if each != self.info.link]
+        return [each for each in dict.fromkeys([*self.seeds, *known]) if each != self.info.link]
 
     async def _ask(self, address: str) -> bool:
         held = self.links.get(address)
