--- a/src/ebonywheel/gateway/moveplan.py
+++ b/src/ebonywheel/gateway/moveplan.py
@@ -85,6 +85,8 @@
 ) -> Step | None:
     """Return the move of a run that began after the notice, None when it cannot arrive.
 
+    Its times count from the notice, too.
+
     Args:
         run: The run.
         engine: What the service's engines can do.
@@ -101,14 +103,9 @@
 
 
 def _clear_start_s(elapsed_s: float, copy_s: float, hand_over_s: float) -> float:
-    """Return when to begin a first copy that is late, in seconds from the notice.
-
-    It must not hold up the second copies of the others, unless it would come too late by that.
+    """Return when to begin a first copy that no plan knew, in seconds from the notice.
 
-    Args:
-        elapsed_s: Seconds since the notice.
-        copy_s: How long it takes.
-        hand_over_s: When the planned runs are handed over, in seconds from the notice.
+    It must not hold up the second copies of the planned runs, unless it would come too late by that.
     """
     clear_s = hand_over_s + HAND_OVERS_S
     meets = elapsed_s < clear_s and elapsed_s + copy_s > hand_over_s
--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -67,7 +67,7 @@
             await self.core.spawn(self._empty(server))
 
     async def start_late(self, run: streaming.Run) -> None:
-        """Begin to move a run that began at a server after that said that it will end."""
+        """Begin to move a run whose answer began after its server had said that it will end."""
         leaving = self.leaving.get(run.record.server)
         if leaving is not None and _moves(run.flight.service):
             await self.core.spawn(self._move_late(run, leaving))
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -113,7 +113,7 @@
             await self._close(run)
 
     async def _tell_if_late(self, run: Run) -> None:
-        """Tell of a run that whoever emptied its server cannot have known."""
+        """Tell of a run that began too late to be in the plan that empties its server."""
         if self.view.stays(run.record):
             return
         for call in self.on_late:
