--- a/src/ebonywheel/gateway/moveplan.py
+++ b/src/ebonywheel/gateway/moveplan.py
@@ -105,7 +105,7 @@
 def _clear_start_s(elapsed_s: float, copy_s: float, hand_over_s: float) -> float:
     """Return when to begin a first copy that no plan knew, in seconds from the notice.
 
-    It must not hold up the second copies of the planned runs, unless it would come too late by that.
+    It must not hold up the second copies of the planned runs, unless it came too late by that.
     """
     clear_s = hand_over_s + HAND_OVERS_S
     meets = elapsed_s < clear_s and elapsed_s + copy_s > hand_over_s
