--- a/src/ebonywheel/gateway/dialect.py
+++ b/src/ebonywheel/gateway/dialect.py
@@ -70,7 +70,6 @@
         left_s: How long an answer is waited for.
         urgency: Rank among the requests at the server; 0 goes first, None for no preference.
         resume: Where a run goes on, None for a new one.
-        backup: Address of a server to which the run's memory is copied as it grows, or empty.
     """
 
     server: str
@@ -78,7 +77,6 @@
     left_s: float
     urgency: int | None = None
     resume: Resume | None = None
-    backup: str = ""
 
 
 class ServerLoad(msgspec.Struct, frozen=True):
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -168,13 +168,6 @@
             return False
         return not (held.record.gone or held.record.draining or held.record.data_centre in self.out)
 
-    def alone(self, record: messages.DirectoryRecord) -> bool:
-        """Return whether no other server of its service is in service in a server's data centre."""
-        return not any(
-            one.record.data_centre == record.data_centre and one.record.server != record.server
-            for one in self.candidates(record.service)
-        )
-
     def place_of(self, record: messages.DirectoryRecord) -> balance.Place:
         """Return where a server stands."""
         return balance.Place(record.data_centre, self.region_of.get(record.data_centre, ""))
--- a/src/ebonywheel/settings.py
+++ b/src/ebonywheel/settings.py
@@ -119,7 +119,7 @@
     timeout_s: Positive = 10.0
 
 
-Settings = typing.TypeVar("Settings", EntrySettings, ControlSettings, OperatorSettings)
+Settings = typing.TypeVar("Settings", bound=msgspec.Struct)
 
 
 def load(path: str, kind: type[Settings]) -> result.Result[Settings, exceptions.SettingsError]:
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -114,17 +114,18 @@
 
     def start(self):
         """Start the process."""
-        environment = {**os.environ, "EBONYWHEEL_BOOT": str(self.folder / "boot.toml")}
         with self.log.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, str(PROGRAM), self.role], env=environment, stdout=log, stderr=log
-            )
+            self.process = self.spawn(stdout=log, stderr=log)
 
     def start_unread(self):
         """Start the process with a standard output that nobody reads."""
+        self.process = self.spawn(stdout=subprocess.PIPE)
+
+    def spawn(self, **output):
+        """Return a new process of the program with this output."""
         environment = {**os.environ, "EBONYWHEEL_BOOT": str(self.folder / "boot.toml")}
-        self.process = subprocess.Popen(
-            [sys.executable, str(PROGRAM), self.role], env=environment, stdout=subprocess.PIPE
+        return subprocess.Popen(
+            [sys.executable, str(PROGRAM), self.role], env=environment, **output
         )
 
     def end(self, number=signal.SIGTERM):
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -235,21 +235,29 @@
         handler.send_chunk(b"id: %d\ndata: token-%d\n\n" % (number, number))
 
 
+def send_stream(handler, first, last, gate=None):
+    """Send a whole stream of these events."""
+    handler.start_stream()
+    send_events(handler, first, last, gate)
+    handler.send_chunk(b"")
+
+
+def go_on(handler, received, last):
+    """Send what follows the last event that the caller has, up to the last one."""
+    send_stream(handler, int(received.headers["last-event-id"]) + 1, last)
+
+
 class TestStreams:
     def test_events_arrive_as_they_are_made(self, serving, servers):
         server = servers("plan")
-        go_on = threading.Event()
-
-        def script(handler, received):
-            handler.start_stream()
-            send_events(handler, 1, 3, lambda number: number < 3 or go_on.wait(5))
-            handler.send_chunk(b"")
-
-        server.script = script
+        third = threading.Event()
+        server.script = lambda handler, _: send_stream(
+            handler, 1, 3, lambda number: number < 3 or third.wait(5)
+        )
         answer = serving.open("POST", "/plan/1", headers=PLAN_HEADERS).getresponse()
         assert answer.headers["X-Response-Stamp"] == f"stamp-{server.name}"
         assert b"".join(answer.readline() for _ in range(6)).count(b"id:") == 2
-        go_on.set()
+        third.set()
         assert answer.read().count(b"id:") == 1
 
     def test_a_stream_that_breaks_off_does_not_look_complete(self, serving, servers):
@@ -269,27 +277,22 @@
         source, neighbour = servers("plan"), servers("plan")
         stopped = threading.Event()
 
-        def start(handler, received):
+        def script(handler, received):
+            if "kv-from" in received.headers:
+                go_on(handler, received, 6)
+                return
             handler.start_stream()
             send_events(handler, 1, 3)
             stopped.wait(10)
             handler.break_off()
 
-        def go_on(handler, received):
-            handler.start_stream()
-            send_events(handler, int(received.headers["last-event-id"]) + 1, 6)
-            handler.send_chunk(b"")
-
         def move(body):
             if body.get("last"):
                 stopped.set()
             return 200, {"handle": "h1", "made": 3}
 
         for server in (source, neighbour):
-            server.script = lambda handler, received: (
-                go_on if "kv-from" in received.headers else start
-            )(handler, received)
-            server.move = move
+            server.script, server.move = script, move
         connection = serving.open("POST", "/plan/1", headers=PLAN_HEADERS)
         answer = connection.getresponse()
         first = b"".join(answer.readline() for _ in range(9))
@@ -318,9 +321,7 @@
 
         def script(handler, received):
             if "kv-from" in received.headers:
-                handler.start_stream()
-                send_events(handler, int(received.headers["last-event-id"]) + 1, 4)
-                handler.send_chunk(b"")
+                go_on(handler, received, 4)
                 return
             begin.wait(10)
             handler.start_stream()
@@ -375,12 +376,7 @@
         """Lists, events, pins, holds and health checks cost the engine time or room."""
         server, other = servers("plan"), servers()
 
-        def script(handler, received):
-            handler.start_stream()
-            send_events(handler, 1, 2)
-            handler.send_chunk(b"")
-
-        server.script = script
+        server.script = lambda handler, _: send_stream(handler, 1, 2)
         answer = serving.request("POST", "/plan/1", headers=PLAN_HEADERS)
         assert (answer.status, answer.content.count(b"id:")) == (200, 2)
         assert serving.request("POST", "/book/1").status == 200
