Keep a control host running when its disk is full

Change: a write that finds no room fails alone (DiskFullError). A failed sync still ends the process.

--- a/src/ebonywheel/auditlog.py
+++ b/src/ebonywheel/auditlog.py
@@ -11,12 +11,14 @@
 import curio
 import msgspec
 
-from ebonywheel import exceptions, state, statedata
+from ebonywheel import durable, exceptions, logs, state, statedata
 
 AUDIT_FILE = "audit.jsonl"
 # `read` scans at most this many lines before the first one that it returns.
 INDEX_INTERVAL_LINES = 256
 GAP_ACTION = "Gap"
+# Pause before the next attempt to write to a full disk.
+DISK_FULL_RETRY_S = 1.0
 
 _decode = msgspec.json.Decoder(statedata.AuditEntry).decode
 
@@ -43,13 +45,18 @@
         """Close the file."""
         self.file.close()
 
-    async def run(self) -> None:
-        """Write new entries until cancelled.
+    async def run(self, log: logs.EventLogger) -> None:
+        """Write new entries until cancelled; those that find no room wait in the state.
 
         Runs in a task of its own, so that a slow disk delays no answer.
         """
         while True:
-            await self.write_new_entries()
+            try:
+                await self.write_new_entries()
+            except exceptions.DiskFullError as error:
+                log.warning("disk_full", error=error)
+                await curio.sleep(DISK_FULL_RETRY_S)
+                continue
             await self.entries_applied.wait()
             self.entries_applied.clear()
 
@@ -61,16 +68,17 @@
         """Append the entries that were applied since the last call, and sync the file.
 
         Raises:
+            DiskFullError: The disk is full; none of the entries was written.
             StorageError: The file cannot be written or synced; the process must end.
         """
         entries = self._unwritten_entries()
         if not entries:
             return
         try:
-            for entry in entries:
-                self._append_line(entry)
-            self.file.flush()
+            self._append_lines(entries)
             await curio.run_in_thread(os.fsync, self.file.fileno())
+        except durable.NoSpaceError as error:
+            raise exceptions.DiskFullError(str(error), "write audit", str(self.path)) from error
         except OSError as error:
             raise exceptions.StorageError(str(error), "write audit", str(self.path)) from error
 
@@ -121,9 +129,17 @@
             "ask another control host",
         )
 
-    def _append_line(self, entry: statedata.AuditEntry) -> None:
-        self._record_line(entry.index, self.file.tell())
-        self.file.write(msgspec.json.encode(entry) + b"\n")
+    def _append_lines(self, entries: list[statedata.AuditEntry]) -> None:
+        offset = self.file.seek(0, os.SEEK_END)
+        lines = [msgspec.json.encode(entry) + b"\n" for entry in entries]
+        try:
+            durable.write_all(self.file.fileno(), b"".join(lines))
+        except durable.NoSpaceError:
+            self.file.truncate(offset)
+            raise
+        for entry, line in zip(entries, lines, strict=True):
+            self._record_line(entry.index, offset)
+            offset += len(line)
 
     def _record_line(self, index: int, offset: int) -> None:
         if self.line_count % INDEX_INTERVAL_LINES == 0:
--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -79,7 +79,7 @@
         await self.orders.start()
         await self.watches.start()
         self.replica.on_applied.append(self.audit.wake)
-        await self.core.spawn(self.audit.run(), essential=True)
+        await self.core.spawn(self.audit.run(self.core.log), essential=True)
         if not self.formation.belongs_to_cluster() and not self.settings.join:
             await self.core.spawn(self._form_cluster(), essential=True)
         if self.settings.membership == "automatic":
--- a/src/ebonywheel/durable.py
+++ b/src/ebonywheel/durable.py
@@ -1,5 +1,7 @@
 """Durable files: atomic replacement, checksums, syncs and file locks."""
 
+import contextlib
+import errno
 import fcntl
 import os
 import pathlib
@@ -11,6 +13,14 @@
 
 TEMPORARY_SUFFIX = ".tmp"
 CHECKSUM = struct.Struct("!I")
+NO_SPACE_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
+
+
+class NoSpaceError(OSError):
+    """The disk took no more bytes.
+
+    Unlike a failed sync, it leaves no doubt about what was stored before.
+    """
 
 
 def fsync(descriptor: int) -> None:
@@ -18,18 +28,27 @@
     os.fsync(descriptor)
 
 
+def write(descriptor: int, data: memoryview) -> int:
+    """Write bytes to an open file and return how many of them were written."""
+    return os.write(descriptor, data)
+
+
 def replace(path: pathlib.Path, *parts: bytes) -> None:
     """Replace a file's content atomically and durably; after a crash it is the old or the new one.
 
     Raises:
+        NoSpaceError: The disk is full; the old content is in place.
         OSError: The new content could not be written or synced.
     """
     temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
-    with open(temporary, "wb", buffering=0) as file:
+    with _no_space_detected():
+        file = open(temporary, "wb", buffering=0)
+    with file:
         for part in parts:
             write_all(file.fileno(), part)
         fsync(file.fileno())
-    os.replace(temporary, path)
+    with _no_space_detected():
+        os.replace(temporary, path)
     sync_folder(path.parent)
 
 
@@ -64,11 +83,13 @@
     """Write all bytes at the current position of a file.
 
     Raises:
+        NoSpaceError: The disk is full; some of the bytes may have been written.
         OSError: The bytes could not all be written.
     """
     view = memoryview(data)
     while view:
-        view = view[os.write(descriptor, view) :]
+        with _no_space_detected():
+            view = view[write(descriptor, view) :]
 
 
 def sync_folder(folder: pathlib.Path) -> None:
@@ -93,3 +114,14 @@
         file.close()
         raise exceptions.StorageError("in use by another process", "lock", str(path)) from error
     return file
+
+
+@contextlib.contextmanager
+def _no_space_detected() -> typing.Iterator[None]:
+    """Raise `NoSpaceError` in place of the error that says the disk is full."""
+    try:
+        yield
+    except OSError as error:
+        if error.errno in NO_SPACE_ERRORS:
+            raise NoSpaceError(error.errno, error.strerror) from error
+        raise
--- a/src/ebonywheel/elections.py
+++ b/src/ebonywheel/elections.py
@@ -73,7 +73,7 @@
 
     async def start_election(self) -> None:
         """Start an election if a quorum would vote for this host (pre-vote)."""
-        if not self.may_vote() or not await self._request_votes(
+        if not await self._may_campaign() or not await self._request_votes(
             self.store.vote.term + 1, pre_vote=True
         ):
             # A pre-vote changes no state, so the retry is sooner than after a lost election.
@@ -86,6 +86,10 @@
         if self.role is not Role.LEADER and self.may_vote():
             await self._campaign(transfer=False)
 
+    async def _may_campaign(self) -> bool:
+        """Return whether this host may vote and could store entries as a leader."""
+        return self.may_vote() and await self.store.has_room()
+
     async def _campaign(self, transfer: bool) -> None:
         term = self.store.vote.term + 1
         self.role = Role.CANDIDATE
@@ -94,7 +98,12 @@
         self.store.vote.voted_for = self.replica.member
         self.reset_timeout()
         self.replica.core.metrics.count("elections")
-        await self.store.save_vote()
+        try:
+            await self.store.save_vote()
+        except exceptions.DiskFullError as error:
+            self.replica.core.log.warning("election_abandoned", term=term, error=error)
+            await self.step_down(term)
+            return
         won = await self._request_votes(term, pre_vote=False, transfer=transfer)
         if won and self.role is Role.CANDIDATE and self.store.vote.term == term:
             await self._become_leader()
@@ -146,7 +155,11 @@
         self.replica.core.log.info("leading", term=self.store.vote.term)
         self.replica.core.metrics.count("leaderships")
         self.replica.replication.begin_term()
-        await self.replica.proposals.begin_term()
+        try:
+            await self.replica.proposals.begin_term()
+        except exceptions.DiskFullError as error:
+            self.replica.core.log.warning("leadership_abandoned", error=error)
+            await self.step_down(self.store.vote.term)
 
     async def _check_quorum(self) -> None:
         replication = self.replica.replication
@@ -164,6 +177,7 @@
         """Answer a vote request.
 
         Raises:
+            DiskFullError: The vote could not be saved and was not given.
             StorageError: The vote could not be saved; the process must end.
         """
         vote = self.store.vote
--- a/src/ebonywheel/exceptions.py
+++ b/src/ebonywheel/exceptions.py
@@ -145,6 +145,12 @@
     code = "storage"
 
 
+class DiskFullError(StorageError):
+    """A write found no room on the disk; nothing of it was stored, and it may be tried again."""
+
+    code = "disk_full"
+
+
 class CorruptLogError(StorageError):
     """A log record other than the last one fails its checksum."""
 
--- a/src/ebonywheel/follower.py
+++ b/src/ebonywheel/follower.py
@@ -40,6 +40,7 @@
         """Append entries sent by the leader.
 
         Raises:
+            DiskFullError: The entries found no room and are not acknowledged.
             StorageError: The entries could not be stored; the process must end.
         """
         vote = self.store.vote
@@ -120,6 +121,7 @@
         """Receive one chunk of the leader's snapshot.
 
         Raises:
+            DiskFullError: The snapshot found no room and is not acknowledged.
             StorageError: The snapshot could not be stored; the process must end.
         """
         vote = self.store.vote
--- a/src/ebonywheel/logfile.py
+++ b/src/ebonywheel/logfile.py
@@ -29,12 +29,15 @@
         entries: All entries, in log order.
         offsets: Byte offset of each entry's record.
         size: Size of all records, in bytes.
+        has_partial_record: True when the file goes on after `size` with a part of a record that
+            found no room and could not be removed yet.
     """
 
     def __init__(self, path: pathlib.Path):
         self.path = path
         self.entries: list[messages.LogEntry] = []
         self.offsets: list[int] = []
+        self.has_partial_record = False
         data = path.read_bytes()
         self.size = self._read_records(data)
         self.file = open(path, "r+b", buffering=0)
@@ -46,18 +49,30 @@
         """Append entries to the file; they are durable only after `sync`.
 
         Raises:
+            NoSpaceError: The disk is full; none of the entries was appended.
             OSError: The entries could not all be written.
         """
+        if self.has_partial_record:
+            self._truncate_file(self.size)
         data = bytearray()
         offsets = []
         for entry in entries:
             offsets.append(self.size + len(data))
             data += encode_record(entry)
-        durable.write_all(self.file.fileno(), data)
+        self._write_records(data)
         self.entries.extend(entries)
         self.offsets.extend(offsets)
         self.size += len(data)
 
+    def _write_records(self, data: bytearray) -> None:
+        try:
+            durable.write_all(self.file.fileno(), data)
+        except durable.NoSpaceError:
+            # Removed durably, or a crash could leave its end behind records appended later.
+            self.has_partial_record = True
+            self._truncate_file(self.size)
+            raise
+
     def sync(self) -> None:
         """Make all written records durable.
 
@@ -74,7 +89,8 @@
         Raises:
             OSError: The file could not be truncated or synced.
         """
-        self._truncate_file(self.offsets[position])
+        if position < len(self.offsets):
+            self._truncate_file(self.offsets[position])
         del self.entries[position:]
         del self.offsets[position:]
 
@@ -82,9 +98,14 @@
         """Remove the first records, and make those that remain durable.
 
         Raises:
+            NoSpaceError: The disk is full; no record was removed.
             OSError: The file could not be replaced.
         """
-        start = self.offsets[count] if count < len(self.offsets) else self.size
+        if count == len(self.entries):
+            # Needs no room, unlike a new file.
+            self.truncate(0)
+            return
+        start = self.offsets[count]
         remaining = os.pread(self.file.fileno(), self.size - start, start)
         durable.replace(self.path, remaining)
         self.file.close()
@@ -103,6 +124,7 @@
         self.file.seek(size)
         durable.fsync(self.file.fileno())
         self.size = size
+        self.has_partial_record = False
 
     def _read_records(self, data: bytes) -> int:
         offset = 0
--- a/src/ebonywheel/replica.py
+++ b/src/ebonywheel/replica.py
@@ -36,6 +36,8 @@
 MIN_LOG_TO_SNAPSHOT_RATIO = 0.5
 # After a restart, entries committed since the last save are applied only once there is a leader.
 COMMIT_SAVE_INTERVAL_S = 0.3
+# Pause before the next attempt to write to a full disk.
+DISK_FULL_RETRY_S = 1.0
 
 Role = elections.Role
 
@@ -185,11 +187,18 @@
 
         Raises:
             NotLeaderError: This host holds no lease; the command was not proposed.
-            NotRunError: The command is invalid or not allowed now; it was not proposed.
+            NotRunError: The command is invalid or not allowed now, or the disk is full; it was not
+                proposed.
             UnknownOutcomeError: The command may still take effect.
         """
         async with self._fail_on_storage_error():
-            return await self.proposals.propose(command, timeout_s)
+            try:
+                return await self.proposals.propose(command, timeout_s)
+            except exceptions.DiskFullError as error:
+                # Another host may have room.
+                self._log_disk_full(error)
+                await self.core.spawn(self.transfer(), essential=True)
+                raise exceptions.NotRunError(str(error), "propose", self.core.host.name) from error
 
     async def transfer(self) -> None:
         """Transfer leadership to another voter before a graceful shutdown."""
@@ -239,13 +248,20 @@
 
     @contextlib.asynccontextmanager
     async def _fail_on_storage_error(self) -> typing.AsyncIterator[None]:
-        """End the process on a storage error."""
+        """End the process on a storage error, unless it only lacks room."""
         try:
             yield
+        except exceptions.DiskFullError as error:
+            self._log_disk_full(error)
+            raise
         except exceptions.StorageError as error:
             await self.core.fail(error)
             raise
 
+    def _log_disk_full(self, error: exceptions.DiskFullError) -> None:
+        self.core.metrics.count("disk_full_writes", step=error.step)
+        self.core.log.warning("disk_full", error=error)
+
     # -- apply -----------------------------------------------------------------------------
 
     async def notify(self) -> None:
@@ -282,7 +298,11 @@
             async with self.changed:
                 while min(self.commit_index, self.store.synced_index) <= self.store.committed.index:
                     await self.changed.wait()
-            await self.store.save_commit(min(self.commit_index, self.store.synced_index))
+            try:
+                await self.store.save_commit(min(self.commit_index, self.store.synced_index))
+            except exceptions.DiskFullError as error:
+                self._log_disk_full(error)
+                await curio.sleep(DISK_FULL_RETRY_S)
             await curio.sleep(COMMIT_SAVE_INTERVAL_S)
 
     def _can_apply(self) -> bool:
@@ -308,7 +328,10 @@
         return entries > self.snapshot_entries and log_large_enough
 
     async def take_snapshot(self) -> None:
-        """Save a snapshot of the state and drop older log entries that it covers."""
+        """Save a snapshot of the state and drop older log entries that it covers.
+
+        On a full disk the last snapshot and the log stay as they are.
+        """
         started_at = self.core.clock.monotonic()
         snapshot = storage.Snapshot(
             self.state_machine.applied,
@@ -317,5 +340,9 @@
         )
         self.core.metrics.observe("snapshot_encode", self.core.clock.monotonic() - started_at)
         trailing_entries = int(self.snapshot_entries * TRAILING_ENTRIES_RATIO)
-        await self.store.save_snapshot(snapshot, trailing_entries)
+        try:
+            await self.store.save_snapshot(snapshot, trailing_entries)
+        except exceptions.DiskFullError as error:
+            self._log_disk_full(error)
+            return
         self.core.metrics.count("snapshots")
--- a/src/ebonywheel/storage.py
+++ b/src/ebonywheel/storage.py
@@ -1,7 +1,8 @@
 """Durable state of a control host: identity, term and vote, log and snapshot in one folder.
 
 After a failed write or sync, nothing more is written or acknowledged: it is unknown whether the
-data reached the disk, even if a later sync succeeds.
+data reached the disk, even if a later sync succeeds. A full disk is different: what it refused is
+known not to be stored, so the write fails alone and later ones are tried.
 """
 
 import pathlib
@@ -79,6 +80,7 @@
         synced_index: Highest log index that is durable.
         committed: Last saved position of a committed entry, or position 0.
         failure: The failed write or sync after which nothing is written any more, or None.
+        disk_full: Whether the last write found no room.
     """
 
     def __init__(self, folder: str, host: str):
@@ -86,6 +88,7 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         self.folder_lock = durable.lock(self.folder / LOCK_FILE)
         self.failure: exceptions.StorageError | None = None
+        self.disk_full = False
         self.sync_lock = curio.Lock()
         self.vote_lock = curio.Lock()
         try:
@@ -151,6 +154,7 @@
         """Append entries to the log; they are durable only after `sync`.
 
         Raises:
+            DiskFullError: The disk is full; none of the entries was appended.
             StorageError: The log cannot be written; the process must end.
         """
         self.raise_if_failed()
@@ -158,6 +162,7 @@
             self.log.append(entries)
         except OSError as error:
             raise self._record_failure("append", error) from error
+        self.disk_full = False
 
     def truncate(self, index: int) -> None:
         """Remove the entry at an index and all after it, durably.
@@ -194,6 +199,7 @@
         """Make the current term and vote durable, unless they are already.
 
         Raises:
+            DiskFullError: The disk is full; the vote must not be acted on.
             StorageError: The vote could not be written; the process must end.
         """
         self.raise_if_failed()
@@ -201,23 +207,36 @@
             if self.vote == self.saved_vote:
                 return
             vote = Vote(self.vote.term, self.vote.voted_for)
-            content = msgspec.json.encode(vote)
-            await self._run_in_thread(
-                "write vote", durable.replace_with_checksum, self.folder / VOTE_FILE, content
-            )
+            await self._write_vote(vote)
             self.saved_vote = vote
 
+    async def has_room(self) -> bool:
+        """Return whether the disk takes writes; after a refused one, try by saving the vote again.
+
+        Raises:
+            StorageError: The disk failed otherwise; the process must end.
+        """
+        if not self.disk_full:
+            return True
+        async with self.vote_lock:
+            try:
+                await self._write_vote(self.saved_vote)
+            except exceptions.DiskFullError:
+                return False
+        return True
+
+    async def _write_vote(self, vote: Vote) -> None:
+        await self._replace_file("write vote", VOTE_FILE, vote)
+
     async def save_commit(self, index: int) -> None:
         """Save the position of a committed entry, up to which a restart can apply the log at once.
 
         Raises:
+            DiskFullError: The disk is full; the last saved position stays.
             StorageError: It could not be written; the process must end.
         """
         position = LogPosition(index, self.term_at(index) or 0)
-        content = msgspec.json.encode(position)
-        await self._run_in_thread(
-            "write commit", durable.replace_with_checksum, self.folder / COMMIT_FILE, content
-        )
+        await self._replace_file("write commit", COMMIT_FILE, position)
         self.committed = position
 
     def save_first_configuration(self, members: list[messages.MemberInfo]) -> None:
@@ -241,6 +260,7 @@
             trailing_entries: How many covered entries to keep for peers that are a little behind.
 
         Raises:
+            DiskFullError: The disk is full; the last snapshot and the log stay as they are.
             StorageError: The snapshot could not be written; the process must end.
         """
         self.raise_if_failed()
@@ -251,8 +271,12 @@
             log_agrees = self.term_at(snapshot.index) == snapshot.term
             self.snapshot = LogPosition(snapshot.index, snapshot.term)
             self.snapshot_bytes = len(snapshot.state)
+            self.disk_full = False
             try:
                 self._discard_covered(trailing_entries if log_agrees else None)
+            except durable.NoSpaceError:
+                # The log keeps entries that the snapshot covers, until the next snapshot.
+                self.disk_full = True
             except OSError as error:
                 raise self._record_failure("drop log", error) from error
 
@@ -365,13 +389,15 @@
         """Discard covered entries but the last `trailing_entries`, or the whole log if None."""
         entries = self.log.entries
         count = len(entries) if trailing_entries is None else self._discard_count(trailing_entries)
-        if count < len(entries):
-            if count:
-                self.base = LogPosition(entries[count - 1].index, entries[count - 1].term)
-        else:
-            self.base = LogPosition(self.snapshot.index, self.snapshot.term)
+        base = self.base
+        if count == len(entries):
+            base = LogPosition(self.snapshot.index, self.snapshot.term)
+        elif count:
+            base = LogPosition(entries[count - 1].index, entries[count - 1].term)
         if count:
             self.log.discard_first(count)
+        self.base = base
+        if count:
             self.synced_index = self.last_index()
 
     def _discard_count(self, trailing_entries: int) -> int:
@@ -400,6 +426,11 @@
         except msgspec.DecodeError as error:
             raise exceptions.StorageError(str(error), "read", str(path)) from error
 
+    async def _replace_file(self, step: str, name: str, content: msgspec.Struct) -> None:
+        encoded = msgspec.json.encode(content)
+        await self._run_in_thread(step, durable.replace_with_checksum, self.folder / name, encoded)
+        self.disk_full = False
+
     async def _run_in_thread(
         self, step: str, function: typing.Callable, *arguments: typing.Any
     ) -> None:
@@ -412,6 +443,9 @@
             raise self._record_failure(step, error) from error
 
     def _record_failure(self, step: str, error: OSError) -> exceptions.StorageError:
+        if isinstance(error, durable.NoSpaceError):
+            self.disk_full = True
+            return exceptions.DiskFullError(str(error), step, str(self.folder))
         self.failure = exceptions.StorageError(str(error), step, str(self.folder))
         return self.failure
 
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import errno
 import itertools
 import os
 import pathlib
@@ -40,11 +41,12 @@
 
 
 class FakeDisk:
-    """Replaces `durable.fsync` and simulates failing or slow syncs and power cuts."""
+    """Replaces `durable.fsync` and `write`; simulates bad syncs, full disks and power cuts."""
 
     def __init__(self):
         self.synced_sizes = {}
         self.failing_folders = set()
+        self.full_folders = set()
         self.sync_delays_s = {}
 
     def fsync(self, descriptor):
@@ -55,6 +57,12 @@
         status = os.fstat(descriptor)
         self.synced_sizes[status.st_ino] = status.st_size
 
+    def write(self, descriptor, data):
+        path = os.readlink(f"/proc/self/fd/{descriptor}")
+        if any(path.startswith(folder) for folder in self.full_folders):
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        return os.write(descriptor, data)
+
     def cut_power(self, folder):
         for path in pathlib.Path(folder).iterdir():
             status = path.stat()
@@ -235,9 +243,9 @@
         self.clients_paused = False
         self.nodes = [Node(self, number) for number in range(1, count + 1)]
         self.stack = contextlib.ExitStack()
-        original_fsync = durable.fsync
-        durable.fsync = self.disk.fsync
-        self.stack.callback(setattr, durable, "fsync", original_fsync)
+        for name in ("fsync", "write"):
+            self.stack.callback(setattr, durable, name, getattr(durable, name))
+            setattr(durable, name, getattr(self.disk, name))
         # The history checker needs the whole audit trail in memory.
         self.stack.callback(setattr, state, "MAX_AUDIT_ENTRIES", state.MAX_AUDIT_ENTRIES)
         state.MAX_AUDIT_ENTRIES = MAX_AUDIT_ENTRIES
--- a/tests/test_auditlog.py
+++ b/tests/test_auditlog.py
@@ -3,7 +3,8 @@
 import curio
 import pytest
 
-from ebonywheel import auditlog, exceptions, state, statedata
+from ebonywheel import auditlog, durable, exceptions, state, statedata
+from test_storage import FullDisk
 
 
 class FakeState:
@@ -51,6 +52,22 @@
         curio.run(audit_log.write_new_entries)
         assert indexes(audit_log) == list(range(1, 10))
 
+    @pytest.mark.parametrize("room", [0, 10])
+    def test_entries_that_find_no_room_are_written_later(
+        self, tmp_path, fake_state, monkeypatch, room
+    ):
+        audit_log = open_audit_log(tmp_path, fake_state)
+        fake_state.add(1, 2)
+        curio.run(audit_log.write_new_entries)
+        fake_state.add(3, 5)
+        monkeypatch.setattr(durable, "write", FullDisk(room).write)
+        with pytest.raises(exceptions.DiskFullError):
+            curio.run(audit_log.write_new_entries)
+        monkeypatch.undo()
+        assert indexes(open_audit_log(tmp_path, fake_state)) == [1, 2]
+        curio.run(audit_log.write_new_entries)
+        assert indexes(audit_log) == [1, 2, 3, 4, 5]
+
     def test_torn_last_line_is_removed_and_written_again(self, tmp_path, fake_state):
         fake_state.add(1, 3)
         curio.run(open_audit_log(tmp_path, fake_state).write_new_entries)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -423,6 +423,74 @@
 
         run(tmp_path, body)
 
+    def test_leader_with_a_full_disk_hands_over_and_takes_part_again(self, tmp_path):
+        async def body(cluster):
+            leader, others = cluster.leader(), followers(cluster)
+            cluster.disk.full_folders.add(leader.folder)
+            refused, accepted = str(uuid.uuid4()), str(uuid.uuid4())
+            with pytest.raises(exceptions.NotRunError):
+                await propose(leader, operation=refused)
+            successor = await cluster.wait_leader(others)
+            await propose(successor, operation=accepted)
+            assert leader.core.failure is None
+            cluster.disk.full_folders.clear()
+            await cluster.wait_until(
+                lambda: leader.state_machine.applied >= successor.state_machine.applied,
+                "the host with room again has caught up",
+            )
+            assert accepted in leader.state_machine.data.operations
+            assert refused not in leader.state_machine.data.operations
+
+        run(tmp_path, body)
+
+    def test_follower_with_a_full_disk_acknowledges_nothing_new(self, tmp_path):
+        async def body(cluster):
+            leader, (full, other) = cluster.leader(), followers(cluster)
+            await write_repeatedly(cluster, 1)
+            await cluster.wait_until(
+                lambda: full.store.last_index() == leader.store.last_index(), "followers are level"
+            )
+            last_index = full.store.last_index()
+            cluster.disk.full_folders.add(full.folder)
+            await propose(leader, host="stored by two")
+            await other.kill()
+            with pytest.raises(exceptions.UnknownOutcomeError):
+                await propose(leader, host="stored by one")
+            assert full.store.last_index() == last_index
+            assert full.core.failure is None
+            cluster.disk.full_folders.clear()
+            await cluster.wait_leader()
+
+        run(tmp_path, body)
+
+    def test_host_with_a_full_disk_gives_and_seeks_no_vote(self, tmp_path):
+        async def body(cluster):
+            leader, (full, _) = cluster.leader(), followers(cluster)
+            term = full.store.saved_vote.term
+            cluster.disk.full_folders.add(full.folder)
+            await leader.kill()
+            await curio.sleep(8 * cluster.timeout_s)
+            assert cluster.leader() is None
+            assert full.store.saved_vote.term == term
+            assert full.core.failure is None
+            cluster.disk.full_folders.clear()
+            await cluster.wait_leader()
+
+        run(tmp_path, body)
+
+    def test_snapshot_without_room_is_taken_later(self, tmp_path):
+        async def body(cluster):
+            follower, _ = followers(cluster)
+            await write_repeatedly(cluster, 3)
+            cluster.disk.full_folders.add(follower.folder)
+            await follower.replica.take_snapshot()
+            assert (follower.store.snapshot.index, follower.core.failure) == (0, None)
+            cluster.disk.full_folders.clear()
+            await follower.replica.take_snapshot()
+            assert follower.store.snapshot.index > 0
+
+        run(tmp_path, body)
+
     def test_leader_that_cannot_sync_acknowledges_nothing(self, tmp_path):
         async def body(cluster):
             leader = await cluster.wait_leader()
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import shutil
 
 import curio
 import pytest
@@ -290,6 +291,131 @@
         assert (store.synced_index, len(synced_descriptors)) == (7, 3)
 
 
+class FullDisk:
+    """Takes a number of further bytes, then refuses writes until there is room again."""
+
+    def __init__(self, room=0):
+        self.room = room
+
+    def write(self, descriptor, data):
+        if not self.room:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        written = os.write(descriptor, data[: self.room])
+        self.room -= written
+        return written
+
+
+class TestFullDisk:
+    """A write that finds no room fails alone: nothing stored is lost, and later writes succeed."""
+
+    @pytest.fixture
+    def store(self, tmp_path):
+        return open_with_entries(tmp_path)
+
+    @pytest.mark.parametrize("room", [0, 1, 30, 70])
+    def test_append_that_finds_no_room_leaves_no_part_behind(self, store, monkeypatch, room):
+        monkeypatch.setattr(durable, "write", FullDisk(room).write)
+        with pytest.raises(exceptions.DiskFullError):
+            store.append(make_entries(6, 9))
+        assert (store.last_index(), store.disk_full) == (5, True)
+        monkeypatch.undo()
+        store.append(make_entries(6, 8, size=3))
+        curio.run(store.sync)
+        assert (store.synced_index, store.disk_full) == (7, False)
+        store.close()
+        reopened = open_storage(store.folder)
+        assert reopened.last_index() == 7
+
+    @pytest.mark.parametrize("room", [0, 30])
+    def test_log_opens_after_a_crash_on_a_full_disk(self, store, monkeypatch, room):
+        monkeypatch.setattr(durable, "write", FullDisk(room).write)
+        with pytest.raises(exceptions.DiskFullError):
+            store.append(make_entries(6, 9))
+        store.close()
+        assert open_storage(store.folder).last_index() == 5
+
+    def test_partial_record_that_could_not_be_removed_is_removed_later(self, store, monkeypatch):
+        monkeypatch.setattr(durable, "write", FullDisk(30).write)
+        monkeypatch.setattr(store.log, "_truncate_file", refuse_truncation)
+        with pytest.raises(exceptions.DiskFullError):
+            store.append(make_entries(6, 9))
+        monkeypatch.undo()
+        store.append(make_entries(6, 7))
+        store.close()
+        assert open_storage(store.folder).last_index() == 6
+
+    def test_vote_that_finds_no_room_stays_the_old_one(self, store, monkeypatch):
+        store.vote.term = 7
+        monkeypatch.setattr(durable, "write", FullDisk().write)
+        with pytest.raises(exceptions.DiskFullError):
+            curio.run(store.save_vote)
+        assert not curio.run(store.has_room)
+        assert open_copy(store).vote.term == 1
+        monkeypatch.undo()
+        assert curio.run(store.has_room)
+        assert open_copy(store).vote.term == 1
+        curio.run(store.save_vote)
+        assert open_copy(store).vote.term == 7
+
+    def test_rename_without_room_keeps_the_old_file(self, store, monkeypatch):
+        store.vote.term = 7
+        monkeypatch.setattr(os, "replace", refuse_for_want_of_room)
+        with pytest.raises(exceptions.DiskFullError):
+            curio.run(store.save_vote)
+        monkeypatch.undo()
+        assert open_copy(store).vote.term == 1
+
+    def test_snapshot_that_finds_no_room_keeps_the_log(self, store, monkeypatch):
+        monkeypatch.setattr(durable, "write", FullDisk(4).write)
+        with pytest.raises(exceptions.DiskFullError):
+            curio.run(store.save_snapshot, make_snapshot(3), 0)
+        monkeypatch.undo()
+        assert (store.snapshot.index, store.base.index, store.last_index()) == (0, 0, 5)
+        curio.run(store.save_snapshot, make_snapshot(4), 0)
+        assert open_copy(store).entry(5).data == store.entry(5).data
+
+    def test_log_is_kept_when_only_its_compaction_finds_no_room(self, store, monkeypatch):
+        snapshot = make_snapshot(3)
+        room = 4 + storage.SNAPSHOT_HEADER.size + len(snapshot.state)
+        monkeypatch.setattr(durable, "write", FullDisk(room).write)
+        curio.run(store.save_snapshot, snapshot, 0)
+        monkeypatch.undo()
+        assert (store.snapshot.index, store.base.index, store.last_index()) == (3, 0, 5)
+        assert open_copy(store).last_index() == 5
+
+    def test_snapshot_that_replaces_the_whole_log_needs_no_room_for_it(self, store, monkeypatch):
+        snapshot = make_snapshot(9, term=2)
+        room = 4 + storage.SNAPSHOT_HEADER.size + len(snapshot.state)
+        monkeypatch.setattr(durable, "write", FullDisk(room).write)
+        curio.run(store.save_snapshot, snapshot, 0)
+        assert (store.last_index(), store.last_term()) == (9, 2)
+
+    def test_commit_position_that_finds_no_room_stays_the_old_one(self, store, monkeypatch):
+        curio.run(store.save_commit, 2)
+        monkeypatch.setattr(durable, "write", FullDisk().write)
+        with pytest.raises(exceptions.DiskFullError):
+            curio.run(store.save_commit, 4)
+        monkeypatch.undo()
+        assert store.committed.index == 2
+        assert open_copy(store).committed.index == 2
+
+
+def open_copy(store):
+    """Open a copy of a folder, as a restarted process would find it."""
+    folder = store.folder.with_name("copy")
+    shutil.rmtree(folder, ignore_errors=True)
+    shutil.copytree(store.folder, folder)
+    return open_storage(folder)
+
+
+def refuse_truncation(size):
+    raise durable.NoSpaceError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+
+def refuse_for_want_of_room(*paths):
+    raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+
 class FailingCalls:
     """System calls that fail with an error number; `fsync` succeeds if the number is 0."""
 
