Choose among a few random servers, by loads from the nearest control host

Logs: 195 hosts learn of each other's requests 0.5 s late and all take the engine that looks emptiest; first events at p50 were 376 ms where no other request had reached the engine within 0.5 s, 2,029 ms where six had. Change: a host compares two random servers of each distance instead of all; it asks only the nearest control host for the others' loads, every 0.1 s, and tells the others its own every 0.5 s as before.

--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -235,14 +235,20 @@
         self.core = core
         self.watches = watches
 
-    def watch_request(self) -> messages.WatchRequest:
-        """Return this control host's watch request."""
+    def watch_request(self, nearest: bool) -> messages.WatchRequest:
+        """Return this control host's watch request; it needs no load from the nearest."""
         routing = self.watches.state_machine.data.routing
         return messages.WatchRequest(
             host=self.core.host.name, routing_index=routing.index, out_index=routing.out_index
         )
 
-    async def update(self, reply: messages.WatchReply, connection: link.Link) -> None:
+    def distance(self, data_centre: str) -> float:
+        """Return the same distance for all, as this host asks all for the same."""
+        return 0.0
+
+    async def update(
+        self, request: messages.WatchRequest, reply: messages.WatchReply, connection: link.Link
+    ) -> None:
         """Add the records that another control host received."""
         for record in reply.records:
             await self.watches.observe(record, direct=False)
--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -4,6 +4,11 @@
 each request in flight counts with its prompt and its expected answer. Prompt tokens that an engine
 has not read yet count as well; otherwise an engine that has just started, and is still empty, would
 get every new request.
+
+Hosts learn late of each other's requests: after 0.1 s in the same data centre, 0.5 s elsewhere. If
+all of them took the server with the lowest cost, the requests of that time would pile up at one
+server. Each host therefore compares only a few servers drawn at random, and so avoids the loaded
+ones without agreeing on the best one.
 """
 
 import random
@@ -30,6 +35,9 @@
 FAILURE_RATE_SMOOTHING = 0.1
 # Load added per unit of failure rate above the lowest rate among the servers considered.
 FAILURE_WEIGHT = 2.0
+# Servers drawn from each distance: in this data centre, elsewhere in the region, in other regions.
+# Two are enough to avoid a loaded server; with more, hosts agree on the least loaded one again.
+SAMPLE_SIZE = 2
 # Reports come every 1.2 s. One late report is tolerated, two in a row are not.
 MAX_REPORT_AGE_S = 3.6
 # Backoff after failures to reach a server: it doubles from the first value up to the second.
@@ -98,6 +106,10 @@
     region: str
     without_neighbour: bool = False
 
+    def location(self) -> Location:
+        """Return the location of the server."""
+        return Location(self.record.data_centre, self.region)
+
 
 class Requirements(msgspec.Struct):
     """What a request needs of a server.
@@ -144,11 +156,11 @@
     return UNREAD_WEIGHT * unread / engine.memory_tokens
 
 
-def distance_cost(candidate: Candidate, location: Location) -> float:
-    """Return the cost of a server's distance, as a share of its capacity."""
-    if candidate.record.data_centre == location.data_centre:
+def distance_cost(other: Location, location: Location) -> float:
+    """Return the cost of the distance between two locations, as a share of a server's capacity."""
+    if other.data_centre == location.data_centre:
         return 0.0
-    return OTHER_DATA_CENTRE_COST if candidate.region == location.region else OTHER_REGION_COST
+    return OTHER_DATA_CENTRE_COST if other.region == location.region else OTHER_REGION_COST
 
 
 def choose(
@@ -158,7 +170,7 @@
     now: float,
     entry_hosts: int,
 ) -> Candidate | None:
-    """Return the server with the lowest cost for a request, or None when none can take it.
+    """Return the cheapest of some random servers for a request, or None when none can take it.
 
     Args:
         candidates: Servers that are in service and not shutting down.
@@ -190,7 +202,7 @@
 
     def cost(candidate: Candidate) -> float:
         failure_cost = FAILURE_WEIGHT * (candidate.state.failure_rate - lowest_rate)
-        location_cost = distance_cost(candidate, location)
+        location_cost = distance_cost(candidate.location(), location)
         neighbour_cost = (
             NO_NEIGHBOUR_COST if requirements.long_running and candidate.without_neighbour else 0.0
         )
@@ -202,8 +214,19 @@
             + neighbour_cost
         )
 
-    random.shuffle(considered)
-    return min(considered, key=cost)
+    return min(_sample(considered, location), key=cost)
+
+
+def _sample(candidates: list[Candidate], location: Location) -> list[Candidate]:
+    """Return some candidates of each distance, drawn at random and in random order."""
+    by_distance: dict[float, list[Candidate]] = {}
+    for candidate in candidates:
+        by_distance.setdefault(distance_cost(candidate.location(), location), []).append(candidate)
+    sample = []
+    for group in by_distance.values():
+        sample += random.sample(group, min(SAMPLE_SIZE, len(group)))
+    random.shuffle(sample)
+    return sample
 
 
 def _is_eligible(
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -64,17 +64,26 @@
 
     # -- watch -----------------------------------------------------------------------------
 
-    def watch_request(self) -> messages.WatchRequest:
-        """Return a watch request with this host's work in flight."""
+    def watch_request(self, nearest: bool) -> messages.WatchRequest:
+        """Return a watch request with this host's work in flight.
+
+        The nearest control host is asked for the work of the other hosts, too.
+        """
         return messages.WatchRequest(
             host=self.core.host.name,
             incarnation=self.incarnation,
             routing_index=self.routing_index,
             out_index=self.out_index,
             uses=self._own_uses(),
-            uses_wanted=True,
+            uses_wanted=nearest,
+            uses_reported=True,
         )
 
+    def distance(self, data_centre: str) -> float:
+        """Return the distance to a data centre as the choice of servers counts it."""
+        location = balance.Location(data_centre, self.regions.get(data_centre, ""))
+        return balance.distance_cost(location, self.location)
+
     def _own_uses(self) -> list[messages.ServerUse]:
         return [
             messages.ServerUse(server, state.requests, state.tokens, state.unread)
@@ -82,8 +91,10 @@
             if state.requests or state.tokens
         ]
 
-    async def update(self, reply: messages.WatchReply, connection: link.Link) -> None:
-        """Apply a control host's answer to a watch.
+    async def update(
+        self, request: messages.WatchRequest, reply: messages.WatchReply, connection: link.Link
+    ) -> None:
+        """Apply a control host's answer to a watch request.
 
         Raises:
             LinkError: Newer routing content could not be fetched.
@@ -95,7 +106,8 @@
             self.out_of_service = frozenset(reply.out)
             self.core.log.info("data_centres_out", out=" ".join(reply.out), index=reply.out_index)
         self.entry_hosts = max(1, reply.entry_hosts)
-        self._update_other_uses(reply.uses)
+        if request.uses_wanted:
+            self._update_other_uses(reply.uses)
         if reply.routing_index > self.routing_index:
             await self._fetch_routing(reply.routing_index, connection)
 
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -567,6 +567,8 @@
         relayed: True to include records that other control hosts received.
         uses: Load from the sender, by backend server.
         uses_wanted: True to get the sums over all other entry hosts.
+        uses_reported: True when the sender is an entry host, which reports its load with each
+            request; implied by `uses_wanted`.
     """
 
     host: str = ""
@@ -579,6 +581,7 @@
     relayed: bool = False
     uses: list[ServerUse] = []
     uses_wanted: bool = False
+    uses_reported: bool = False
 
 
 class WatchReply(msgspec.Struct):
--- a/src/ebonywheel/watcher.py
+++ b/src/ebonywheel/watcher.py
@@ -10,6 +10,10 @@
 # strictest bound on learning of changes (1 s, for cold starts), so that one lost answer does not
 # exceed the bound.
 WAIT_MS = 500
+# The same at the nearest control host, which also tells this host of the others' load. Shorter, as
+# hosts that choose servers by old loads choose the same ones; longer at the other control hosts, as
+# traffic between data centres is paid for.
+NEAREST_WAIT_MS = 100
 # Time allowed for an answer beyond the wait: two one-way delays of 12 ms and a busy control host.
 ANSWER_MARGIN_S = 1.0
 # Pause after a failed watch request. After a power failure of all hosts, control hosts restart some
@@ -22,11 +26,19 @@
 class View(typing.Protocol):
     """State that a watcher keeps up to date."""
 
-    def watch_request(self) -> messages.WatchRequest:
-        """Return a watch request; the watcher fills in the position."""
+    def watch_request(self, nearest: bool) -> messages.WatchRequest:
+        """Return a watch request, to the nearest control host or another one.
 
-    async def update(self, reply: messages.WatchReply, connection: link.Link) -> None:
-        """Apply an answer; further requests may be made over its connection."""
+        The watcher fills in the position.
+        """
+
+    def distance(self, data_centre: str) -> float:
+        """Return the distance to a data centre, on any scale."""
+
+    async def update(
+        self, request: messages.WatchRequest, reply: messages.WatchReply, connection: link.Link
+    ) -> None:
+        """Apply the answer to a request; further requests may be made over its connection."""
 
 
 class WatchPosition:
@@ -37,15 +49,17 @@
         seen: Last position received.
         last_listed_at: When a member list last named the host, monotonic seconds.
         connected: Whether it answered the last watch.
+        distance: Distance to it, infinite before the first connection.
     """
 
-    __slots__ = ("epoch", "seen", "last_listed_at", "connected")
+    __slots__ = ("epoch", "seen", "last_listed_at", "connected", "distance")
 
     def __init__(self, last_listed_at: float):
         self.epoch = 0
         self.seen = 0
         self.last_listed_at = last_listed_at
         self.connected = False
+        self.distance = float("inf")
 
 
 class Watcher:
@@ -97,25 +111,36 @@
         return self.connected_count() == len(self.positions)
 
     async def _watch_once(self, connection: link.Link, position: WatchPosition) -> None:
-        request = self.view.watch_request()
+        nearest = self._is_nearest(position)
+        request = self.view.watch_request(nearest)
         request.epoch = position.epoch
         request.seen = position.seen
-        request.wait_ms = WAIT_MS
+        request.wait_ms = NEAREST_WAIT_MS if nearest else WAIT_MS
         # While a control host is unreachable, the others relay the records that it received.
         request.relayed = not self.all_connected()
         try:
-            reply = await connection.call(request, WAIT_MS / 1000 + ANSWER_MARGIN_S)
-            await self.view.update(reply, connection)
+            reply = await connection.call(request, request.wait_ms / 1000 + ANSWER_MARGIN_S)
+            await self.view.update(request, reply, connection)
         except exceptions.LinkError as error:
             self._set_connected(position, False, connection.name, str(error))
             await connection.close()
             await curio.sleep(RETRY_S)
             return
         self._set_connected(position, True, connection.name, "")
+        position.distance = self.view.distance(connection.peer.data_centre)
         position.epoch = reply.epoch
         position.seen = reply.seen
         await self.follow(reply.members)
 
+    def _is_nearest(self, position: WatchPosition) -> bool:
+        """Return whether no connected control host is nearer; the lowest address decides a tie."""
+        connected = [
+            (other.distance, address)
+            for address, other in self.positions.items()
+            if other.connected
+        ]
+        return not connected or self.positions[min(connected)[1]] is position
+
     def _set_connected(
         self, position: WatchPosition, connected: bool, name: str, error: str
     ) -> None:
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -75,7 +75,7 @@
     async def watch(self, request: messages.WatchRequest) -> messages.WatchReply:
         """Answer one watch request, after a wait when nothing has changed."""
         now = self.core.clock.monotonic()
-        if request.uses_wanted:
+        if request.uses_wanted or request.uses_reported:
             self.uses[request.host] = HostUses(now, request.uses)
         if request.epoch == self.epoch and not self._has_newer_routing(request):
             await self._wait(request)
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -327,6 +327,7 @@
   relayed @7 :Bool;
   uses @8 :List(ServerUse);
   usesWanted @9 :Bool;
+  usesReported @10 :Bool;
 }
 
 struct WatchReply {
--- /dev/null
+++ b/tests/test_herding.py
@@ -0,0 +1,126 @@
+"""Many hosts that choose servers by loads that they learn of late, without a network.
+
+Guards against herding: if all hosts pick the server that looked least loaded, all requests between
+two reports go to one server, whose queue makes their first events late while other servers idle.
+"""
+
+import heapq
+import random
+
+from ebonywheel import messages, watcher
+from ebonywheel.gateway import balance, routes
+
+ENGINE = routes.Engine(24, 34_000, supports_moves=True)
+SERVICE = routes.Service("plan", engine=ENGINE)
+DATA_CENTRES = ["puget-a", "puget-b", "yakima-a", "yakima-b", "willamette-a", "willamette-b"]
+PROMPT_TOKENS = 2_500
+MEMORY_TOKENS = 3_000
+# An engine reads its prompts one after the other.
+READ_S = 0.35
+RUN_S = 5.0
+TARGET_S = 1.5
+
+
+class Server:
+    """An engine: reads prompts in order; its loads are known to all hosts at the last report."""
+
+    def __init__(self, number, data_centre):
+        self.record = messages.DirectoryRecord(f"s{number}", 1, data_centre=data_centre, slots=24)
+        self.state = balance.ServerState()
+        self.free_at = 0.0
+        self.unread = 0
+        self.tokens = 0
+        self.requests = 0
+
+    def report(self):
+        """Tell all hosts the present load."""
+        self.state.other_unread = self.unread
+        self.state.other_tokens = self.tokens
+        self.state.other_requests = self.requests
+
+    def start(self, now):
+        """Queue a prompt and return when it has been read."""
+        self.free_at = max(now, self.free_at) + READ_S
+        self.unread += PROMPT_TOKENS
+        self.tokens += MEMORY_TOKENS
+        self.requests += 1
+        return self.free_at
+
+    def finish_reading(self):
+        self.unread -= PROMPT_TOKENS
+
+    def end(self):
+        self.tokens -= MEMORY_TOKENS
+        self.requests -= 1
+
+
+def first_event_times(servers_per_data_centre, requests_per_s, report_interval_s, duration_s=60.0):
+    """Return the seconds to the first event of each request, and the share that left its region."""
+    rng = random.Random(5)
+    random.seed(5)
+    servers = [
+        Server(f"{data_centre}-{number}", data_centre)
+        for data_centre in DATA_CENTRES
+        for number in range(servers_per_data_centre)
+    ]
+    by_id = {server.record.server: server for server in servers}
+    arrivals = []
+    now = 0.0
+    while now < duration_s:
+        now += rng.expovariate(requests_per_s)
+        arrivals.append(now)
+    events = [(at, 0, None) for at in arrivals]
+    events += [(step * report_interval_s, 1, None) for step in range(int(60 / report_interval_s))]
+    events = [(at, kind, number, server) for number, (at, kind, server) in enumerate(events)]
+    heapq.heapify(events)
+    number = len(events)
+    times = []
+    far = 0
+    requirements = balance.Requirements(
+        SERVICE, MEMORY_TOKENS, unread=PROMPT_TOKENS, max_load=1.0, max_unread=12_000
+    )
+    while events:
+        now, kind, _, server = heapq.heappop(events)
+        if kind == 0:
+            data_centre = rng.choice(DATA_CENTRES)
+            location = balance.Location(data_centre, data_centre.partition("-")[0])
+            candidates = [
+                balance.Candidate(
+                    each.record, each.state, 0.1, each.record.data_centre.partition("-")[0]
+                )
+                for each in servers
+            ]
+            # Each request comes to another host, which has no other request in flight.
+            chosen = balance.choose(candidates, requirements, location, now, 195)
+            far += chosen.region != location.region
+            server = by_id[chosen.record.server]
+            read_at = server.start(now)
+            times.append(read_at - now)
+            number += 2
+            heapq.heappush(events, (read_at, 2, number, server))
+            heapq.heappush(events, (read_at + RUN_S, 3, number + 1, server))
+        elif kind == 1:
+            for each in servers:
+                each.report()
+        elif kind == 2:
+            server.finish_reading()
+        else:
+            server.end()
+    return times, far / len(times)
+
+
+def late_share(times):
+    return sum(time > TARGET_S for time in times) / len(times)
+
+
+class TestHerding:
+    def test_many_hosts_spread_requests_by_old_loads(self):
+        """195 hosts, 27 requests a second, five engines in each data centre, loads 0.5 s old."""
+        times, far = first_event_times(5, 27.0, report_interval_s=0.5)
+        assert late_share(times) < 0.02
+        assert far < 0.1
+
+    def test_busy_servers_are_used_evenly_by_loads_of_the_nearest_control_host(self):
+        """Two engines in each data centre, half of their time spent on reading prompts."""
+        times, _ = first_event_times(2, 17.0, watcher.NEAREST_WAIT_MS / 1000)
+        assert late_share(times) < 0.02
