Bound what a server may send: events, interim responses, stray answers, stalls

Cause: bytes without end in one event were searched anew with each read (quadratic), interim responses and the body of an answer to another request were read for ever, a second try buffered any answer. A stream that sends bytes but no event lasted until its deadline. A long, slow answer to the first try was cut at half of its time. An answer that names no request was taken for the next one on a reused connection. Change: events up to 1 MiB, searched once; 8 interim responses; 1 MiB of a stray answer; 10 s without a whole event end a stream; long answers are relayed in all of the time that is left; a connection whose answers have named their requests takes none that doesn't.

--- a/src/ebonywheel/gateway/events.py
+++ b/src/ebonywheel/gateway/events.py
@@ -1,6 +1,11 @@
 """Splitting of server-sent event streams into whole events, without decoding their data."""
 
+from ebonywheel import exceptions
+
 EVENT_END = b"\n\n"
+# An event of a generation holds some tokens; a server that sends more without the end of an event
+# is in trouble.
+MAX_EVENT_BYTES = 1024 * 1024
 
 
 class EventSplitter:
@@ -15,21 +20,34 @@
     __slots__ = ("buffer", "last_id", "count")
 
     def __init__(self, last_id: str = ""):
-        self.buffer = b""
+        self.buffer = bytearray()
         self.last_id = last_id
         self.count = 0
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes and return the bytes of all events that are now complete."""
-        received = self.buffer + data
-        end = received.rfind(EVENT_END)
+        """Add received bytes and return the bytes of all events that are now complete.
+
+        Raises:
+            UpstreamError: An event is longer than `MAX_EVENT_BYTES`.
+        """
+        # The end of an event may be split between the old and the new bytes.
+        search_start = max(0, len(self.buffer) - len(EVENT_END) + 1)
+        self.buffer += data
+        end = self.buffer.rfind(EVENT_END, search_start)
         if end < 0:
-            self.buffer = received
+            self._check_length()
             return b""
-        complete, self.buffer = received[: end + len(EVENT_END)], received[end + len(EVENT_END) :]
+        complete = bytes(self.buffer[: end + len(EVENT_END)])
+        del self.buffer[: end + len(EVENT_END)]
         self._record_events(complete)
         return complete
 
+    def _check_length(self) -> None:
+        if len(self.buffer) > MAX_EVENT_BYTES:
+            raise exceptions.UpstreamError(
+                f"event over {MAX_EVENT_BYTES} bytes", "split events", sent=True
+            )
+
     def _record_events(self, complete: bytes) -> None:
         events = [event for event in complete.split(EVENT_END) if event]
         self.count += len(events)
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -50,7 +50,7 @@
                 break
             context.tried.append(candidate.record.server)
             try:
-                buffered = await self._send_once(exchange, context, candidate, last_answer is None)
+                buffered = await self._send_once(exchange, context, candidate)
             except exceptions.UpstreamError as error:
                 context.reason = str(error)
                 if exchange.started:
@@ -104,7 +104,6 @@
         exchange: http.Exchange,
         context: view.RequestContext,
         candidate: balance.Candidate,
-        may_relay: bool,
     ) -> BufferedAnswer | None:
         """Send the request once and read its answer.
 
@@ -120,47 +119,51 @@
             "" if context.customer is None else context.customer.name,
             context.caller_deadline_at - self.core.clock.monotonic(),
         )
+        body = bytearray()
         try:
             async with curio.timeout_after(remaining_s):
                 reply = await self.sender.send(context, candidate.record, sending, remaining_s)
-                return await self._read_answer(exchange, context, reply, may_relay)
+                complete = await self._read_answer(reply, body)
         except curio.TaskTimeout as error:
             self.view.state_of(candidate.record).record_answer(failed=True)
             raise exceptions.UpstreamError(
                 "no answer in time", "wait", candidate.record.address, True
             ) from error
-
-    async def _read_answer(
-        self,
-        exchange: http.Exchange,
-        context: view.RequestContext,
-        reply: sender.Reply,
-        may_relay: bool,
-    ) -> BufferedAnswer | None:
-        body = bytearray()
+        if complete:
+            return BufferedAnswer(reply.head, bytes(body))
+        # No other attempt follows any more, so the rest may take all of the remaining time.
+        context.status = reply.head.status
+        async with curio.timeout_after(self._remaining_s(context)):
+            await self._relay_rest(exchange, reply, bytes(body))
+        return None
+
+    async def _read_answer(self, reply: sender.Reply, body: bytearray) -> bool:
+        """Read an answer up to `BUFFER_BYTES` into `body`; return whether that was all of it."""
         try:
             async for chunk in reply.connection.chunks(http.WRITE_TIMEOUT_S):
                 body += chunk
-                if may_relay and len(body) > BUFFER_BYTES:
-                    context.status = reply.head.status
-                    await self._relay_rest(exchange, reply, bytes(body))
-                    return None
+                if len(body) > BUFFER_BYTES:
+                    return False
         except BaseException:
             await self.sender.abandon(reply)
             raise
         reply_failed = reply.head.status >= sender.STATUS_SERVER_ERROR and not reply.head.not_run
         self.view.state_of(reply.record).record_answer(reply_failed)
         await self.sender.finish(reply)
-        return BufferedAnswer(reply.head, bytes(body))
+        return True
 
     async def _relay_rest(
         self, exchange: http.Exchange, reply: sender.Reply, buffered: bytes
     ) -> None:
-        await exchange.start(reply.head.status, reply.head.headers)
-        await exchange.write(buffered)
-        async for chunk in reply.connection.chunks(http.WRITE_TIMEOUT_S):
-            await exchange.write(chunk)
-        await exchange.end()
+        try:
+            await exchange.start(reply.head.status, reply.head.headers)
+            await exchange.write(buffered)
+            async for chunk in reply.connection.chunks(http.WRITE_TIMEOUT_S):
+                await exchange.write(chunk)
+            await exchange.end()
+        except BaseException:
+            await self.sender.abandon(reply)
+            raise
         await self.sender.finish(reply)
 
     def _remaining_s(self, context: view.RequestContext) -> float:
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -98,7 +98,8 @@
     ) -> dialect.AnswerHead:
         for _ in range(MAX_STRAY_ANSWERS + 1):
             head = self.dialect.decode_answer(await connection.response(timeout_s))
-            if head.attempt in ("", attempt):
+            if head.attempt == attempt or not (head.attempt or connection.names_requests):
+                connection.names_requests = bool(head.attempt)
                 return head
             self.core.metrics.count("stray_answers")
             await connection.skip_response(timeout_s)
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -23,6 +23,9 @@
 PREFILL_TOKENS_PER_S = 7000.0
 MAX_SERVERS_TRIED = 3
 STATUS_OK = 200
+# Pause after which a stream counts as stalled, whatever bytes arrive that end no event. A preempted
+# generation pauses for some seconds.
+STALL_TIMEOUT_S = 10.0
 # How long a stopped run waits for its second copy to complete.
 HAND_OVER_TIMEOUT_S = 3.0
 DROP_TIMEOUT_S = 0.5
@@ -295,11 +298,11 @@
         run.record = reply.record
         run.reply = reply
         run.move_finished = None
-        run.splitter.buffer = b""
+        run.splitter.buffer.clear()
 
     async def _relay_events(self, exchange: http.Exchange, run: Run) -> None:
-        remaining_s = run.context.deadline_at - self.core.clock.monotonic()
-        async for chunk in run.reply.connection.chunks(remaining_s):
+        connection = run.reply.connection
+        while (chunk := await connection.read_chunk(self._silence_timeout_s(run))) is not None:
             whole_events = run.splitter.feed(chunk)
             if whole_events:
                 run.reply.reservation.mark_answer_begun()
@@ -307,7 +310,24 @@
                 await exchange.write(whole_events)
         if run.splitter.buffer:
             # Bytes after the last blank line are still part of the answer.
-            await exchange.write(run.splitter.buffer)
+            await exchange.write(bytes(run.splitter.buffer))
+
+    def _silence_timeout_s(self, run: Run) -> float:
+        """Return how long to wait for further bytes of a stream.
+
+        Raises:
+            UpstreamError: The stream has stalled.
+        """
+        context = run.context
+        now = self.core.clock.monotonic()
+        if not context.first_event_at:
+            return context.deadline_at - now
+        timeout_s = context.last_event_at + STALL_TIMEOUT_S - now
+        if timeout_s <= 0:
+            raise exceptions.UpstreamError(
+                "no whole event in time", "relay", run.record.address, True, timed_out=True
+            )
+        return timeout_s
 
     async def drop_copy(self, attempt: str, record: messages.DirectoryRecord, copy: Copy) -> None:
         """Delete an unused copy of a run that has ended, by a call to the run's server."""
--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -14,6 +14,11 @@
 
 from ebonywheel import exceptions, http, settings, sockets
 
+# Interim responses (1xx) before a response, and bytes of a response to another request, that are
+# skipped. A server in trouble may send either without end.
+MAX_INTERIM_RESPONSES = 8
+MAX_SKIPPED_BYTES = 1024 * 1024
+
 
 class ResponseHead(msgspec.Struct):
     """Status and headers of a response."""
@@ -31,6 +36,8 @@
             the connection.
         conn: HTTP/1.1 protocol state.
         request_head: Head of the last request.
+        names_requests: True once a response has named the request that it answers. From then on
+            one that names none may be a late copy of an earlier response.
     """
 
     def __init__(self, address: str, allow_close_delimited: bool = False):
@@ -41,6 +48,7 @@
         self.sent = False
         self.method = ""
         self.request_head: h11.Request | None = None
+        self.names_requests = False
 
     async def connect(self, timeout_s: float) -> None:
         """Open the connection.
@@ -93,9 +101,7 @@
         """
         try:
             async with curio.timeout_after(timeout_s):
-                event = await self._next_event(timeout_s, "wait")
-                while isinstance(event, h11.InformationalResponse):
-                    event = await self._next_event(timeout_s, "wait")
+                event = await self._final_response(timeout_s)
         except curio.TaskTimeout as error:
             raise self._timeout_error("no answer in time", "wait") from error
         if not isinstance(event, h11.Response):
@@ -105,6 +111,14 @@
             raise self._error("response has neither a length nor chunked encoding", "wait")
         return ResponseHead(event.status_code, headers)
 
+    async def _final_response(self, timeout_s: float) -> typing.Any:
+        """Return the next event that is not an interim response."""
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            event = await self._next_event(timeout_s, "wait")
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+        raise self._error(f"more than {MAX_INTERIM_RESPONSES} interim responses", "wait")
+
     def _is_delimited(self, status: int, headers: dict[str, str]) -> bool:
         if self.method == "HEAD" or status in http.STATUSES_WITHOUT_BODY:
             return True
@@ -156,10 +170,10 @@
         """Discard the body of a response to another request, to read the expected one next.
 
         Raises:
-            UpstreamError: The body is truncated, or the connection ends after it.
+            UpstreamError: The body is truncated, too slow or over `MAX_SKIPPED_BYTES`, or the
+                connection ends after it.
         """
-        while await self.read_chunk(timeout_s) is not None:
-            pass
+        await self.body(timeout_s, MAX_SKIPPED_BYTES)
         if not self.reusable():
             raise self._error("connection closed after a response to another request", "wait")
         remaining, _ = self.conn.trailing_data
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -1,7 +1,10 @@
 """Event streams are split into whole events, whatever the chunk boundaries."""
 
+import time
+
 import pytest
 
+from ebonywheel import exceptions
 from ebonywheel.gateway import events
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
@@ -29,3 +32,23 @@
     splitter = events.EventSplitter()
     splitter.feed(b"id: 7\ndata: a\n\n: still here\n\n")
     assert splitter.last_id == "7"
+
+
+def test_an_event_without_end_is_refused():
+    """A server in trouble may send bytes until its connection is closed."""
+    splitter = events.EventSplitter()
+    fed = 0
+    with pytest.raises(exceptions.UpstreamError):
+        while fed < 2 * events.MAX_EVENT_BYTES:
+            splitter.feed(b"x" * 16_384)
+            fed += 16_384
+    assert fed <= events.MAX_EVENT_BYTES
+
+
+def test_bytes_of_an_unfinished_event_are_searched_once():
+    """Searching all of them with each part froze the other streams of the host."""
+    splitter = events.EventSplitter()
+    started_at = time.process_time()
+    for _ in range(events.MAX_EVENT_BYTES // 16):
+        splitter.feed(b"x" * 16)
+    assert time.process_time() - started_at < 0.5
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -201,6 +201,24 @@
             answer = serving.request("POST", "/book/1")
             assert (answer.status, answer.content) == (200, b"the answer")
 
+    def test_a_late_copy_of_an_answer_is_not_forwarded(self, serving, start_server):
+        """The copy arrives after the connection is in use again, and does not say whose it is."""
+        server = start_server()
+        reused = []
+
+        def answer_late(handler, received):
+            if getattr(handler, "used", False):
+                reused.append(received)
+                handler.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+            handler.used = True
+            platformserver.answer_plainly(handler, received)
+
+        server.script = answer_late
+        for _ in range(4):
+            answer = serving.request("POST", "/book/1")
+            assert (answer.status, answer.content) == (200, b"the answer")
+        assert reused
+
     def test_an_answer_that_ends_early_does_not_look_complete(self, serving, start_server):
         server = start_server()
 
@@ -528,6 +546,23 @@
             answer.read()
         assert len(first.received) + len(second.received) == 1
 
+    def test_a_long_answer_may_take_all_the_time_that_is_left(self, serving, start_server):
+        """Only a first try that another may follow has to end before the deadline."""
+        server = start_server()
+
+        def send_slowly(handler, received):
+            handler.send_response(200)
+            handler.send_header("X-Response-Stamp", "s")
+            handler.send_header("Content-Length", str(600_000))
+            handler.end_headers()
+            for _ in range(12):
+                handler.wfile.write(b"x" * 50_000)
+                threading.Event().wait(0.15)
+
+        server.script = send_slowly
+        answer = serving.request("GET", "/look/1", headers={"X-Deadline-Ms": "2800"})
+        assert len(answer.content) == 600_000
+
     def test_a_long_answer_arrives_whole(self, serving, start_server):
         server = start_server()
         body = bytes(range(256)) * 4_000
--- /dev/null
+++ b/tests/test_streaming.py
@@ -0,0 +1,90 @@
+"""Relaying of a stream whose server sends bytes but no events."""
+
+import types
+
+import curio
+import pytest
+
+from ebonywheel import exceptions, messages
+from ebonywheel.gateway import events, streaming
+
+STALL_S = 0.3
+INTERVAL_S = 0.05
+
+
+class ScriptedConnection:
+    """Yields parts of a stream at a fixed interval, then its end."""
+
+    def __init__(self, parts):
+        self.parts = list(parts)
+
+    async def read_chunk(self, timeout_s):
+        try:
+            async with curio.timeout_after(timeout_s):
+                await curio.sleep(INTERVAL_S)
+        except curio.TaskTimeout as error:
+            raise exceptions.UpstreamError("silent", "read", timed_out=True) from error
+        return self.parts.pop(0) if self.parts else None
+
+
+class Exchange:
+    """Collects what the caller gets."""
+
+    def __init__(self):
+        self.written = b""
+
+    async def write(self, data):
+        self.written += data
+
+
+class Context:
+    """The parts of a request's state that relaying uses; the deadline is far away."""
+
+    def __init__(self, clock):
+        self.deadline_at = clock.monotonic() + 60.0
+        self.first_event_at = 0.0
+        self.last_event_at = 0.0
+
+    def record_events(self, now):
+        self.first_event_at = self.first_event_at or now
+        self.last_event_at = now
+
+
+def relay(monkeypatch, parts):
+    """Relay a stream of these parts and return what the caller got of it."""
+    from ebonywheel import clock
+
+    monkeypatch.setattr(streaming, "STALL_TIMEOUT_S", STALL_S)
+    core = types.SimpleNamespace(clock=clock.SystemClock())
+    sender = types.SimpleNamespace(view=None)
+    forwarder = streaming.StreamForwarder(core, sender, None)
+    reply = types.SimpleNamespace(
+        record=messages.DirectoryRecord("s", address="10.0.0.1:80"),
+        connection=ScriptedConnection(parts),
+        reservation=types.SimpleNamespace(mark_answer_begun=lambda: None),
+    )
+    exchange = Exchange()
+    curio.run(forwarder._relay_events, exchange, streaming.Run(Context(core.clock), reply))
+    return exchange.written
+
+
+def test_a_stalled_stream_ends_although_bytes_arrive_now_and_then(monkeypatch):
+    with pytest.raises(exceptions.UpstreamError) as caught:
+        relay(monkeypatch, [b"id: 1\n\n"] + [b":"] * 1000)
+    assert caught.value.timed_out
+
+
+def test_a_slow_but_sound_stream_is_relayed_to_its_end(monkeypatch):
+    parts = [b"id: 1\n\n"] + [b"id: 2\n", b":", b":", b"\n\n"] * 10
+    assert relay(monkeypatch, parts) == b"".join(parts)
+
+
+def test_a_stream_may_wait_for_its_first_event_until_the_deadline(monkeypatch):
+    parts = [b":"] * 10 + [b"id: 1\n\n"]
+    assert relay(monkeypatch, parts) == b"".join(parts)
+
+
+def test_an_event_without_end_breaks_the_stream(monkeypatch):
+    part = b"x" * (events.MAX_EVENT_BYTES // 2)
+    with pytest.raises(exceptions.UpstreamError):
+        relay(monkeypatch, [b"id: 1\n\n"] + [part] * 1000)
