Count the work of a new incarnation that another home may have lent

A host that was paused while another one was home learnt of the server's new incarnation before it was confirmed as its home, took its work in flight as none and lent two slots beside one in use. Ruled out: the borrower's pause (its one request was in the report), the order of report and lease. Change: a new incarnation starts with no foreign work only at a confirmed home; a home whose lease was interrupted is confirmed anew also for a server without a living incarnation.

--- a/src/ebonywheel/home.py
+++ b/src/ebonywheel/home.py
@@ -337,7 +337,9 @@
             return True
         if known is not None:
             self._mark_dead(home_server)
-        home_server.ledger = slots.SlotLedger(state, engine)
+        # Another home may have lent slots of this incarnation unless this host is its only home.
+        foreign = 0 if home_server.confirmed else None
+        home_server.ledger = slots.SlotLedger(state, engine, foreign)
         self.core.log.info("server_restarted", server=state.server)
         return True
 
@@ -375,6 +377,8 @@
         self._update_lease(now)
         for name, home_server in list(self.servers.items()):
             if home_server.ledger is None:
+                if not unbroken:
+                    self._require_confirmation(home_server)
                 continue
             state = home_server.ledger.state
             target = home_of(name, state.data_centre, current.roster)
@@ -403,6 +407,10 @@
             home_server.ledger.state, home_server.ledger.engine, foreign=None
         )
         home_server.ledger.limit = limit
+        self._require_confirmation(home_server)
+
+    def _require_confirmation(self, home_server: HomeServer) -> None:
+        """Lend no slots until a former home's loans have expired and this home is confirmed."""
         home_server.lends_from = self._earliest_lending()
         home_server.confirmed = False
 
--- a/tests/test_home.py
+++ b/tests/test_home.py
@@ -170,6 +170,21 @@
         with pytest.raises(exceptions.NotRunError, match="no slot free"):
             cluster.lend(OLD_HOME, "x")
 
+    @pytest.mark.parametrize("known_dead", [False, True])
+    def test_incarnation_that_another_home_may_have_lent_is_counted(self, cluster, known_dead):
+        """The server restarted, and another host was its home, while this one was paused."""
+        if known_dead:
+            TestServerDeath().report_death(cluster)
+        cluster.clock.advance(20.0)
+        cluster.set_roster(3, (OLD_HOME,), OLD_HOME)
+        cluster.announce(OLD_HOME, incarnation=2, running=2)
+        with pytest.raises(exceptions.NotRunError, match="waiting out"):
+            cluster.lend(OLD_HOME, "x", incarnation=2)
+        cluster.run_for(OLD_HOME, incarnation=2, running=2)
+        with pytest.raises(exceptions.NotRunError, match="no slot free"):
+            cluster.lend(OLD_HOME, "y", incarnation=2)
+        assert cluster.homes[OLD_HOME].servers[SERVER].ledger.foreign == 2
+
     def test_home_with_an_unbroken_lease_keeps_lending(self, cluster):
         cluster.lend(OLD_HOME, "x")
         cluster.set_roster(3, (OLD_HOME,), OLD_HOME)
