A fault soak of the platform's programs; catch up with a run before it is stopped; less watch traffic

Cause: no randomized soak existed. Watches of 195 hosts at five control hosts carry renewals and all sums in each answer. A run is copied again while it continues until a copy takes 60 ms or less, three times at most. Only the nearest control host passes on renewals, and only the sums that changed.

--- a/src/ebonywheel/directory.py
+++ b/src/ebonywheel/directory.py
@@ -22,13 +22,15 @@
     Attributes:
         received_at: When a control host received the report, in monotonic seconds of this host.
         direct: True when the backend server reported to this host.
-        position: Position of the entry's last change; positions grow with each change.
+        position: Position of the entry's last record; positions grow with each record.
+        changed_position: Position of its last record that was more than a renewal.
     """
 
     record: messages.DirectoryRecord
     received_at: float
     direct: bool
     position: int
+    changed_position: int
 
 
 class Directory:
@@ -54,8 +56,9 @@
         now = self.clock.monotonic()
         if self.early_leaves.get(record.server, 0.0) > now:
             record = msgspec.structs.replace(record, gone=True)
-        self._store(record, now - record.age_ms / 1000, direct)
-        return previous is None or _has_changed(record, previous.record)
+        changed = previous is None or _has_changed(record, previous.record)
+        self._store(record, now - record.age_ms / 1000, direct, changed)
+        return changed
 
     def leave(self, server: str) -> bool:
         """Mark the known incarnation of a server as gone; return whether that is a change."""
@@ -66,21 +69,25 @@
         if previous.record.gone:
             return False
         record = msgspec.structs.replace(previous.record, gone=True, age_ms=0)
-        self._store(record, self.clock.monotonic(), True)
+        self._store(record, self.clock.monotonic(), direct=True, changed=True)
         return True
 
-    def changes(self, seen: int, relayed: bool) -> list[messages.DirectoryRecord]:
-        """Return the records changed after a position, oldest change first.
+    def changes(
+        self, seen: int, relayed: bool, changes_only: bool = False
+    ) -> list[messages.DirectoryRecord]:
+        """Return the records received after a position, oldest first.
 
         Args:
             seen: The position.
             relayed: Whether to include records that other control hosts received.
+            changes_only: Whether to leave out records that were only renewed since.
         """
         records = []
         for entry in reversed(self.entries.values()):
             if entry.position <= seen:
                 break
-            if entry.direct or relayed:
+            renewed_only = entry.changed_position <= seen
+            if (entry.direct or relayed) and not (changes_only and renewed_only):
                 records.append(msgspec.structs.replace(entry.record, age_ms=self._age_ms(entry)))
         return records[::-1]
 
@@ -93,6 +100,11 @@
         entry = self.entries.get(server)
         return float("inf") if entry is None else self.clock.monotonic() - entry.received_at
 
+    def oldest_age_s(self) -> float:
+        """Return the seconds since the last report of the server that was silent for longest."""
+        now = self.clock.monotonic()
+        return max((now - entry.received_at for entry in self.live()), default=0.0)
+
     def prune(self) -> None:
         """Forget servers that were silent for `FORGET_S`."""
         now = self.clock.monotonic()
@@ -106,10 +118,15 @@
             if kept_until > now
         }
 
-    def _store(self, record: messages.DirectoryRecord, received_at: float, direct: bool) -> None:
+    def _store(
+        self, record: messages.DirectoryRecord, received_at: float, direct: bool, changed: bool
+    ) -> None:
         self.position += 1
-        self.entries.pop(record.server, None)
-        self.entries[record.server] = DirectoryEntry(record, received_at, direct, self.position)
+        previous = self.entries.pop(record.server, None)
+        changed_position = self.position if changed else previous.changed_position
+        self.entries[record.server] = DirectoryEntry(
+            record, received_at, direct, self.position, changed_position
+        )
 
     def _age_ms(self, entry: DirectoryEntry) -> int:
         return max(0, int((self.clock.monotonic() - entry.received_at) * 1000))
--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -20,6 +20,11 @@
 # Load up to which a server may take over runs. It may exceed the server's memory, as most of the
 # expected tokens are not generated yet, and preempting a run later is better than losing it now.
 MAX_DESTINATION_LOAD = 1.3
+# A run is stopped once a copy of what is new took at most this long: the copy after the stop takes
+# as long again, and the caller gets no events meanwhile.
+MAX_HAND_OVER_COPY_S = 0.06
+# Copies of what is new before a run is stopped in any case.
+MAX_CATCH_UP_COPIES = 3
 # Pause before the next attempt to copy a run that its engine has not started.
 NOT_STARTED_RETRY_S = 0.1
 RETRY_PAUSE_S = 0.05
@@ -181,7 +186,8 @@
             record = candidate.record
             copy_result = await self._copy(run, record, stop=False)
             if copy_result.complete:
-                await self._wait_until(self._hand_over_at(move, started_at))
+                await self._wait_until(started_at + move.hand_over_s)
+                await self._catch_up(run, record)
                 # If the server has shut down meanwhile, the run already continues at its copy.
                 if not run.closed and run.record.server == source:
                     await self._hand_over(run, record)
@@ -196,21 +202,26 @@
             await curio.sleep(RETRY_PAUSE_S)
         self.core.log.warning("move_failed", request=run.attempt(), server=run.record.server)
 
-    def _hand_over_at(self, move: moveplan.PlannedMove, started_at: float) -> float:
-        """Return when to stop a run whose first copy has just completed, monotonic seconds.
-
-        After the planned time, the run is handed over with those that began after the notice.
-        """
-        planned_at = started_at + move.hand_over_s
-        if self.core.clock.monotonic() <= planned_at:
-            return planned_at
-        return started_at + moveplan.LATE_HAND_OVER_S
-
     async def _wait_until(self, at: float) -> None:
         remaining_s = at - self.core.clock.monotonic()
         if remaining_s > 0:
             await curio.sleep(remaining_s)
 
+    async def _catch_up(self, run: streaming.Run, record: messages.DirectoryRecord) -> None:
+        """Copy what is new while the run continues, until the links are free for a short copy.
+
+        A copy queues behind those of other runs and servers on both links.
+        """
+        source = run.record.server
+        for _ in range(MAX_CATCH_UP_COPIES):
+            if run.closed or run.record.server != source:
+                return
+            began_at = self.core.clock.monotonic()
+            copy_result = await self._copy(run, record, stop=False)
+            took_s = self.core.clock.monotonic() - began_at
+            if not copy_result.complete or took_s <= MAX_HAND_OVER_COPY_S:
+                return
+
     async def _hand_over(self, run: streaming.Run, record: messages.DirectoryRecord) -> None:
         """Stop a copied run and copy it again, so that it continues at the copy."""
         run.move_finished = curio.Event()
@@ -253,11 +264,13 @@
         finally:
             now = self.core.clock.monotonic()
             copy = streaming.Copy(record, source.address, copy_result.handle, reservation)
-            if copy_result.complete and not run.closed:
+            # The run may have ended or continued at an earlier copy meanwhile.
+            wanted = not run.closed and run.record is source
+            if copy_result.complete and wanted:
                 run.replace_copy(copy)
             else:
                 reservation.release()
-        if copy_result.complete and run.closed:
+        if copy_result.complete and not wanted:
             await self.streams.drop_copy(run.attempt(), source, copy)
         self.core.log.info(
             "run_copied",
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -13,8 +13,12 @@
 
 TableDecoder = typing.Callable[[bytes], result.Result[routes.Table, exceptions.DocumentError]]
 FETCH_TIMEOUT_S = 2.0
+# The nearest control host passes on each report of a server within 1.9 s of the one before: their
+# period of 1.2 s and a watch between control hosts. An older one means that it misses some.
+MAX_RELAYED_AGE_S = 2.2
 # Id and start time of a server: after a restart under the same id its state starts anew.
 _IncarnationKey = tuple[str, int]
+_NO_USE = messages.ServerUse()
 
 
 class Regions(typing.Protocol):
@@ -34,6 +38,7 @@
         out_index: Log index of that list.
         directory: Backend servers.
         states: Load and health of each server incarnation.
+        other_uses: Load from all other entry hosts by server, without servers that have none.
         entry_hosts: Number of entry hosts that share the servers.
         on_shutdown_notice: Called with the id of a server that shuts down or has left.
     """
@@ -58,6 +63,7 @@
         self.out_index = 0
         self.directory = directory.Directory(core.clock)
         self.states: dict[_IncarnationKey, balance.ServerState] = {}
+        self.other_uses: dict[str, messages.ServerUse] = {}
         self.entry_hosts = 1
         self.on_shutdown_notice: list[collections.abc.Callable[[str], typing.Awaitable[None]]] = []
         self.fetch_lock = curio.Lock()
@@ -77,6 +83,8 @@
             uses=self._own_uses(),
             uses_wanted=nearest,
             uses_reported=True,
+            relayed=nearest,
+            changes_only=not nearest and self.directory.oldest_age_s() < MAX_RELAYED_AGE_S,
         )
 
     def distance(self, data_centre: str) -> float:
@@ -107,18 +115,27 @@
             self.core.log.info("data_centres_out", out=" ".join(reply.out), index=reply.out_index)
         self.entry_hosts = max(1, reply.entry_hosts)
         if request.uses_wanted:
-            self._update_other_uses(reply.uses)
+            self._update_other_uses(reply.uses, reply.uses_complete)
         if reply.routing_index > self.routing_index:
             await self._fetch_routing(reply.routing_index, connection)
 
-    def _update_other_uses(self, uses: list[messages.ServerUse]) -> None:
-        by_server = {use.server: use for use in uses}
-        no_use = messages.ServerUse()
+    def _update_other_uses(self, uses: list[messages.ServerUse], complete: bool) -> None:
+        """Apply the load from all other hosts, that of all servers if it is complete."""
+        if complete:
+            self.other_uses = {}
+        for use in uses:
+            if use.requests or use.tokens or use.unread:
+                self.other_uses[use.server] = use
+            else:
+                self.other_uses.pop(use.server, None)
         for (server, _), state in self.states.items():
-            use = by_server.get(server, no_use)
-            state.other_requests = use.requests
-            state.other_tokens = use.tokens
-            state.other_unread = use.unread
+            self._apply_other_uses(server, state)
+
+    def _apply_other_uses(self, server: str, state: balance.ServerState) -> None:
+        use = self.other_uses.get(server, _NO_USE)
+        state.other_requests = use.requests
+        state.other_tokens = use.tokens
+        state.other_unread = use.unread
 
     async def _observe(self, record: messages.DirectoryRecord) -> None:
         if not self.directory.observe(record):
@@ -154,6 +171,7 @@
         state = self.states.get(key)
         if state is None:
             state = self.states[key] = balance.ServerState()
+            self._apply_other_uses(record.server, state)
         return state
 
     def candidates(self, service: str) -> list[balance.Candidate]:
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -569,6 +569,8 @@
         uses_wanted: True to get the sums over all other entry hosts.
         uses_reported: True when the sender is an entry host, which reports its load with each
             request; implied by `uses_wanted`.
+        uses_number: Number of the last reply with sums that the sender applied, 0 for none.
+        changes_only: True to leave out records that were only renewed.
     """
 
     host: str = ""
@@ -582,6 +584,8 @@
     uses: list[ServerUse] = []
     uses_wanted: bool = False
     uses_reported: bool = False
+    uses_number: int = 0
+    changes_only: bool = False
 
 
 class WatchReply(msgspec.Struct):
@@ -595,7 +599,10 @@
         out: Data centres out of service.
         members: Addresses of the links of all control hosts.
         entry_hosts: Number of entry hosts that watch this control host.
-        uses: Sums over all other entry hosts, if requested.
+        uses: Sums over all other entry hosts, if requested. Without `uses_complete`, only those
+            that changed since the reply that the request names.
+        uses_complete: Whether `uses` holds all sums, so that servers without one have no load.
+        uses_number: Number of this reply, to be named in the next request.
     """
 
     epoch: int = 0
@@ -608,6 +615,8 @@
     members: list[str] = []
     entry_hosts: int = 0
     uses: list[ServerUse] = []
+    uses_complete: bool = False
+    uses_number: int = 0
 
 
 class RoutingRequest(msgspec.Struct):
--- a/src/ebonywheel/watcher.py
+++ b/src/ebonywheel/watcher.py
@@ -50,9 +50,10 @@
         last_listed_at: When a member list last named the host, monotonic seconds.
         connected: Whether it answered the last watch.
         distance: Distance to it, infinite before the first connection.
+        uses_number: Number of its last reply with the others' load, 0 for none.
     """
 
-    __slots__ = ("epoch", "seen", "last_listed_at", "connected", "distance")
+    __slots__ = ("epoch", "seen", "last_listed_at", "connected", "distance", "uses_number")
 
     def __init__(self, last_listed_at: float):
         self.epoch = 0
@@ -60,6 +61,7 @@
         self.last_listed_at = last_listed_at
         self.connected = False
         self.distance = float("inf")
+        self.uses_number = 0
 
 
 class Watcher:
@@ -116,18 +118,25 @@
         request.epoch = position.epoch
         request.seen = position.seen
         request.wait_ms = NEAREST_WAIT_MS if nearest else WAIT_MS
+        request.uses_number = position.uses_number
         # While a control host is unreachable, the others relay the records that it received.
-        request.relayed = not self.all_connected()
+        request.relayed = request.relayed or not self.all_connected()
         try:
             reply = await connection.call(request, request.wait_ms / 1000 + ANSWER_MARGIN_S)
             await self.view.update(request, reply, connection)
         except exceptions.LinkError as error:
             self._set_connected(position, False, connection.name, str(error))
+            position.uses_number = 0
             await connection.close()
             await curio.sleep(RETRY_S)
             return
         self._set_connected(position, True, connection.name, "")
         position.distance = self.view.distance(connection.peer.data_centre)
+        if request.uses_wanted:
+            # What this host knows of the load now comes from this reply, not from the others'.
+            for other in self.positions.values():
+                other.uses_number = 0
+            position.uses_number = reply.uses_number
         position.epoch = reply.epoch
         position.seen = reply.seen
         await self.follow(reply.members)
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -20,11 +20,24 @@
 EPOCH_BITS = 48
 
 
+# Requests, tokens and unread tokens of one server.
+_Sums = tuple[int, int, int]
+
+
 class HostUses(msgspec.Struct):
-    """Work in flight that an entry host reported last, and when, monotonic seconds."""
+    """What an entry host reported and was told of the work in flight.
+
+    Attributes:
+        received_at: When it reported last, monotonic seconds.
+        uses: Its own work.
+        told: Sums over the other hosts that it was told of, by server.
+        told_number: Number of the reply that told it of them.
+    """
 
     received_at: float
     uses: list[messages.ServerUse]
+    told: dict[str, _Sums] = {}
+    told_number: int = 0
 
 
 class WatchServer:
@@ -76,11 +89,19 @@
         """Answer one watch request, after a wait when nothing has changed."""
         now = self.core.clock.monotonic()
         if request.uses_wanted or request.uses_reported:
-            self.uses[request.host] = HostUses(now, request.uses)
+            self._record_uses(request, now)
         if request.epoch == self.epoch and not self._has_newer_routing(request):
             await self._wait(request)
         return self._reply(request)
 
+    def _record_uses(self, request: messages.WatchRequest, now: float) -> None:
+        known = self.uses.get(request.host)
+        if known is None:
+            self.uses[request.host] = HostUses(now, request.uses)
+        else:
+            known.received_at = now
+            known.uses = request.uses
+
     async def _wait(self, request: messages.WatchRequest) -> None:
         initial_count = self.wake_count
         async with curio.ignore_after(min(request.wait_ms, MAX_WAIT_MS) / 1000):
@@ -95,9 +116,11 @@
     def _reply(self, request: messages.WatchRequest) -> messages.WatchReply:
         routing = self.state_machine.data.routing
         seen = request.seen if request.epoch == self.epoch else 0
-        records = self.directory.changes(seen, request.relayed or seen == 0)
+        records = self.directory.changes(
+            seen, request.relayed or seen == 0, request.changes_only and seen > 0
+        )
         recent_uses = self._recent_uses()
-        return messages.WatchReply(
+        reply = messages.WatchReply(
             self.epoch,
             self.directory.position,
             records,
@@ -107,8 +130,10 @@
             routing.out,
             [member.link for member in self.replica.members],
             len(recent_uses),
-            self._sum_uses(request.host, recent_uses) if request.uses_wanted else [],
         )
+        if request.uses_wanted:
+            self._tell_uses(request, reply, recent_uses)
+        return reply
 
     def routing(self) -> messages.RoutingReply:
         """Return the routing content in force here."""
@@ -123,19 +148,29 @@
             if host_uses.received_at >= oldest
         }
 
-    def _sum_uses(
-        self, asking_host: str, recent_uses: dict[str, HostUses]
-    ) -> list[messages.ServerUse]:
-        sums: dict[str, messages.ServerUse] = {}
-        for host, host_uses in recent_uses.items():
-            if host == asking_host:
-                continue
-            for use in host_uses.uses:
-                total = sums.setdefault(use.server, messages.ServerUse(use.server))
-                total.requests += use.requests
-                total.tokens += use.tokens
-                total.unread += use.unread
-        return list(sums.values())
+    def _tell_uses(
+        self,
+        request: messages.WatchRequest,
+        reply: messages.WatchReply,
+        recent_uses: dict[str, HostUses],
+    ) -> None:
+        """Add the sums over the other hosts to a reply, only the changed ones if the rest is known.
+
+        A reply that was lost leaves the numbers different, and the next one is complete.
+        """
+        sums = _sum_uses(request.host, recent_uses)
+        asker = self.uses[request.host]
+        reply.uses_complete = request.uses_number == 0 or request.uses_number != asker.told_number
+        told = {} if reply.uses_complete else asker.told
+        reply.uses = [
+            messages.ServerUse(server, *values)
+            for server, values in sums.items()
+            if told.get(server) != values
+        ]
+        reply.uses += [messages.ServerUse(server) for server in told if server not in sums]
+        asker.told = sums
+        asker.told_number += 1
+        reply.uses_number = asker.told_number
 
     async def _wake_after_applied(self) -> None:
         await self.wake()
@@ -145,3 +180,15 @@
             await curio.sleep(PRUNE_INTERVAL_S)
             self.directory.prune()
             self.uses = self._recent_uses()
+
+
+def _sum_uses(asking_host: str, recent_uses: dict[str, HostUses]) -> dict[str, _Sums]:
+    """Return the sums over all hosts but the asking one, by server."""
+    sums: dict[str, _Sums] = {}
+    for host, host_uses in recent_uses.items():
+        if host == asking_host:
+            continue
+        for use in host_uses.uses:
+            requests, tokens, unread = sums.get(use.server, (0, 0, 0))
+            sums[use.server] = (requests + use.requests, tokens + use.tokens, unread + use.unread)
+    return sums
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -328,6 +328,8 @@
   uses @8 :List(ServerUse);
   usesWanted @9 :Bool;
   usesReported @10 :Bool;
+  usesNumber @11 :UInt64;
+  changesOnly @12 :Bool;
 }
 
 struct WatchReply {
@@ -341,6 +343,8 @@
   members @7 :List(Text);
   entryHosts @8 :UInt64;
   uses @9 :List(ServerUse);
+  usesComplete @10 :Bool;
+  usesNumber @11 :UInt64;
 }
 
 struct RoutingRequest {
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,139 @@
+"""Callers that keep their connections, and check each answer."""
+
+import http.client
+import random
+import threading
+import time
+
+import platformsystem
+from soak import promises, servers
+
+KINDS = {"book": ("POST", "/book/1"), "look": ("GET", "/look/1"), "plan": ("POST", "/plan/1")}
+PLAN_HEADERS = {"X-Token-Counts": "300,120", "X-Model-Name": "m"}
+DEADLINE_MS = 4000
+# Time that an accepted withdrawal of a key may take to be in force, with hosts that were paused.
+WITHDRAWN_MARGIN_S = 8.0
+
+
+class Keys:
+    """API keys: one that stays, and one that operators withdraw and give back.
+
+    Attributes:
+        withdrawn_at: When the withdrawal in force was acknowledged, None while the key is valid.
+    """
+
+    def __init__(self):
+        self.withdrawn_at = None
+
+    def is_withdrawn(self, asked_at):
+        """Return whether the withdrawal must have been in force at a time."""
+        return self.withdrawn_at is not None and asked_at - self.withdrawn_at > WITHDRAWN_MARGIN_S
+
+
+class Caller(threading.Thread):
+    """Sends requests one after the other, each over a kept or a new connection."""
+
+    def __init__(self, number, world, seed):
+        super().__init__(daemon=True)
+        self.number = number
+        self.world = world
+        self.ledger = world.ledger
+        self.random = random.Random(f"{seed} caller {number}")
+        self.connections = {}
+        self.sent = 0
+
+    def run(self):
+        while not self.world.stopping.is_set():
+            node = self.random.choice(self.world.system.entries)
+            kind = self.random.choice(list(KINDS))
+            try:
+                self.call(node, kind)
+            except (OSError, http.client.HTTPException) as error:
+                self.drop(node)
+                self.ledger.count(kind, "broken")
+                self.check_planned_stop(node, kind, error)
+            time.sleep(self.random.uniform(0.0, 0.05))
+        for connection in self.connections.values():
+            connection.close()
+
+    def check_planned_stop(self, node, kind, error):
+        """Record a request that was cut, without any other fault, while its host was stopped."""
+        if self.world.planned_stop is node and self.request_sent and not self.server_broke:
+            request = f"c{self.number}-{self.sent}"
+            if self.ledger.runs.get(request):
+                self.ledger.breach("a planned stop cuts nothing", request, node.name, repr(error))
+
+    def drop(self, node):
+        connection = self.connections.pop(node.name, None)
+        if connection is not None:
+            connection.close()
+
+    def connect(self, node):
+        connection = self.connections.get(node.name)
+        if connection is None:
+            connection = http.client.HTTPConnection(
+                node.ip, platformsystem.FRONT_PORT, timeout=DEADLINE_MS / 1000 + 1
+            )
+            self.connections[node.name] = connection
+        return connection
+
+    def call(self, node, kind):
+        self.sent += 1
+        self.request_sent = self.server_broke = False
+        request = f"c{self.number}-{self.sent}"
+        key = self.random.choice(["key-1", "key-2"])
+        method, path = KINDS[kind]
+        headers = {
+            "Host": "a.example",
+            "X-Attempt-Id": request,
+            "X-Deadline-Ms": str(DEADLINE_MS),
+            "Authorization": f"Token {key}",
+            **(PLAN_HEADERS if kind == "plan" else {}),
+        }
+        connection = self.connect(node)
+        withdrawn = key == "key-2" and self.world.keys.is_withdrawn(time.monotonic())
+        connection.request(method, path, b"", headers)
+        self.request_sent = True
+        answer = connection.getresponse()
+        self.ledger.count(kind, str(answer.status))
+        if answer.status == 200 and withdrawn:
+            self.ledger.breach("a withdrawn key is refused", request, node.name, key)
+        if answer.status == 200 and kind == "plan":
+            self.read_stream(answer, request, node)
+        else:
+            self.read_answer(answer, request, node)
+        if answer.will_close:
+            self.drop(node)
+
+    def read_answer(self, answer, request, node):
+        body = answer.read()
+        if answer.status == 200 and body != request.encode():
+            self.ledger.breach("the answer to its own request", request, node.name, repr(body))
+        if answer.status in promises.NOT_RUN_STATUSES:
+            self.ledger.was_refused(request, node.name, answer.status)
+
+    def read_stream(self, answer, request, node):
+        """Read a stream; a complete one has all events once, in order, from one server."""
+        self.server_broke = True
+        expected, source = 1, None
+        try:
+            while line := answer.readline():
+                if line.startswith(b"id:"):
+                    number = int(line[3:])
+                    if number != expected:
+                        detail = f"event {number} instead of {expected}"
+                        self.ledger.breach("events once, in order", request, node.name, detail)
+                    expected = number + 1
+                elif line.startswith(b"data:"):
+                    owner, server = line[5:].decode().split()
+                    if owner != request or source not in (None, server):
+                        self.ledger.breach("one generation", request, node.name, line.decode())
+                    source = server
+            # `readline` takes a cut connection for the end; this does not.
+            answer.read()
+        except http.client.IncompleteRead:
+            self.drop(node)
+            return
+        if expected != servers.EVENTS + 1:
+            detail = f"complete after event {expected - 1}"
+            self.ledger.breach("no early end", request, node.name, detail)
--- /dev/null
+++ b/tests/soak/promises.py
@@ -0,0 +1,81 @@
+"""What callers, servers and operators saw, and the promises that it breaks."""
+
+import collections
+import threading
+import time
+
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
+class Breach:
+    """A broken promise, with what is needed to find its cause."""
+
+    __slots__ = ("promise", "request", "host", "detail", "at_s")
+
+    def __init__(self, promise, request, host, detail, at_s):
+        self.promise = promise
+        self.request = request
+        self.host = host
+        self.detail = detail
+        self.at_s = at_s
+
+    def report(self, folder):
+        """Return the breach for the report, with the log to open first."""
+        log = str(folder / self.host / "log") if self.host else ""
+        return {**{name: getattr(self, name) for name in self.__slots__}, "log": log}
+
+
+class Ledger:
+    """Collects what was seen, from all threads.
+
+    Attributes:
+        runs: Servers that ran each request, in order.
+        outcomes: Number of requests by kind and outcome.
+        breaches: Broken promises.
+    """
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.started_at = time.monotonic()
+        self.runs = collections.defaultdict(list)
+        self.once = set()
+        self.refused = {}
+        self.outcomes = collections.Counter()
+        self.breaches = []
+
+    def now(self):
+        """Return the seconds since the start."""
+        return time.monotonic() - self.started_at
+
+    def ran(self, request, server, once):
+        """Record that a server ran a request, which must not happen twice if `once` is true."""
+        with self.lock:
+            self.runs[request].append(server)
+            twice = once and len(self.runs[request]) > 1
+        if twice:
+            self.breach("at most once", request, "", f"ran at {self.runs[request]}")
+
+    def was_refused(self, request, host, status):
+        """Record that a caller was told that its request did not run and never will."""
+        with self.lock:
+            self.refused[request] = (host, status)
+
+    def count(self, kind, outcome):
+        """Count a request by its outcome."""
+        with self.lock:
+            self.outcomes[f"{kind}: {outcome}"] += 1
+
+    def breach(self, promise, request, host, detail):
+        """Record a broken promise."""
+        with self.lock:
+            self.breaches.append(Breach(promise, request, host, detail, round(self.now(), 2)))
+
+    def check_refusals(self):
+        """Check that no request that was refused as not run has run; at the end of a soak."""
+        for request, (host, status) in self.refused.items():
+            if self.runs.get(request):
+                self.breach("not run", request, host, f"{status}, ran at {self.runs[request]}")
+
+    def served(self):
+        """Return the number of requests answered with success."""
+        return sum(count for name, count in self.outcomes.items() if name.endswith(": 200"))
--- /dev/null
+++ b/tests/soak/servers.py
@@ -0,0 +1,172 @@
+"""Stand-in servers behind loopback proxies that delay, reset or silence their connections."""
+
+import random
+import socket
+import threading
+import time
+
+import platformserver
+
+EVENTS = 30
+EVENT_INTERVAL_S = 0.05
+READ_BYTES = 65536
+REPORT_INTERVAL_S = 0.4
+MODES = ("pass", "delay", "reset", "silent", "one way")
+
+
+class Proxy:
+    """Forwards connections to a server.
+
+    Attributes:
+        mode: What happens to bytes that arrive: one of `MODES`.
+    """
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = "pass"
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                caller, _ = self.listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.connect, args=(caller,), daemon=True).start()
+
+    def connect(self, caller):
+        host, port = self.target.split(":")
+        try:
+            server = socket.create_connection((host, int(port)))
+        except OSError:
+            caller.close()
+            return
+        for source, sink, forward in ((caller, server, True), (server, caller, False)):
+            threading.Thread(target=self.pump, args=(source, sink, forward), daemon=True).start()
+
+    def pump(self, source, sink, forward):
+        """Copy one direction until it ends; `forward` is the one to the server."""
+        try:
+            while data := source.recv(READ_BYTES):
+                if self.mode == "delay":
+                    time.sleep(0.2)
+                elif self.mode == "reset":
+                    break
+                elif self.mode == "silent" or (self.mode == "one way" and not forward):
+                    continue
+                sink.sendall(data)
+        except OSError:
+            pass
+        for end in (source, sink):
+            end.close()
+
+    def close(self):
+        self.listener.close()
+
+
+class SoakServer(platformserver.PlatformServer):
+    """Runs requests, records them, and fails some in the ways that servers do."""
+
+    def __init__(self, name, service, zone, ledger, seed):
+        super().__init__(name, service, zone)
+        self.ledger = ledger
+        self.random = random.Random(f"{seed} {name}")
+        self.proxy = Proxy(self.address)
+        self.address = self.proxy.address
+        self.drained_at = None
+        self.script = self.stream if service == "plan" else self.answer_once
+
+    def check_drained(self, received, margin_s):
+        """Record a request that arrives although a control host acknowledged the drain long ago."""
+        if self.drained_at is not None and time.monotonic() - self.drained_at > margin_s:
+            request = received.headers["x-attempt-id"]
+            self.ledger.breach("no work for a leaving server", request, "", self.name)
+
+    def answer_once(self, handler, received):
+        request = received.headers["x-attempt-id"]
+        self.check_drained(received, 8.0)
+        fate = self.random.random()
+        if fate < 0.04:
+            handler.answer(503, b"", {"X-Not-Executed": "1"})
+            return
+        self.ledger.ran(request, self.name, once=received.method == "POST")
+        if fate < 0.07:
+            handler.close_early()
+        elif fate < 0.12:
+            handler.answer(500, b"no", {"X-Response-Stamp": "s"})
+        else:
+            handler.answer(200, request.encode(), {"X-Response-Stamp": f"stamp-{self.name}"})
+            if fate < 0.15:
+                # A second copy of the answer, late.
+                time.sleep(self.random.uniform(0.0, 0.2))
+                handler.answer(200, request.encode(), {"X-Response-Stamp": "again"})
+
+    def stream(self, handler, received):
+        request = received.headers["x-attempt-id"]
+        self.check_drained(received, 8.0)
+        if "kv-from" in received.headers:
+            handler.answer(503, b"", {"X-Not-Executed": "1"})
+            return
+        self.ledger.ran(request, self.name, once=True)
+        fate = self.random.random()
+        handler.start_stream()
+        for number in range(1, EVENTS + 1):
+            if fate < 0.05 and number == EVENTS // 2:
+                handler.close_early()
+                return
+            handler.send_chunk(
+                b"id: %d\ndata: %s %s\n\n" % (number, request.encode(), self.name.encode())
+            )
+            time.sleep(EVENT_INTERVAL_S)
+        handler.send_chunk(b"")
+
+    def move(self, body):
+        return 503, {}
+
+    def close(self):
+        super().close()
+        self.proxy.close()
+
+
+class Reporter:
+    """Reports servers to control hosts chosen at random, as servers do.
+
+    Attributes:
+        servers: Servers that report.
+        stopping: Set to end all reports.
+    """
+
+    def __init__(self, system, seed):
+        self.system = system
+        self.random = random.Random(f"{seed} reports")
+        self.servers = []
+        self.stopping = threading.Event()
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        while not self.stopping.wait(REPORT_INTERVAL_S):
+            for server in list(self.servers):
+                self.report(server)
+
+    def report(self, server):
+        """Report a server's state to one control host; return whether it was acknowledged."""
+        state = "ready" if server.drained_at is None else "draining"
+        node = self.random.choice(self.system.controls)
+        status, _ = self.system.call_control(
+            "PUT", f"/api/instances/{server.name}", server.next_report(state), node
+        )
+        return status == 200
+
+    def drain(self, server):
+        """Report a server as draining until that is acknowledged."""
+        report = server.next_report("draining")
+        while not self.stopping.is_set():
+            node = self.random.choice(self.system.controls)
+            path = f"/api/instances/{server.name}"
+            if self.system.call_control("PUT", path, report, node)[0] == 200:
+                server.drained_at = time.monotonic()
+                return
+            time.sleep(0.2)
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,224 @@
+"""The processes, servers and callers of one soak, and the faults that strike them."""
+
+import random
+import signal
+import threading
+import time
+
+import platformsystem
+from soak import callers, promises, servers
+
+ROUTES = [
+    platformsystem.route("book", "/book/"),
+    platformsystem.route("look", "/look/", "safe"),
+    platformsystem.route("plan", "/plan/", "streaming", "plan", **{"timeout-ms": 6000}),
+]
+SERVICES = ("book", "book", "plan", "plan", "plan")
+CALLERS_FOR_EACH_HOST = 3
+MAX_PAUSE_S = 3.0
+READ_TIMEOUT_S = 8.0
+
+
+class World:
+    """One soak.
+
+    Attributes:
+        planned_stop: Entry host that is being stopped by SIGTERM while nothing else is disturbed.
+        undo: Times and actions that end the faults in progress.
+        version: Version of the newest manifest that was acknowledged.
+    """
+
+    def __init__(self, folder, seed, processes):
+        self.random = random.Random(seed)
+        self.seed = seed
+        self.ledger = promises.Ledger()
+        self.system = platformsystem.System(folder, entries=max(1, processes - 3))
+        self.stopping = threading.Event()
+        self.keys = callers.Keys()
+        self.planned_stop = None
+        self.undo = []
+        self.actions = []
+        self.version = 0
+        self.numbers = iter(range(1, 1_000_000))
+        self.reporter = servers.Reporter(self.system, seed)
+
+    def start(self):
+        """Publish the first manifest, start servers and callers."""
+        first = self.manifest(1, withdrawn=False)
+        self.system.publish(first)
+        self.version = 1
+        for service in SERVICES:
+            self.add_server(service)
+        count = CALLERS_FOR_EACH_HOST * len(self.system.entries)
+        self.callers = [callers.Caller(number, self, self.seed) for number in range(count)]
+        for caller in self.callers:
+            caller.start()
+
+    def run(self, duration_s):
+        """Strike with faults until the time is over, then undo them and check what was seen."""
+        ends_at = time.monotonic() + duration_s
+        while time.monotonic() < ends_at:
+            self.end_faults(time.monotonic())
+            action = self.random.choice(self.faults())
+            self.actions.append(f"{self.ledger.now():.1f} s {action.__name__}")
+            action()
+            time.sleep(self.random.uniform(0.2, 1.5))
+        self.end_faults(float("inf"))
+        self.check_manifest()
+        self.stopping.set()
+        for caller in self.callers:
+            caller.join(callers.DEADLINE_MS / 1000 + 5)
+        self.reporter.stopping.set()
+        self.ledger.check_refusals()
+
+    def close(self):
+        """End all processes and servers that this soak started."""
+        self.stopping.set()
+        self.reporter.stopping.set()
+        self.system.close()
+        for server in self.reporter.servers:
+            server.close()
+
+    # -- servers and operators -----------------------------------------------------------------
+
+    def add_server(self, service):
+        """Start a server, which reports by itself from then on."""
+        zone = self.random.choice(list(platformsystem.ZONES))
+        name = f"i-{service}-{next(self.numbers)}"
+        self.reporter.servers.append(
+            servers.SoakServer(name, service, zone, self.ledger, self.seed)
+        )
+
+    def manifest(self, version, withdrawn):
+        """Return a manifest with or without the second key."""
+        content = platformsystem.manifest(version, ROUTES)
+        content["tenants"][0]["api-keys"] = ["key-1"] if withdrawn else ["key-1", "key-2"]
+        return content
+
+    def publish_key_change(self):
+        """Withdraw the second key or give it back; an order without an answer is not repeated."""
+        withdraw = self.keys.withdrawn_at is None
+        self.keys.withdrawn_at = None
+        version = next(self.numbers) + 1000
+        node = self.random.choice(self.system.controls)
+        status, _ = self.system.call_control(
+            "PUT", "/api/config", self.manifest(version, withdraw), node
+        )
+        if status == 200:
+            self.version = version
+            self.keys.withdrawn_at = time.monotonic() if withdraw else None
+
+    def read_manifest(self):
+        """Read the manifest from any control host; it must be as new as the last acknowledged."""
+        acknowledged = self.version
+        node = self.random.choice(self.system.controls)
+        status, body = self.system.call_control("GET", "/api/config", node=node)
+        if status == 200 and platformsystem.json.loads(body)["version"] < acknowledged:
+            detail = f"{body[:40]!r} after {acknowledged}"
+            self.ledger.breach("configuration never reverts", "", node.name, detail)
+
+    def check_manifest(self):
+        """Check that what was acknowledged is there at the end."""
+        deadline = time.monotonic() + READ_TIMEOUT_S
+        while time.monotonic() < deadline:
+            status, body = self.system.call_control("GET", "/api/config")
+            if status == 200:
+                break
+            time.sleep(0.2)
+        if status != 200 or platformsystem.json.loads(body)["version"] < self.version:
+            self.ledger.breach("acknowledged configuration lasts", "", "", f"{status}")
+
+    # -- faults --------------------------------------------------------------------------------
+
+    def faults(self):
+        """Return the actions to draw from; more common ones stand more than once."""
+        return [
+            self.pause_entry,
+            self.pause_control,
+            self.kill_entry,
+            self.kill_control,
+            self.kill_all_controls,
+            self.stop_entry_under_load,
+            self.reload_all,
+            self.disturb_server,
+            self.disturb_server,
+            self.drain_server,
+            self.publish_key_change,
+            self.publish_key_change,
+            self.read_manifest,
+            self.read_manifest,
+        ]
+
+    def later(self, seconds, action):
+        """End a fault after some seconds."""
+        self.undo.append((time.monotonic() + seconds, action))
+
+    def end_faults(self, now):
+        due = [entry for entry in self.undo if entry[0] <= now]
+        self.undo = [entry for entry in self.undo if entry[0] > now]
+        for _, action in due:
+            action()
+
+    def signal_alive(self, node, number):
+        if node.process.poll() is None:
+            node.process.send_signal(number)
+
+    def pause(self, node):
+        self.signal_alive(node, signal.SIGSTOP)
+        seconds = self.random.uniform(0.2, MAX_PAUSE_S)
+        self.later(seconds, lambda: self.signal_alive(node, signal.SIGCONT))
+
+    def pause_entry(self):
+        self.pause(self.random.choice(self.system.entries))
+
+    def pause_control(self):
+        self.pause(self.random.choice(self.system.controls))
+
+    def kill(self, *nodes):
+        for node in nodes:
+            if node.process.poll() is None:
+                node.process.kill()
+            node.process.wait()
+        for node in nodes:
+            node.write_settings(self.system.seeds, False)
+            node.start()
+
+    def kill_entry(self):
+        self.kill(self.random.choice(self.system.entries))
+
+    def kill_control(self):
+        self.kill(self.random.choice(self.system.controls))
+
+    def kill_all_controls(self):
+        self.kill(*self.system.controls)
+
+    def stop_entry_under_load(self):
+        """Stop an entry host as planned, with nothing else disturbed, and start it again."""
+        self.end_faults(float("inf"))
+        time.sleep(1.0)
+        node = self.random.choice(self.system.entries)
+        if node.process.poll() is not None:
+            node.start()
+            return
+        self.planned_stop = node
+        try:
+            node.stop()
+        finally:
+            self.planned_stop = None
+        node.start()
+
+    def reload_all(self):
+        for node in self.system.entries + self.system.controls:
+            self.signal_alive(node, signal.SIGHUP)
+
+    def disturb_server(self):
+        server = self.random.choice(self.reporter.servers)
+        server.proxy.mode = self.random.choice(servers.MODES)
+        self.later(self.random.uniform(0.5, 4.0), lambda: setattr(server.proxy, "mode", "pass"))
+
+    def drain_server(self):
+        """Replace a server: the new one starts first, and the old one stays to be checked."""
+        ready = [server for server in self.reporter.servers if server.drained_at is None]
+        server = self.random.choice(ready)
+        self.add_server(server.service)
+        self.reporter.drain(server)
