--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -16,6 +16,9 @@
 # The nearest control host passes on each report of a server within 1.9 s of the one before: their
 # period of 1.2 s and a watch between control hosts. An older one means that it misses some.
 MAX_RELAYED_AGE_S = 2.2
+# A smaller number of entry hosts counts only after this time without the larger one: a control host
+# that has just started has not heard of all of them yet, and shares of limits must not grow by that.
+ENTRY_HOSTS_HELD_S = 5.0
 # Id and start time of a server: after a restart under the same id its state starts anew.
 _IncarnationKey = tuple[str, int]
 _NO_USE = messages.ServerUse()
@@ -40,6 +43,7 @@
         states: Load and health of each server incarnation.
         other_uses: Load from all other entry hosts by server, without servers that have none.
         entry_hosts: Number of entry hosts that share the servers.
+        entry_hosts_at: When that many were reported last, monotonic seconds.
         on_shutdown_notice: Called with the id of a server that shuts down or has left.
     """
 
@@ -65,6 +69,7 @@
         self.states: dict[_IncarnationKey, balance.ServerState] = {}
         self.other_uses: dict[str, messages.ServerUse] = {}
         self.entry_hosts = 1
+        self.entry_hosts_at = 0.0
         self.on_shutdown_notice: list[collections.abc.Callable[[str], typing.Awaitable[None]]] = []
         self.fetch_lock = curio.Lock()
 
@@ -113,12 +118,18 @@
             self.out_index = reply.out_index
             self.out_of_service = frozenset(reply.out)
             self.core.log.info("data_centres_out", out=" ".join(reply.out), index=reply.out_index)
-        self.entry_hosts = max(1, reply.entry_hosts)
+        self._record_entry_hosts(reply.entry_hosts)
         if request.uses_wanted:
             self._update_other_uses(reply.uses, reply.uses_complete)
         if reply.routing_index > self.routing_index:
             await self._fetch_routing(reply.routing_index, connection)
 
+    def _record_entry_hosts(self, count: int) -> None:
+        now = self.core.clock.monotonic()
+        if count >= self.entry_hosts or now > self.entry_hosts_at + ENTRY_HOSTS_HELD_S:
+            self.entry_hosts = max(1, count)
+            self.entry_hosts_at = now
+
     def _update_other_uses(self, uses: list[messages.ServerUse], complete: bool) -> None:
         """Apply the load from all other hosts, that of all servers if it is complete."""
         if complete:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import json
 import pathlib
+import signal
 import sys
 import tempfile
 
@@ -21,6 +22,8 @@
     parser.add_argument("--folder", help="keeps settings, data and logs; a new one by default")
     parser.add_argument("--report", help="file for the report, in JSON")
     parsed = parser.parse_args(arguments)
+    # Ends with clean-up, so that no process of the soak is left.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_BROKEN))
     folder = pathlib.Path(parsed.folder or tempfile.mkdtemp(prefix="soak-"))
     reports = []
     for seed in range(parsed.seed, parsed.seed + parsed.seeds):
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,6 +11,7 @@
 KINDS = {"book": ("POST", "/book/1"), "look": ("GET", "/look/1"), "plan": ("POST", "/plan/1")}
 PLAN_HEADERS = {"X-Token-Counts": "300,120", "X-Model-Name": "m"}
 DEADLINE_MS = 4000
+READ_BYTES = 65536
 # Time that an accepted withdrawal of a key may take to be in force, with hosts that were paused.
 WITHDRAWN_MARGIN_S = 8.0
 
@@ -30,6 +31,14 @@
         return self.withdrawn_at is not None and asked_at - self.withdrawn_at > WITHDRAWN_MARGIN_S
 
 
+def read_lines(answer):
+    """Yield the lines of an answer; unlike `readline`, raise `IncompleteRead` when it is cut."""
+    received = b""
+    while data := answer.read1(READ_BYTES):
+        *lines, received = (received + data).split(b"\n")
+        yield from lines
+
+
 class Caller(threading.Thread):
     """Sends requests one after the other, each over a kept or a new connection."""
 
@@ -117,7 +126,7 @@
         self.server_broke = True
         expected, source = 1, None
         try:
-            while line := answer.readline():
+            for line in read_lines(answer):
                 if line.startswith(b"id:"):
                     number = int(line[3:])
                     if number != expected:
@@ -129,8 +138,6 @@
                     if owner != request or source not in (None, server):
                         self.ledger.breach("one generation", request, node.name, line.decode())
                     source = server
-            # `readline` takes a cut connection for the end; this does not.
-            answer.read()
         except http.client.IncompleteRead:
             self.drop(node)
             return
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -10,7 +10,7 @@
 import pytest
 
 from ebonywheel import clock, messages
-from ebonywheel.gateway import dialect, moves
+from ebonywheel.gateway import balance, dialect, moves
 
 SOURCE = messages.DirectoryRecord("source", address="10.0.0.1:80")
 DESTINATION = messages.DirectoryRecord("destination", address="10.0.0.2:80")
@@ -57,3 +57,70 @@
     mover = Mover([])
     curio.run(mover._catch_up, make_run(closed=True), DESTINATION)
     assert mover.stops == []
+
+
+class Sender:
+    """Answers a copy call after doing something to the run meanwhile."""
+
+    def __init__(self, meanwhile):
+        self.meanwhile = meanwhile
+        self.view = types.SimpleNamespace(state_of=lambda record: self.state)
+        self.state = balance.ServerState()
+        self.dialect = types.SimpleNamespace(
+            copy_call=lambda attempt, address, stop: dialect.EngineCall("POST", "/copy"),
+            decode_copy=lambda status, body: dialect.CopyResult(True, "h", False),
+        )
+
+    async def call_engine(self, record, call, timeout_s):
+        self.meanwhile()
+        return 200, b""
+
+
+class Streams:
+    """Records the copies that are dropped."""
+
+    def __init__(self):
+        self.dropped = []
+
+    async def drop_copy(self, attempt, record, copy):
+        self.dropped.append(copy.handle)
+
+
+class Run:
+    """A run at the source whose newest copy is recorded."""
+
+    def __init__(self):
+        prompt = dialect.Prompt(3_000, 800)
+        self.context = types.SimpleNamespace(request=types.SimpleNamespace(prompt=prompt))
+        self.record = SOURCE
+        self.closed = False
+        self.copies = []
+        self.splitter = types.SimpleNamespace(count=5)
+
+    def attempt(self):
+        return "attempt"
+
+    def replace_copy(self, copy):
+        self.copies.append(copy.handle)
+
+    def resume_elsewhere(self):
+        self.record = DESTINATION
+
+    def end(self):
+        self.closed = True
+
+    def go_on(self):
+        return None
+
+
+@pytest.mark.parametrize("meanwhile", ["resume_elsewhere", "end", "go_on"])
+def test_a_copy_is_used_only_while_its_run_is_where_it_was_copied_from(meanwhile):
+    """Otherwise the run would continue from a state that another server has left behind."""
+    run = Run()
+    sender, streams = Sender(getattr(run, meanwhile)), Streams()
+    log = types.SimpleNamespace(info=lambda event, **fields: None)
+    core = types.SimpleNamespace(clock=clock.ManualClock(), log=log)
+    curio.run(moves.Mover(core, sender, streams)._copy, run, DESTINATION, False)
+    used = meanwhile == "go_on"
+    assert (run.copies, streams.dropped) == ((["h"], []) if used else ([], ["h"]))
+    assert bool(sender.state.tokens) == used
--- a/tests/test_watchserver.py
+++ b/tests/test_watchserver.py
@@ -130,6 +130,23 @@
         assert self.state(entry_view).other_tokens == 0
 
 
+class TestNumberOfEntryHosts:
+    def test_a_control_host_that_has_just_started_does_not_lower_it(
+        self, server, entry_view, position, manual_clock
+    ):
+        """Each host's share of the retry budget and of a cold server's rate would grow."""
+        for number in range(2, 9):
+            report(server, f"entry-{number}")
+        watch(server, entry_view, position)
+        assert entry_view.entry_hosts == 8
+        server.uses.clear()
+        watch(server, entry_view, watcher.WatchPosition(0.0), nearest=False)
+        assert entry_view.entry_hosts == 8
+        manual_clock.advance(view.ENTRY_HOSTS_HELD_S + 0.1)
+        watch(server, entry_view, position)
+        assert entry_view.entry_hosts == 1
+
+
 class TestRecords:
     def test_only_the_nearest_control_host_passes_on_renewals(
         self, server, entry_view, position, manual_clock
