--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -16,8 +16,9 @@
 # The nearest control host passes on each report of a server within 1.9 s of the one before: their
 # period of 1.2 s and a watch between control hosts. An older one means that it misses some.
 MAX_RELAYED_AGE_S = 2.2
-# A smaller number of entry hosts counts only after this time without the larger one: a control host
-# that has just started has not heard of all of them yet, and shares of limits must not grow by that.
+# A smaller number of entry hosts counts only after this time without the larger one. A control
+# host that has just started has not heard of all of them yet; going by its number would raise each
+# host's share of the limits.
 ENTRY_HOSTS_HELD_S = 5.0
 # Id and start time of a server: after a restart under the same id its state starts anew.
 _IncarnationKey = tuple[str, int]
