Wake all watches only for news that takes work away from a server

Change: leaving, cold and moved servers wake the watches; new and warm ones, and the end of a server that was draining, wait for the next request, 0.5 s at most.

--- a/src/ebonywheel/directory.py
+++ b/src/ebonywheel/directory.py
@@ -132,6 +132,20 @@
         return max(0, int((self.clock.monotonic() - entry.received_at) * 1000))
 
 
+def restricts(record: messages.DirectoryRecord, previous: messages.DirectoryRecord | None) -> bool:
+    """Return whether a record takes work away from a server that hosts may be sending to.
+
+    Such news must reach all hosts at once. Other news, of a new server or one that has warmed up,
+    may wait for a host's next request.
+    """
+    if previous is None or previous.gone:
+        return False
+    if record.born_ms != previous.born_ms or record.address != previous.address:
+        return True
+    leaves = (record.gone or record.draining) and not previous.draining
+    return leaves or (record.cold_ms > 0 and previous.cold_ms == 0)
+
+
 def log_change(log: logs.EventLogger, record: messages.DirectoryRecord) -> None:
     """Log the new record of a backend server."""
     log.info(
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -1,8 +1,8 @@
 """Answers of a control host to watch requests: backend servers, routing, and other hosts' load.
 
-Entry hosts and the other control hosts keep one watch request open at each control host. A change
-that affects where requests may go is answered at once; renewed reports wait for the request's wait
-time to pass.
+Entry hosts and the other control hosts keep one watch request open at each control host. News that
+takes work away from a server, and changes of the replicated state, are answered at once; other news
+and renewed reports wait for the request's wait time to pass.
 """
 
 import secrets
@@ -68,16 +68,23 @@
 
     async def observe(self, record: messages.DirectoryRecord, direct: bool) -> None:
         """Merge a record from a backend server (`direct`) or another control host."""
+        previous = self._known_record(record.server)
         if self.directory.observe(record, direct):
             directory.log_change(self.core.log, record)
-            if direct:
+            if direct and directory.restricts(record, previous):
                 await self.wake()
 
     async def leave(self, server: str) -> None:
         """Mark a backend server as gone for good."""
+        previous = self._known_record(server)
         if self.directory.leave(server):
             self.core.log.info("server_left", server=server)
-            await self.wake()
+            if not previous.draining:
+                await self.wake()
+
+    def _known_record(self, server: str) -> messages.DirectoryRecord | None:
+        entry = self.directory.entries.get(server)
+        return None if entry is None else entry.record
 
     async def wake(self) -> None:
         """End the wait of all watches."""
--- a/tests/test_watchserver.py
+++ b/tests/test_watchserver.py
@@ -40,7 +40,7 @@
 
 def record(server="s", sequence=1, **fields):
     fields = {"service": "plan", "data_centre": "puget-a", **fields}
-    return messages.DirectoryRecord(server, 1, sequence, **fields)
+    return messages.DirectoryRecord(server, fields.pop("born_ms", 1), sequence, **fields)
 
 
 def watch(server, entry_view, position, nearest=True, lose_reply=False):
@@ -130,6 +130,37 @@
         assert self.state(entry_view).other_tokens == 0
 
 
+class TestWakes:
+    """Each wake makes all entry hosts ask anew, so only news that restricts servers wakes them."""
+
+    @pytest.mark.parametrize(
+        ("before", "after", "wakes"),
+        [
+            (None, {}, False),
+            ({}, {"sequence": 2}, False),
+            ({}, {"sequence": 2, "draining": True}, True),
+            ({"draining": True}, {"sequence": 2, "draining": True}, False),
+            ({}, {"sequence": 2, "cold_ms": 500}, True),
+            ({"cold_ms": 500}, {"sequence": 2}, False),
+            ({}, {"born_ms": 2, "address": "10.0.0.2:1"}, True),
+            ({}, {"sequence": 2, "slots": 5}, False),
+        ],
+    )
+    def test_reports(self, server, before, after, wakes):
+        if before is not None:
+            curio.run(server.observe, record(**before), True)
+        count = server.wake_count
+        curio.run(server.observe, record(**after), True)
+        assert (server.wake_count > count) == wakes
+
+    @pytest.mark.parametrize("draining", [False, True])
+    def test_a_leave_wakes_unless_the_server_was_draining(self, server, draining):
+        curio.run(server.observe, record(draining=draining), True)
+        count = server.wake_count
+        curio.run(server.leave, "s")
+        assert (server.wake_count > count) == (not draining)
+
+
 class TestNumberOfEntryHosts:
     def test_a_control_host_that_has_just_started_does_not_lower_it(
         self, server, entry_view, position, manual_clock
