--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -121,7 +121,9 @@
             self.core.log.info("data_centres_out", out=" ".join(reply.out), index=reply.out_index)
         self._record_entry_hosts(reply.entry_hosts)
         if request.uses_wanted:
-            self._update_other_uses(reply.uses, reply.uses_complete)
+            # A control host of an older version sends all sums, and no number.
+            complete = reply.uses_complete or not reply.uses_number
+            self._update_other_uses(reply.uses, complete)
         if reply.routing_index > self.routing_index:
             await self._fetch_routing(reply.routing_index, connection)
 
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -166,7 +166,9 @@
         A reply that was lost leaves the numbers different, and the next one is complete.
         """
         sums = _sum_uses(request.host, recent_uses)
-        asker = self.uses[request.host]
+        # The host may have been forgotten during the wait if this process was paused.
+        now = self.core.clock.monotonic()
+        asker = self.uses.setdefault(request.host, HostUses(now, request.uses))
         reply.uses_complete = request.uses_number == 0 or request.uses_number != asker.told_number
         told = {} if reply.uses_complete else asker.told
         reply.uses = [
--- a/tests/test_watchserver.py
+++ b/tests/test_watchserver.py
@@ -111,6 +111,24 @@
         assert self.state(entry_view).other_tokens == 0
         assert self.state(entry_view, "t").other_tokens == 700
 
+    def test_a_control_host_that_was_paused_during_the_wait_answers(self, server, manual_clock):
+        """Its housekeeping forgets the asking host before the answer is made."""
+        request = messages.WatchRequest(host="entry-1", uses_wanted=True)
+
+        async def forget(request):
+            manual_clock.advance(watchserver.USES_MAX_AGE_S + 1.0)
+            server.uses = server._recent_uses()
+
+        server._wait = forget
+        request.epoch = server.epoch
+        assert curio.run(server.watch, request).uses_complete
+
+    def test_sums_of_a_control_host_of_an_older_version_are_complete(self, entry_view):
+        entry_view.other_uses["t"] = messages.ServerUse("t", 1, 1, 1)
+        reply = messages.WatchReply(uses=[messages.ServerUse("s", 1, 300, 0)])
+        curio.run(entry_view.update, messages.WatchRequest(uses_wanted=True), reply, None)
+        assert list(entry_view.other_uses) == ["s"]
+
     def test_load_of_a_silent_host_is_forgotten(self, server, entry_view, position, manual_clock):
         report(server, "entry-2", messages.ServerUse("s", 1, 3000, 0))
         watch(server, entry_view, position)
