--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -151,7 +151,9 @@
         prefix = loopback_prefix()
         self.folder = folder
         self.controls = [Node(folder, "control", n + 1, zones[n], prefix) for n in range(3)]
-        self.entries = [Node(folder, "entry", n + 1, zones[n], prefix) for n in range(entries)]
+        self.entries = [
+            Node(folder, "entry", n + 1, zones[n % len(zones)], prefix) for n in range(entries)
+        ]
         self.seeds = [f"{node.ip}:{CONTROL_PORT}" for node in self.controls]
         self.attempts = itertools.count(1)
         for node in self.controls + self.entries:
