--- a/src/ebonywheel/gateway/events.py
+++ b/src/ebonywheel/gateway/events.py
@@ -49,7 +49,7 @@
             )
 
     def _record_events(self, complete: bytes) -> None:
-        events = [event for event in complete.split(EVENT_END) if event]
+        events = [event for event in complete.split(EVENT_END) if event.strip(b"\n")]
         self.count += len(events)
         for event in reversed(events):
             event_id = _find_id(event)
