Make the partitions of the in-force tests act

Cause: tests/faults.py wrote the identity of each control host under a name that storage doesn't read, so the hosts formed a cluster of their own with direct links and "leader isolated" cut nothing. Change: the identity is written as storage writes it, with an empty log; a test asks for another leader under each partition of the leader.

--- a/tests/faults.py
+++ b/tests/faults.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from cluster import Cluster, Host, Process, free_address, wait_for
+from ebonywheel import durable, storage
 
 READ_BYTES = 65536
 
@@ -170,7 +171,8 @@
             for other in self.controls
         ]
         identity = {"host": host.name, "member": self.members[host.name], "formed": formed}
-        (folder / "identity.json").write_bytes(msgspec.json.encode(identity))
+        durable.replace(folder / storage.LOG_FILE, b"")
+        durable.replace_with_checksum(folder / storage.IDENTITY_FILE, msgspec.json.encode(identity))
 
 
 class Fault:
--- a/tests/test_inforce.py
+++ b/tests/test_inforce.py
@@ -178,6 +178,26 @@
         check_change(driver, names)
 
 
+class TestPartitions:
+    @pytest.mark.parametrize("name", ["leader isolated", "leader outgoing dropped"])
+    def test_a_partition_between_control_hosts_brings_another_leader(self, driver, name):
+        """Guards the tests above against partitions that do not act."""
+        cluster = driver.cluster
+        fault = FAULTS[name](cluster)
+        fault.begin()
+        try:
+            wait_for(
+                lambda: any(
+                    cluster.leader_name(host) not in ("", fault.leader.name)
+                    for host in fault.followers
+                ),
+                "another leader",
+            )
+        finally:
+            fault.end()
+        driver.wait_in_force()
+
+
 class TestQuorumLost:
     def test_entry_hosts_refuse_within_the_bound_and_recover(self, driver):
         cluster = driver.cluster
