--- a/src/ebonywheel/replica.py
+++ b/src/ebonywheel/replica.py
@@ -197,7 +197,8 @@
             except exceptions.DiskFullError as error:
                 # Another host may have room.
                 self._log_disk_full(error)
-                await self.core.spawn(self.transfer(), essential=True)
+                if not self.elections.transferring:
+                    await self.core.spawn(self.transfer(), essential=True)
                 raise exceptions.NotRunError(str(error), "propose", self.core.host.name) from error
 
     async def transfer(self) -> None:
