--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -17,6 +17,7 @@
 CALLERS_FOR_EACH_HOST = 3
 MAX_PAUSE_S = 3.0
 READ_TIMEOUT_S = 8.0
+START_S = 0.15
 
 
 class World:
@@ -59,6 +60,7 @@
         ends_at = time.monotonic() + duration_s
         while time.monotonic() < ends_at:
             self.end_faults(time.monotonic())
+            self.restart_ended()
             action = self.random.choice(self.faults())
             self.actions.append(f"{self.ledger.now():.1f} s {action.__name__}")
             action()
@@ -153,6 +155,14 @@
         """End a fault after some seconds."""
         self.undo.append((time.monotonic() + seconds, action))
 
+    def restart_ended(self):
+        """Start processes that ended by themselves, as a supervisor does."""
+        for node in self.system.controls + self.system.entries:
+            if node.process.poll() is not None:
+                self.ledger.breach("no host ends by itself", "", node.name, node.process.returncode)
+                node.write_settings(self.system.seeds, False)
+                node.start()
+
     def end_faults(self, now):
         due = [entry for entry in self.undo if entry[0] <= now]
         self.undo = [entry for entry in self.undo if entry[0] > now]
@@ -182,6 +192,8 @@
         for node in nodes:
             node.write_settings(self.system.seeds, False)
             node.start()
+        # The interpreter of a new process cannot take signals yet.
+        time.sleep(START_S)
 
     def kill_entry(self):
         self.kill(self.random.choice(self.system.entries))
@@ -206,6 +218,7 @@
         finally:
             self.planned_stop = None
         node.start()
+        time.sleep(START_S)
 
     def reload_all(self):
         for node in self.system.entries + self.system.controls:
