--- a/tests/test_herding.py
+++ b/tests/test_herding.py
@@ -19,6 +19,7 @@
 READ_S = 0.35
 RUN_S = 5.0
 TARGET_S = 1.5
+ARRIVAL, REPORT, PROMPT_READ, END = range(4)
 
 
 class Server:
@@ -69,8 +70,9 @@
     while now < duration_s:
         now += rng.expovariate(requests_per_s)
         arrivals.append(now)
-    events = [(at, 0, None) for at in arrivals]
-    events += [(step * report_interval_s, 1, None) for step in range(int(60 / report_interval_s))]
+    events = [(at, ARRIVAL, None) for at in arrivals]
+    reports = int(duration_s / report_interval_s)
+    events += [(step * report_interval_s, REPORT, None) for step in range(reports)]
     events = [(at, kind, number, server) for number, (at, kind, server) in enumerate(events)]
     heapq.heapify(events)
     number = len(events)
@@ -81,7 +83,7 @@
     )
     while events:
         now, kind, _, server = heapq.heappop(events)
-        if kind == 0:
+        if kind == ARRIVAL:
             data_centre = rng.choice(DATA_CENTRES)
             location = balance.Location(data_centre, data_centre.partition("-")[0])
             candidates = [
@@ -97,12 +99,12 @@
             read_at = server.start(now)
             times.append(read_at - now)
             number += 2
-            heapq.heappush(events, (read_at, 2, number, server))
-            heapq.heappush(events, (read_at + RUN_S, 3, number + 1, server))
-        elif kind == 1:
+            heapq.heappush(events, (read_at, PROMPT_READ, number, server))
+            heapq.heappush(events, (read_at + RUN_S, END, number + 1, server))
+        elif kind == REPORT:
             for each in servers:
                 each.report()
-        elif kind == 2:
+        elif kind == PROMPT_READ:
             server.finish_reading()
         else:
             server.end()
