Run the test of big commands with an election timeout that a slow disk does not reach

Cause, by a profile of a failing run: the three replicas of the test share one event loop; 28 writes of 3 MB take 0.57 s in it on this machine's disk (60 MB/s), while the test's election timeout is 0.15 s, so the leader misses its heartbeats. The test is about the parts, not about elections.

Change: the timeout of 0.6 s that this file keeps for tests in which a busy host must not cost the leader its leadership.

--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -563,7 +563,7 @@
             with pytest.raises(exceptions.NotRunError, match="over"):
                 await propose(leader, address="x" * 7_000_000)
 
-        run(tmp_path, body)
+        run(tmp_path, body, timeout_s=STEADY_TIMEOUT_S)
 
     def test_same_operation_in_flight_twice_takes_effect_once(self, tmp_path):
         async def body(cluster):
