Log what the prompt of a broken answer shares with others

The adapter decodes the ids of a prompt's parts, without the last one, which is the request's own. A stream that breaks off after it was sent writes answer_broken_off with these parts, whether the head of the answer had arrived and how many events; answers_broken_off_total{service,events} counts them.

--- a/src/ebonywheel/gateway/dialect.py
+++ b/src/ebonywheel/gateway/dialect.py
@@ -8,17 +8,19 @@
 
 
 class Prompt(msgspec.Struct, frozen=True):
-    """Sizes of a generation, as its request states them.
+    """The prompt of a generation, as its request states it.
 
     Attributes:
         tokens: Length of the prompt.
         max_tokens: Longest answer that the caller accepts, 0 when not stated.
         estimated_tokens: The caller's estimate of the answer's length, 0 when not stated.
+        shared_parts: Ids of the parts that other prompts may have too, in order: all but the last.
     """
 
     tokens: int = 0
     max_tokens: int = 0
     estimated_tokens: int = 0
+    shared_parts: tuple[str, ...] = ()
 
 
 class CallerRequest(msgspec.Struct):
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -152,6 +152,7 @@
             except exceptions.UpstreamError as error:
                 context.reason = str(error)
                 if error.sent:
+                    self._log_broken_off(context, candidate.record, error, 0)
                     raise refusals.outcome_unknown_error(context) from error
                 continue
             if not reply.head.not_run:
@@ -255,6 +256,7 @@
                 return
             except exceptions.UpstreamError as error:
                 await self.sender.abandon(run.reply)
+                self._log_broken_off(run.context, run.record, error, run.splitter.count)
                 if self.view.remains_in_service(run.record):
                     self.view.state_of(run.record).record_answer(failed=True)
                 self._unregister(run)
@@ -264,6 +266,26 @@
                 await self.sender.abandon(run.reply)
                 raise
 
+    def _log_broken_off(
+        self,
+        context: view.RequestContext,
+        record: messages.DirectoryRecord,
+        error: exceptions.UpstreamError,
+        events_received: int,
+    ) -> None:
+        """Log what the prompt of a broken answer shares with others, and how far the answer got."""
+        progress = "some" if events_received else "none"
+        self.core.metrics.count("answers_broken_off", service=record.service, events=progress)
+        self.core.log.warning(
+            "answer_broken_off",
+            request=context.request.attempt,
+            server=record.server,
+            parts=" ".join(context.request.prompt.shared_parts),
+            head=context.status != 0,
+            events=events_received,
+            error=error,
+        )
+
     async def _resume(self, run: Run, error: exceptions.UpstreamError) -> None:
         """Resume a run that broke off, at the server that holds its copy.
 
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -300,6 +300,26 @@
         with pytest.raises(http.client.IncompleteRead):
             answer.read()
 
+    def test_the_log_names_the_shared_parts_of_a_broken_answer(self, serving, start_server):
+        server = start_server("plan")
+
+        def script(handler, received):
+            handler.start_stream()
+            handler.close_early()
+
+        server.script = script
+        headers = {**PLAN_HEADERS, "X-Attempt-Id": "broken-1", "X-Prompt-Prefix": "a1:80,b2:9,c3:5"}
+        answer = serving.send("POST", "/plan/1", headers=headers).getresponse()
+        with pytest.raises(http.client.IncompleteRead):
+            answer.read()
+        (entry,) = [
+            entry
+            for entry in serving.entries[0].events("answer_broken_off")
+            if entry["request"] == "broken-1"
+        ]
+        assert (entry["parts"], entry["head"], entry["events"]) == ("a1 b2", True, 0)
+        assert entry["server"] == server.name
+
     def test_a_run_moves_off_a_draining_server(self, serving, start_server):
         server_a, server_b = start_server("plan"), start_server("plan")
         stopped = threading.Event()
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -149,6 +149,26 @@
         caller_request = self.platform_dialect.decode_request(make_request(x_token_counts="many"))
         assert caller_request.prompt == dialect.Prompt(0, 0, 0)
 
+    @pytest.mark.parametrize(
+        ("text", "shared_parts"),
+        [
+            ("5c1e:800,91BD:410,e440:250", ("5c1e", "91bd")),
+            ("5c1e:800", ()),
+            ("", ()),
+            (" 5c1e : 800 , , 91bd,e440:250", ("5c1e", "91bd")),
+        ],
+    )
+    def test_all_parts_of_a_prompt_but_the_last_are_decoded(self, text, shared_parts):
+        request = make_request(x_token_counts="1460,80", x_prompt_prefix=text)
+        prompt = self.platform_dialect.decode_request(request).prompt
+        assert prompt.shared_parts == shared_parts
+
+    def test_the_number_of_decoded_parts_is_bounded(self):
+        text = ",".join(f"{number:x}:1" for number in range(1000))
+        request = make_request(x_token_counts="1460,80", x_prompt_prefix=text)
+        prompt = self.platform_dialect.decode_request(request).prompt
+        assert len(prompt.shared_parts) == language.MAX_SHARED_PARTS
+
     @pytest.mark.parametrize("text", ["", "soon", "1.2.3"])
     def test_a_malformed_deadline_is_refused(self, text):
         with pytest.raises(exceptions.HttpError):
