--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -1,7 +1,9 @@
 """A stand-in for the platform's backend servers in contract tests: an HTTP server with threads."""
 
+import contextlib
 import http.server
 import json
+import socket
 import threading
 import time
 
@@ -116,10 +118,26 @@
 
 
 class QuietServer(http.server.ThreadingHTTPServer):
-    """An HTTP server that does not print errors of broken connections."""
+    """An HTTP server that does not print errors of broken connections.
+
+    Attributes:
+        connections: Open connections.
+    """
 
     daemon_threads = True
 
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.connections = set()
+
+    def process_request(self, request, client_address):
+        self.connections.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
     def handle_error(self, request, client_address):
         return
 
@@ -132,6 +150,7 @@
         moves: Bodies of the calls that copy a run.
         dropped: Handles of the copies that were dropped.
         engine_calls: Method and name of each engine call.
+        crashed: True once the server has crashed.
         script: Called with the handler and the request to answer it; tests replace it.
     """
 
@@ -144,6 +163,7 @@
         self.dropped = []
         self.engine_calls = []
         self.script = answer_plainly
+        self.crashed = False
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.runs = []
@@ -182,6 +202,16 @@
         """Return the answer to the call that copies a run; tests replace it."""
         return 200, {"handle": f"handle-{body['id']}", "made": 0}
 
+    def crash(self):
+        """End as a process does that dies: refuse connections and close the open ones."""
+        self.crashed = True
+        # A shutdown refuses connections at once; a close alone waits for the thread that polls.
+        self.http.socket.shutdown(socket.SHUT_RDWR)
+        self.http.socket.close()
+        for connection in list(self.http.connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
     def close(self):
         """Stop the server."""
         self.http.shutdown()
