Quarantine what requests under which servers crash have in common

An entry host forgets a request whose server crashed. The product's quarantine belongs to `entry`; the gateway had none. The class of fault: evidence that is spread over hosts, of which no single one sees enough.

Whatever requests may have in common has a fingerprint: each part of the prompt but the last, and the whole request (customer, service, method, target, body), which also covers plain services. When an answer breaks off and its server then refuses a connection, an entry host reports the requests that may have caused it; answers that went on for a second may not have. The report is a command of the replicated log. The state machine counts crashes by fingerprint, in full over all entry hosts, and quarantines a fingerprint after two of them in which its answers had just begun, or three otherwise, with no success in between. The most specific fingerprint is taken; crashes that it explains do not count against the others. Suspects are told to all entry hosts, which report the next success of a request with one; it clears the suspect, and ends a quarantine. A quarantined request is refused at once as not run (503, which promises it; 422 does not), with the time to its end as Retry-After. It survives restarts of all hosts, as it is in the log.

Control hosts wake watches only for changes that these must hear of at once: each report of a crash would wake all of them otherwise.

Why it works: an innocent fingerprint is used by sound requests and cleared by the next one, at whichever host; a crashing one never succeeds. Two crashes are enough as few other requests are at the beginning of their answers.

--- a/src/ebonywheel/calls.py
+++ b/src/ebonywheel/calls.py
@@ -13,6 +13,7 @@
     documents,
     exceptions,
     feed,
+    fingerprints,
     fleet,
     http,
     idempotency,
@@ -95,7 +96,9 @@
                 f"service has no call {request.method} {path}", "find call", job.service, 404
             )
         digest = _digest(request)
-        job.fingerprint = poison.fingerprint(job.customer, job.service, digest)
+        job.fingerprint = fingerprints.fingerprint(
+            job.customer.encode(), job.service.encode(), digest
+        )
         deadline = deadlines.of_request(request, self.core.clock, service.timeout_s)
         pending = PendingCall(job, call, request, deadline)
         if call.repeatable:
--- a/src/ebonywheel/commands.py
+++ b/src/ebonywheel/commands.py
@@ -263,6 +263,45 @@
     out: bool
 
 
+class InFlightRequest(msgspec.Struct):
+    """A gateway's request that was in flight when a backend server crashed.
+
+    Attributes:
+        fingerprints: Digests of what it may have in common with others, the most general first.
+        began: Whether its answer had just begun, as opposed to not yet.
+    """
+
+    fingerprints: list[bytes]
+    began: bool = False
+
+
+class ReportServerCrash(Command):
+    """Report the crash of a backend server, as seen by one gateway.
+
+    Attributes:
+        incarnation: When the server's process started, Unix milliseconds.
+        age_ms: Time since the crash.
+        requests: Requests that may have caused it.
+    """
+
+    server: str
+    incarnation: int
+    age_ms: int
+    requests: list[InFlightRequest]
+
+
+class ReportSuccess(Command):
+    """Report a request that its backend server survived, though some fingerprints are suspected.
+
+    Attributes:
+        fingerprints: Suspected fingerprints of the request.
+        age_ms: Time since its answer began.
+    """
+
+    fingerprints: list[bytes]
+    age_ms: int
+
+
 AnyCommand = (
     Noop
     | ApplyDocument
@@ -281,6 +320,8 @@
     | RemoveMember
     | PublishRouting
     | SetServing
+    | ReportServerCrash
+    | ReportSuccess
 )
 
 
--- a/src/ebonywheel/directory.py
+++ b/src/ebonywheel/directory.py
@@ -95,6 +95,13 @@
         """Yield the servers that have not left."""
         return (entry for entry in self.entries.values() if not entry.record.gone)
 
+    def is_replaced(self, record: messages.DirectoryRecord) -> bool:
+        """Return whether a newer incarnation or another server has taken a server's address."""
+        return any(
+            entry.record.address == record.address and entry.record.born_ms > record.born_ms
+            for entry in self.live()
+        )
+
     def age_s(self, server: str) -> float:
         """Return the seconds since a server's last report, infinite when there is none."""
         entry = self.entries.get(server)
--- a/src/ebonywheel/explain.py
+++ b/src/ebonywheel/explain.py
@@ -13,7 +13,13 @@
 # Server and routing changes this long before a request began may have caused its outcome.
 CONTEXT_WINDOW_MS = 10_000
 MOVE_EVENTS = ("run_copied", "run_resumed", "move_failed", "copy_failed")
-CONTEXT_EVENTS = ("server_changed", "moves_planned", "routing_in_force", "data_centres_out")
+CONTEXT_EVENTS = (
+    "server_changed",
+    "server_crashed",
+    "moves_planned",
+    "routing_in_force",
+    "data_centres_out",
+)
 
 LogLine = dict[str, typing.Any]
 
@@ -21,6 +27,10 @@
 CAUSE_BY_PREFIX = (
     ("refused: no routing content yet", "this host had no routing content yet"),
     ("refused: this host ends", "this host was about to end"),
+    (
+        "refused: quarantined",
+        "servers crashed under requests with a part of its prompt, or under it",
+    ),
     ("refused: no server with room", "every engine was full or had too many prompts to read"),
     ("refused: no server", "no server of the service was in service"),
     ("refused: refused by", "the servers refused it as not run"),
@@ -145,6 +155,9 @@
 def _explain_broken(request_lines: list[LogLine], context: list[LogLine]) -> str:
     departures = [line for line in context if line.get("gone") or line.get("draining")]
     moves = [line for line in request_lines if line["event"] in MOVE_EVENTS]
+    crashes = [line for line in context if line["event"] == "server_crashed"]
+    if crashes:
+        return f"its server {crashes[-1]['server']} crashed"
     if not departures:
         return "its server broke off without having told that it leaves"
     server = departures[-1]["server"]
--- /dev/null
+++ b/src/ebonywheel/gateway/crashes.py
@@ -0,0 +1,190 @@
+"""Reports of crashed backend servers, with the requests that may have crashed them.
+
+When an answer breaks off, the server is asked for a new connection. If it refuses one, it has
+crashed. The control hosts then get the requests that were in flight there from this host, without
+those whose answers had gone on for a while. They also get requests that succeed though they share a
+fingerprint with such a request.
+"""
+
+import curio
+import msgspec
+
+from ebonywheel import commands, exceptions, kernel, messages, watcher
+from ebonywheel.gateway import sender, view
+
+# Requests at one server that break off within this time are reported together.
+GATHER_S = 0.05
+PROBE_TIMEOUT_S = 0.5
+# A server that accepted a connection within this time is not asked again.
+ALIVE_S = 1.0
+# An answer that breaks off this soon after its first part had just begun.
+BEGINNING_S = 0.2
+# A server survives a request whose answer has gone on for this long.
+SURVIVED_S = 1.0
+SUBMIT_TIMEOUT_S = 2.0
+RETRY_S = 0.2
+# A report that no control host has taken for this long is given up.
+MAX_REPORT_AGE_S = 30.0
+MAX_PENDING_SERVERS = 64
+MAX_REQUESTS_PER_SERVER = 32
+MS_PER_S = 1000
+
+_IncarnationKey = tuple[str, int]
+
+
+class BrokenServer(msgspec.Struct):
+    """A server at which answers broke off.
+
+    Attributes:
+        broke_at: When the first of them did, monotonic seconds.
+        requests: Requests that may have crashed it.
+    """
+
+    record: messages.DirectoryRecord
+    broke_at: float
+    requests: list[commands.InFlightRequest] = []
+
+
+class CrashReporter:
+    """Reports crashes, and successes that contradict a suspicion.
+
+    Attributes:
+        broken: Servers that are being checked, by id and start of the process.
+        alive_until: Until when servers count as alive, monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        core: kernel.Kernel,
+        request_sender: sender.Sender,
+        control_watcher: watcher.Watcher,
+    ):
+        self.core = core
+        self.pool = request_sender.pool
+        self.view = request_sender.view
+        self.watcher = control_watcher
+        self.broken: dict[_IncarnationKey, BrokenServer] = {}
+        self.alive_until: dict[_IncarnationKey, float] = {}
+
+    async def record_success(self, context: view.RequestContext) -> None:
+        """Record a request whose answer is complete, or has gone on for a while."""
+        context.success_recorded = True
+        quarantine = self.view.quarantine
+        if not quarantine.suspects:
+            return
+        now = self.core.clock.monotonic()
+        began_at = context.first_event_at or now
+        contradicted = quarantine.take_contradicted(context.fingerprints(), began_at)
+        if contradicted:
+            command = commands.ReportSuccess(
+                actor=self.core.host.name,
+                fingerprints=contradicted,
+                age_ms=int((now - began_at) * MS_PER_S),
+            )
+            await self.core.spawn(self._report_success(command))
+
+    async def record_progress(self, context: view.RequestContext) -> None:
+        """Record a request as a success once its answer has gone on for long enough."""
+        if not context.success_recorded and self._has_survived(context):
+            await self.record_success(context)
+
+    def _has_survived(self, context: view.RequestContext) -> bool:
+        """Return whether an answer has gone on for long enough for its server to be safe."""
+        began_at = context.first_event_at
+        return began_at > 0 and self.core.clock.monotonic() - began_at >= SURVIVED_S
+
+    async def record_broken(
+        self,
+        context: view.RequestContext,
+        record: messages.DirectoryRecord,
+        error: exceptions.UpstreamError,
+    ) -> None:
+        """Record an answer that broke off, and start to check whether its server has crashed."""
+        if not error.sent or error.timed_out or not self.view.remains_in_service(record):
+            return
+        now = self.core.clock.monotonic()
+        key = (record.server, record.born_ms)
+        if self.alive_until.get(key, 0.0) > now:
+            return
+        broken = self.broken.get(key)
+        if broken is None:
+            if len(self.broken) >= MAX_PENDING_SERVERS:
+                return
+            broken = self.broken[key] = BrokenServer(record, now)
+            await self.core.spawn(self._check(key, broken))
+        if not self._has_survived(context) and len(broken.requests) < MAX_REQUESTS_PER_SERVER:
+            broken.requests.append(
+                commands.InFlightRequest(
+                    list(context.fingerprints()), self._has_just_begun(context)
+                )
+            )
+
+    def _has_just_begun(self, context: view.RequestContext) -> bool:
+        if not context.status:
+            return False
+        began_at = context.first_event_at
+        return not began_at or self.core.clock.monotonic() - began_at < BEGINNING_S
+
+    async def _check(self, key: _IncarnationKey, broken: BrokenServer) -> None:
+        """Report a server that has crashed, once the requests at it have broken off."""
+        await curio.sleep(GATHER_S)
+        try:
+            crashed = await self._has_crashed(broken.record)
+        finally:
+            del self.broken[key]
+        if not crashed:
+            self._record_alive(key)
+            return
+        self.core.metrics.count("server_crashes", service=broken.record.service)
+        self.core.log.warning(
+            "server_crashed",
+            server=broken.record.server,
+            requests=len(broken.requests),
+            at_beginning=sum(request.began for request in broken.requests),
+        )
+        if broken.requests:
+            await self._report(broken)
+
+    def _record_alive(self, key: _IncarnationKey) -> None:
+        now = self.core.clock.monotonic()
+        self.alive_until = {
+            other: until for other, until in self.alive_until.items() if until > now
+        }
+        self.alive_until[key] = now + ALIVE_S
+
+    async def _has_crashed(self, record: messages.DirectoryRecord) -> bool:
+        if self.view.directory.is_replaced(record):
+            return True
+        return self.view.remains_in_service(record) and await self.pool.is_refused(
+            record, PROBE_TIMEOUT_S
+        )
+
+    async def _report(self, broken: BrokenServer) -> None:
+        while True:
+            age_s = self.core.clock.monotonic() - broken.broke_at
+            command = commands.ReportServerCrash(
+                actor=self.core.host.name,
+                server=broken.record.server,
+                incarnation=broken.record.born_ms,
+                age_ms=int(age_s * MS_PER_S),
+                requests=broken.requests,
+            )
+            if await self._submit(command) or age_s > MAX_REPORT_AGE_S:
+                return
+            await curio.sleep(RETRY_S)
+
+    async def _report_success(self, command: commands.ReportSuccess) -> None:
+        if not await self._submit(command):
+            # The next success is reported instead.
+            self.view.quarantine.contradicted.difference_update(command.fingerprints)
+
+    async def _submit(self, command: commands.Command) -> bool:
+        message = commands.submit_message(command)
+        try:
+            reply = await self.watcher.call(message, SUBMIT_TIMEOUT_S)
+        except exceptions.LinkError as error:
+            self.core.log.warning("report_not_taken", kind=type(command).__name__, error=error)
+            return False
+        outcome = commands.decode_outcome(reply.outcome)
+        self.core.log.info("report_taken", kind=type(command).__name__, outcome=outcome)
+        return True
--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -6,6 +6,7 @@
 
 from ebonywheel import exceptions, http, kernel, watcher
 from ebonywheel.gateway import (
+    crashes,
     dialect,
     moves,
     plain,
@@ -51,12 +52,13 @@
         self.dialect = wire_dialect
         self.budgets = budgets
         self.sender = sender.Sender(core, entry_view, wire_dialect)
-        self.plain = plain.PlainForwarder(core, self.sender, budgets)
-        self.streams = streaming.StreamForwarder(core, self.sender, budgets)
+        self.watcher = watcher.Watcher(core, entry_view)
+        self.crashes = crashes.CrashReporter(core, self.sender, self.watcher)
+        self.plain = plain.PlainForwarder(core, self.sender, budgets, self.crashes)
+        self.streams = streaming.StreamForwarder(core, self.sender, budgets, self.crashes)
         self.mover = moves.Mover(core, self.sender, self.streams)
         entry_view.on_shutdown_notice.append(self.mover.start_evacuation)
         self.streams.on_late_run.append(self.mover.start_late_move)
-        self.watcher = watcher.Watcher(core, entry_view)
         self.draining_since: float | None = None
         self.http = http.Server(core, address, self.handle, DEFAULT_MAX_BODY_BYTES)
         self.http.limits.body_s = BODY_TIMEOUT_S
@@ -105,6 +107,7 @@
         try:
             request = self.dialect.decode_request(exchange.request)
             context = self._admit(request, started_at)
+            self._check_quarantine(context)
             await self._forward(exchange, context)
         except exceptions.NotRunError as error:
             outcome = f"refused: {error}"
@@ -176,6 +179,16 @@
                 "this host ends", "route", request.attempt, 503, RETRY_ELSEWHERE_S
             )
 
+    def _check_quarantine(self, context: view.RequestContext) -> None:
+        """Refuse a request that would crash its server.
+
+        Raises:
+            NotRunError: The request is quarantined.
+        """
+        remaining_s = self.view.quarantined_s(context)
+        if remaining_s:
+            raise refusals.quarantined_error(context, remaining_s)
+
     def _identify_customer(
         self, table: routes.Table, route: routes.Route, request: dialect.CallerRequest
     ) -> routes.Customer | None:
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from ebonywheel import exceptions, http, kernel
-from ebonywheel.gateway import balance, dialect, refusals, routes, sender, view
+from ebonywheel.gateway import balance, crashes, dialect, refusals, routes, sender, view
 
 # Longer answers are relayed as they arrive, to bound the memory that an answer takes.
 BUFFER_BYTES = 256 * 1024
@@ -26,12 +26,17 @@
     """Forwards requests whose answer has a single body."""
 
     def __init__(
-        self, core: kernel.Kernel, request_sender: sender.Sender, budgets: refusals.Budgets
+        self,
+        core: kernel.Kernel,
+        request_sender: sender.Sender,
+        budgets: refusals.Budgets,
+        crash_reporter: crashes.CrashReporter,
     ):
         self.core = core
         self.sender = request_sender
         self.view = request_sender.view
         self.budgets = budgets
+        self.crashes = crash_reporter
 
     async def forward(self, exchange: http.Exchange, context: view.RequestContext) -> None:
         """Answer one request.
@@ -53,6 +58,7 @@
                 buffered = await self._send_once(exchange, context, candidate)
             except exceptions.UpstreamError as error:
                 context.reason = str(error)
+                await self.crashes.record_broken(context, candidate.record, error)
                 if exchange.started:
                     raise
                 may_have_run = may_have_run or error.sent
@@ -62,6 +68,7 @@
                     raise refusals.outcome_unknown_error(context) from error
                 continue
             if buffered is None:
+                await self.crashes.record_success(context)
                 return
             if buffered.head.not_run:
                 refused_count += 1
@@ -69,6 +76,7 @@
                 if refused_count < MAX_REFUSALS and self.budgets.take_retry(context.service.name):
                     continue
                 break
+            await self.crashes.record_success(context)
             last_answer = buffered
             if buffered.head.status < sender.STATUS_SERVER_ERROR or not self._take_retry(context):
                 break
@@ -83,6 +91,9 @@
         if self._remaining_s(context) <= 0:
             context.reason = context.reason or "deadline passed"
             return None
+        if self.view.quarantined_s(context):
+            # It was quarantined since the last attempt.
+            return None
         requirements = balance.Requirements(
             context.service, regions=context.regions(), excluded=frozenset(context.tried)
         )
--- a/src/ebonywheel/gateway/pool.py
+++ b/src/ebonywheel/gateway/pool.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ebonywheel import clock, httpclient, messages
+from ebonywheel import clock, exceptions, httpclient, messages
 
 CONNECT_TIMEOUT_S = 1.0
 # A server closes an idle connection after the time that it states, in whole seconds. Reuse stops
@@ -52,6 +52,18 @@
         await connection.connect(min(CONNECT_TIMEOUT_S, timeout_s))
         return connection
 
+    async def is_refused(self, record: messages.DirectoryRecord, timeout_s: float) -> bool:
+        """Return whether a server refuses a new connection; one that it accepts is kept for use."""
+        connection = httpclient.ClientConnection(record.address, allow_close_delimited=True)
+        self.opened += 1
+        try:
+            await connection.connect(timeout_s)
+        except exceptions.UpstreamError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        usable_until = self.clock.monotonic() + DEFAULT_KEEP_ALIVE_S - KEEP_ALIVE_MARGIN_S
+        self._keep(record, connection, usable_until)
+        return False
+
     async def release(
         self,
         record: messages.DirectoryRecord,
@@ -64,6 +76,14 @@
             await connection.close()
             return
         usable_until = self.clock.monotonic() + keep_alive_s - KEEP_ALIVE_MARGIN_S
+        self._keep(record, connection, usable_until)
+
+    def _keep(
+        self,
+        record: messages.DirectoryRecord,
+        connection: httpclient.ClientConnection,
+        usable_until: float,
+    ) -> None:
         self.idle.setdefault(_incarnation_key(record), []).append(
             IdleConnection(connection, usable_until)
         )
--- a/src/ebonywheel/gateway/refusals.py
+++ b/src/ebonywheel/gateway/refusals.py
@@ -28,6 +28,15 @@
     )
 
 
+def quarantined_error(context: view.RequestContext, remaining_s: float) -> exceptions.NotRunError:
+    """Return the error for a request that would crash its server.
+
+    Its status promises that the request did not run; a 422 would leave that open.
+    """
+    context.reason = "quarantined: such requests crash servers"
+    return not_run_error(context, remaining_s)
+
+
 def outcome_unknown_error(context: view.RequestContext) -> exceptions.HttpError:
     """Return the error for a request that may have run."""
     return exceptions.HttpError(
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ebonywheel import exceptions, http, kernel, messages
-from ebonywheel.gateway import balance, dialect, events, refusals, sender, view
+from ebonywheel.gateway import balance, crashes, dialect, events, refusals, sender, view
 
 # Load up to which a server gets new generations: the whole memory.
 MAX_ADMISSION_LOAD = 1.0
@@ -90,12 +90,17 @@
     """
 
     def __init__(
-        self, core: kernel.Kernel, request_sender: sender.Sender, budgets: refusals.Budgets
+        self,
+        core: kernel.Kernel,
+        request_sender: sender.Sender,
+        budgets: refusals.Budgets,
+        crash_reporter: crashes.CrashReporter,
     ):
         self.core = core
         self.sender = request_sender
         self.view = request_sender.view
         self.budgets = budgets
+        self.crashes = crash_reporter
         self.runs: dict[str, dict[str, Run]] = {}
         self.on_late_run: list[collections.abc.Callable[[Run], typing.Awaitable[None]]] = []
 
@@ -113,7 +118,7 @@
         self._register(run)
         try:
             if reply.head.status != STATUS_OK:
-                await self._relay_failure(exchange, reply)
+                await self._relay_failure(exchange, context, reply)
                 return
             await exchange.start(reply.head.status, reply.head.headers)
             await self._notify_if_late(run)
@@ -152,7 +157,7 @@
             except exceptions.UpstreamError as error:
                 context.reason = str(error)
                 if error.sent:
-                    self._log_broken_off(context, candidate.record, error, 0)
+                    await self._record_broken(context, candidate.record, error, 0)
                     raise refusals.outcome_unknown_error(context) from error
                 continue
             if not reply.head.not_run:
@@ -229,7 +234,9 @@
             return
         await self.sender.finish(reply)
 
-    async def _relay_failure(self, exchange: http.Exchange, reply: sender.Reply) -> None:
+    async def _relay_failure(
+        self, exchange: http.Exchange, context: view.RequestContext, reply: sender.Reply
+    ) -> None:
         try:
             body = await reply.connection.body(http.WRITE_TIMEOUT_S, sender.MAX_ENGINE_ANSWER_BYTES)
         except BaseException:
@@ -239,6 +246,7 @@
             reply.head.status >= sender.STATUS_SERVER_ERROR
         )
         await self.sender.finish(reply)
+        await self.crashes.record_success(context)
         headers = [*reply.head.headers, ("content-length", str(len(body)))]
         await exchange.respond_raw(reply.head.status, headers, body)
 
@@ -253,10 +261,11 @@
                 ):
                     await self._relay_events(exchange, run)
                 await self.sender.finish(run.reply)
+                await self.crashes.record_success(run.context)
                 return
             except exceptions.UpstreamError as error:
                 await self.sender.abandon(run.reply)
-                self._log_broken_off(run.context, run.record, error, run.splitter.count)
+                await self._record_broken(run.context, run.record, error, run.splitter.count)
                 if self.view.remains_in_service(run.record):
                     self.view.state_of(run.record).record_answer(failed=True)
                 self._unregister(run)
@@ -266,14 +275,14 @@
                 await self.sender.abandon(run.reply)
                 raise
 
-    def _log_broken_off(
+    async def _record_broken(
         self,
         context: view.RequestContext,
         record: messages.DirectoryRecord,
         error: exceptions.UpstreamError,
         events_received: int,
     ) -> None:
-        """Log what the prompt of a broken answer shares with others, and how far the answer got."""
+        """Log what a broken answer's prompt shares with others, and check its server."""
         progress = "some" if events_received else "none"
         self.core.metrics.count("answers_broken_off", service=record.service, events=progress)
         self.core.log.warning(
@@ -285,6 +294,7 @@
             events=events_received,
             error=error,
         )
+        await self.crashes.record_broken(context, record, error)
 
     async def _resume(self, run: Run, error: exceptions.UpstreamError) -> None:
         """Resume a run that broke off, at the server that holds its copy.
@@ -329,6 +339,7 @@
             if whole_events:
                 run.reply.reservation.mark_answer_begun()
                 run.context.record_events(self.core.clock.monotonic())
+                await self.crashes.record_progress(run.context)
                 await exchange.write(whole_events)
         if run.splitter.buffer:
             # Bytes after the last blank line are still part of the answer.
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -9,7 +9,7 @@
 import result
 
 from ebonywheel import directory, exceptions, kernel, link, messages
-from ebonywheel.gateway import balance, routes
+from ebonywheel.gateway import balance, quarantine, routes
 
 TableDecoder = typing.Callable[[bytes], result.Result[routes.Table, exceptions.DocumentError]]
 FETCH_TIMEOUT_S = 2.0
@@ -46,6 +46,7 @@
         entry_hosts: Number of entry hosts that share the servers.
         entry_hosts_at: When that many were reported last, monotonic seconds.
         on_shutdown_notice: Called with the id of a server that shuts down or has left.
+        quarantine: Fingerprints of requests that crash servers, or may do so.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         self.entry_hosts = 1
         self.entry_hosts_at = 0.0
         self.on_shutdown_notice: list[collections.abc.Callable[[str], typing.Awaitable[None]]] = []
+        self.quarantine = quarantine.Quarantine()
         self.fetch_lock = curio.Lock()
 
     # -- watch -----------------------------------------------------------------------------
@@ -91,6 +93,8 @@
             uses_reported=True,
             relayed=nearest,
             changes_only=not nearest and self.directory.oldest_age_s() < MAX_RELAYED_AGE_S,
+            suspects_wanted=True,
+            suspects_index=self.quarantine.index,
         )
 
     def distance(self, data_centre: str) -> float:
@@ -120,6 +124,7 @@
             self.out_of_service = frozenset(reply.out)
             self.core.log.info("data_centres_out", out=" ".join(reply.out), index=reply.out_index)
         self._record_entry_hosts(reply.entry_hosts)
+        self._update_quarantine(reply)
         if request.uses_wanted:
             # A control host of an older version sends all sums, and no number.
             complete = reply.uses_complete or not reply.uses_number
@@ -127,6 +132,17 @@
         if reply.routing_index > self.routing_index:
             await self._fetch_routing(reply.routing_index, connection)
 
+    def _update_quarantine(self, reply: messages.WatchReply) -> None:
+        now = self.core.clock.monotonic()
+        if self.quarantine.update(reply.suspects_index, reply.suspects, now):
+            refused = [item.fingerprint.hex() for item in reply.suspects if item.refused_ms]
+            self.core.log.info(
+                "suspects_changed",
+                index=reply.suspects_index,
+                suspects=len(reply.suspects),
+                refused=" ".join(refused),
+            )
+
     def _record_entry_hosts(self, count: int) -> None:
         now = self.core.clock.monotonic()
         if count >= self.entry_hosts or now > self.entry_hosts_at + ENTRY_HOSTS_HELD_S:
@@ -214,6 +230,12 @@
             candidate.without_neighbour = server_counts[candidate.record.data_centre] == 1
         return candidates
 
+    def quarantined_s(self, context: "RequestContext") -> float:
+        """Return how long a request is refused as it crashes servers, 0 if it is not."""
+        if not self.quarantine.suspects:
+            return 0.0
+        return self.quarantine.remaining_s(context.fingerprints(), self.core.clock.monotonic())
+
     def remains_in_service(self, record: messages.DirectoryRecord) -> bool:
         """Return whether a server's incarnation is in service and not shutting down."""
         entry = self.directory.entries.get(record.server)
@@ -301,6 +323,7 @@
         started_at: When the request was received, monotonic seconds.
         deadline_at: When the caller must have its whole answer, monotonic seconds.
         caller_deadline_at: When the caller stops waiting, monotonic seconds.
+        success_recorded: True once the request is known not to crash its server.
         tried: Ids of the servers that the request was sent to.
         reason: Why the last attempt failed, for the log and the answer.
         status: Status of the forwarded answer, 0 when none was forwarded.
@@ -316,6 +339,7 @@
     started_at: float
     deadline_at: float
     caller_deadline_at: float
+    success_recorded: bool = False
     tried: list[str] = []
     reason: str = ""
     status: int = 0
@@ -323,6 +347,11 @@
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
 
+    def fingerprints(self) -> tuple[bytes, ...]:
+        """Return the digests of what the request may have in common with others."""
+        customer = "" if self.customer is None else self.customer.name
+        return quarantine.request_fingerprints(customer, self.service.name, self.request)
+
     def record_events(self, now: float) -> None:
         """Record the arrival of events of a stream."""
         if self.first_event_at:
--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -198,8 +198,9 @@
         return not poll.poll(0)
 
     def start_next(self) -> None:
-        """Reset the connection for the next exchange."""
-        self.conn.start_next_cycle()
+        """Reset the connection for the next exchange, which may be its first."""
+        if self.conn.our_state is not h11.IDLE:
+            self.conn.start_next_cycle()
         self.sent = False
 
     async def close(self) -> None:
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -554,6 +554,19 @@
     unread: int = 0
 
 
+class SuspectFingerprint(msgspec.Struct):
+    """A fingerprint whose requests crash backend servers, or may do so.
+
+    Attributes:
+        crashed_ms: Milliseconds since a crash; a success after it contradicts the suspicion.
+        refused_ms: Milliseconds for which gateways refuse its requests, 0 if it is only suspected.
+    """
+
+    fingerprint: bytes = b""
+    crashed_ms: int = 0
+    refused_ms: int = 0
+
+
 class WatchRequest(msgspec.Struct):
     """Ask a control host for the changes since its last reply, and wait for one if there are none.
 
@@ -571,6 +584,8 @@
             request; implied by `uses_wanted`.
         uses_number: Number of the last reply with sums that the sender applied, 0 for none.
         changes_only: True to leave out records that were only renewed.
+        suspects_wanted: True to get the suspect fingerprints when they have changed.
+        suspects_index: Log index of those that the sender has.
     """
 
     host: str = ""
@@ -586,6 +601,8 @@
     uses_reported: bool = False
     uses_number: int = 0
     changes_only: bool = False
+    suspects_wanted: bool = False
+    suspects_index: int = 0
 
 
 class WatchReply(msgspec.Struct):
@@ -603,6 +620,8 @@
             that changed since the reply that the request names.
         uses_complete: Whether `uses` holds all sums, so that servers without one have no load.
         uses_number: Number of this reply, to be named in the next request.
+        suspects_index: Log index of the last change of `suspects`, 0 when these are left out.
+        suspects: All suspect fingerprints, if wanted and newer than those that the sender has.
     """
 
     epoch: int = 0
@@ -617,6 +636,8 @@
     uses: list[ServerUse] = []
     uses_complete: bool = False
     uses_number: int = 0
+    suspects_index: int = 0
+    suspects: list[SuspectFingerprint] = []
 
 
 class RoutingRequest(msgspec.Struct):
--- a/src/ebonywheel/poison.py
+++ b/src/ebonywheel/poison.py
@@ -5,7 +5,6 @@
 host, so that any host recognizes a resend.
 """
 
-import hashlib
 import typing
 
 import curio
@@ -28,13 +27,6 @@
 Probe = typing.Callable[[messages.ServerState], typing.Awaitable[bool]]
 
 
-def fingerprint(customer: str, service: str, body: bytes) -> bytes:
-    """Return the digest that identifies a request when it is resent."""
-    return hashlib.blake2b(
-        b"\0".join((customer.encode(), service.encode(), body)), digest_size=16
-    ).digest()
-
-
 class EntryHostStatus(msgspec.Struct):
     """The decoded part of an entry host's status.
 
--- a/src/ebonywheel/registry.py
+++ b/src/ebonywheel/registry.py
@@ -12,6 +12,7 @@
     "ebonywheel.hoststate",
     "ebonywheel.callstate",
     "ebonywheel.suspectstate",
+    "ebonywheel.crashstate",
     "ebonywheel.orderstate",
     "ebonywheel.routingstate",
     "ebonywheel.ordertypes",
--- a/src/ebonywheel/services.py
+++ b/src/ebonywheel/services.py
@@ -13,10 +13,10 @@
     documents,
     engineclient,
     exceptions,
+    fingerprints,
     generations,
     http,
     placement,
-    poison,
     policies,
     registry,
     sse,
@@ -360,7 +360,9 @@
         hashlib.blake2b(prompt_prefix, digest_size=8).hexdigest(),
         placement.region_of(service_request.config, data_centre),
         body.length,
-        poison.fingerprint(service_request.customer, service_request.service_name, request.body),
+        fingerprints.fingerprint(
+            service_request.customer.encode(), service_request.service_name.encode(), request.body
+        ),
         max_tokens=min(
             body.max_tokens or service_request.service.max_tokens,
             service_request.service.max_tokens,
--- a/src/ebonywheel/statedata.py
+++ b/src/ebonywheel/statedata.py
@@ -137,6 +137,48 @@
     out_index: int = 0
 
 
+class ServerCrash(msgspec.Struct):
+    """A crash of a backend server.
+
+    Attributes:
+        at_ms: Replicated time of the crash.
+        requests: Requests in flight that may have caused it.
+    """
+
+    at_ms: int
+    requests: list[commands.InFlightRequest] = []
+
+
+class QuarantineEntry(msgspec.Struct):
+    """A quarantined fingerprint.
+
+    Attributes:
+        since_ms: Replicated time of the first crash that counted against it.
+        until_ms: Replicated time at which the quarantine ends.
+    """
+
+    since_ms: int
+    until_ms: int
+
+
+class QuarantineState(msgspec.Struct):
+    """Fingerprints of the requests that gateways refuse, and the evidence against others.
+
+    Attributes:
+        entries_index: Log index of the last change of `entries`.
+        index: Log index of the last change of any attribute.
+        entries: Quarantined fingerprints, oldest first.
+        crashes: Recent crashes by backend server and incarnation, oldest first.
+        succeeded_ms: Replicated time of the latest known success, by fingerprint.
+    """
+
+    entries_index: int = 0
+    index: int = 0
+    entries: dict[bytes, QuarantineEntry] = {}
+    crashes: dict[str, ServerCrash] = {}
+    succeeded_ms: dict[bytes, int] = {}
+
+
 class StateData(msgspec.Struct):
     """The whole replicated state.
 
@@ -151,6 +193,7 @@
         call_horizon_ms: Idempotency keys created before this replicated time have expired.
         orders: Latest order by environment and backend server.
         crashes: Reported deaths by environment, backend server and incarnation.
+        quarantine: What gateways refuse because it crashes backend servers.
     """
 
     at_ms: int = 0
@@ -167,6 +210,7 @@
     crashes: dict[str, CrashRecord] = {}
     members: list[configuration.Member] = []
     routing: RoutingState = msgspec.field(default_factory=RoutingState)
+    quarantine: QuarantineState = msgspec.field(default_factory=QuarantineState)
 
     def put(self, key: str, index: int, value: bytes) -> None:
         """Set a configuration item, unless it has this value already."""
--- a/src/ebonywheel/watcher.py
+++ b/src/ebonywheel/watcher.py
@@ -3,6 +3,7 @@
 import typing
 
 import curio
+import msgspec
 
 from ebonywheel import exceptions, kernel, link, messages
 
@@ -51,9 +52,18 @@
         connected: Whether it answered the last watch.
         distance: Distance to it, infinite before the first connection.
         uses_number: Number of its last reply with the others' load, 0 for none.
+        connection: Link to it, None before the first watch.
     """
 
-    __slots__ = ("epoch", "seen", "last_listed_at", "connected", "distance", "uses_number")
+    __slots__ = (
+        "epoch",
+        "seen",
+        "last_listed_at",
+        "connected",
+        "distance",
+        "uses_number",
+        "connection",
+    )
 
     def __init__(self, last_listed_at: float):
         self.epoch = 0
@@ -62,6 +72,7 @@
         self.connected = False
         self.distance = float("inf")
         self.uses_number = 0
+        self.connection: link.Link | None = None
 
 
 class Watcher:
@@ -95,8 +106,30 @@
         """Return how many control hosts answered their last watch."""
         return sum(position.connected for position in self.positions.values())
 
+    async def call(self, message: msgspec.Struct, timeout_s: float) -> msgspec.Struct:
+        """Call the nearest control host, or the next one where that fails; return the answer.
+
+        Args:
+            message: A request that may safely be made more than once.
+            timeout_s: Longest time to wait for each answer.
+
+        Raises:
+            LinkError: No control host is connected, or each call failed.
+        """
+        error = exceptions.LinkError(
+            "no control host is connected", f"call {type(message).__name__}"
+        )
+        for position in sorted(self.positions.values(), key=lambda position: position.distance):
+            if not position.connected:
+                continue
+            try:
+                return await position.connection.call(message, timeout_s)
+            except exceptions.LinkError as caught:
+                error = caught
+        raise error
+
     async def _watch(self, address: str, position: WatchPosition) -> None:
-        connection = link.Link(self.core, f"control:{address}", address)
+        connection = position.connection = link.Link(self.core, f"control:{address}", address)
         try:
             while self._should_watch(position):
                 await self._watch_once(connection, position)
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -10,7 +10,7 @@
 import curio
 import msgspec
 
-from ebonywheel import directory, kernel, messages, replica, state
+from ebonywheel import crashstate, directory, kernel, messages, replica, state
 
 MAX_WAIT_MS = 2000
 # Work in flight reported longer ago is ignored, as its host is gone or partitioned: watches are
@@ -48,6 +48,9 @@
         uses: Work in flight by entry host.
         epoch: Random id of this process's positions, which start anew after a restart.
         wake_count: Number of times that waiting watches were woken.
+        state_version: Log indexes of the last changes of the state that watches are woken for.
+        suspects: Fingerprints that one more crash would quarantine, with the time of the last one.
+        suspects_index: Log index of the evidence from which they were derived.
         changed: Notified each time that they are woken.
     """
 
@@ -59,6 +62,9 @@
         self.uses: dict[str, HostUses] = {}
         self.epoch = secrets.randbits(EPOCH_BITS) + 1
         self.wake_count = 0
+        self.state_version = self._state_version()
+        self.suspects: dict[bytes, int] = {}
+        self.suspects_index = 0
         self.changed = curio.Condition()
 
     async def start(self) -> None:
@@ -97,7 +103,7 @@
         now = self.core.clock.monotonic()
         if request.uses_wanted or request.uses_reported:
             self._record_uses(request, now)
-        if request.epoch == self.epoch and not self._has_newer_routing(request):
+        if request.epoch == self.epoch and not self._has_newer_state(request):
             await self._wait(request)
         return self._reply(request)
 
@@ -116,9 +122,17 @@
                 while self.wake_count == initial_count:
                     await self.changed.wait()
 
-    def _has_newer_routing(self, request: messages.WatchRequest) -> bool:
+    def _has_newer_state(self, request: messages.WatchRequest) -> bool:
         routing = self.state_machine.data.routing
-        return routing.index > request.routing_index or routing.out_index > request.out_index
+        return (
+            routing.index > request.routing_index
+            or routing.out_index > request.out_index
+            or self._has_newer_quarantine(request)
+        )
+
+    def _has_newer_quarantine(self, request: messages.WatchRequest) -> bool:
+        index = self.state_machine.data.quarantine.entries_index
+        return request.suspects_wanted and index > request.suspects_index
 
     def _reply(self, request: messages.WatchRequest) -> messages.WatchReply:
         routing = self.state_machine.data.routing
@@ -138,10 +152,33 @@
             [member.link for member in self.replica.members],
             len(recent_uses),
         )
+        quarantine = self.state_machine.data.quarantine
+        if request.suspects_wanted and quarantine.index > request.suspects_index:
+            reply.suspects_index = quarantine.index
+            reply.suspects = self._suspects()
         if request.uses_wanted:
             self._tell_uses(request, reply, recent_uses)
         return reply
 
+    def _suspects(self) -> list[messages.SuspectFingerprint]:
+        data = self.state_machine.data
+        # A control host that has not heard a leader yet knows only the time of the last command.
+        now_ms = max(data.at_ms, self.replica.proposals.replicated_clock.now_ms())
+        suspects = [
+            messages.SuspectFingerprint(
+                fingerprint, max(0, now_ms - entry.since_ms), max(0, entry.until_ms - now_ms)
+            )
+            for fingerprint, entry in data.quarantine.entries.items()
+        ]
+        if self.suspects_index != data.quarantine.index:
+            self.suspects_index = data.quarantine.index
+            self.suspects = crashstate.find_suspects(data.quarantine)
+        suspects += [
+            messages.SuspectFingerprint(fingerprint, max(0, now_ms - crashed_ms))
+            for fingerprint, crashed_ms in self.suspects.items()
+        ]
+        return suspects
+
     def routing(self) -> messages.RoutingReply:
         """Return the routing content in force here."""
         current = self.state_machine.data.routing
@@ -182,7 +219,14 @@
         reply.uses_number = asker.told_number
 
     async def _wake_after_applied(self) -> None:
-        await self.wake()
+        version = self._state_version()
+        if version != self.state_version:
+            self.state_version = version
+            await self.wake()
+
+    def _state_version(self) -> tuple[int, int, int]:
+        data = self.state_machine.data
+        return (data.routing.index, data.routing.out_index, data.quarantine.entries_index)
 
     async def _prune(self) -> None:
         while True:
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -316,6 +316,12 @@
   unread @3 :UInt64;
 }
 
+struct SuspectFingerprint {
+  fingerprint @0 :Data;
+  crashedMs @1 :UInt64;
+  refusedMs @2 :UInt64;
+}
+
 struct WatchRequest {
   host @0 :Text;
   incarnation @1 :UInt64;
@@ -330,6 +336,8 @@
   usesReported @10 :Bool;
   usesNumber @11 :UInt64;
   changesOnly @12 :Bool;
+  suspectsWanted @13 :Bool;
+  suspectsIndex @14 :UInt64;
 }
 
 struct WatchReply {
@@ -345,6 +353,8 @@
   uses @9 :List(ServerUse);
   usesComplete @10 :Bool;
   usesNumber @11 :UInt64;
+  suspectsIndex @12 :UInt64;
+  suspects @13 :List(SuspectFingerprint);
 }
 
 struct RoutingRequest {
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -154,6 +154,7 @@
         self.entries = [
             Node(folder, "entry", n + 1, zones[n % len(zones)], prefix) for n in range(entries)
         ]
+        self.entry_turns = itertools.cycle(self.entries)
         self.seeds = [f"{node.ip}:{CONTROL_PORT}" for node in self.controls]
         self.attempts = itertools.count(1)
         for node in self.controls + self.entries:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -8,8 +8,8 @@
 from ebonywheel import clock, directory, messages
 
 
-def record(sequence, born_ms=1, gone=False, draining=False, server="s"):
-    return messages.DirectoryRecord(server, born_ms, sequence, gone, draining, "plan", "10.0.0.1:1")
+def record(sequence, born_ms=1, gone=False, draining=False, server="s", address="10.0.0.1:1"):
+    return messages.DirectoryRecord(server, born_ms, sequence, gone, draining, "plan", address)
 
 
 @pytest.fixture
@@ -95,6 +95,23 @@
         assert servers.entries == {}
         assert servers.age_s("s") == float("inf")
 
+    @pytest.mark.parametrize(
+        ("server", "fields", "replaced"),
+        [
+            ("s", {}, False),
+            ("s", {"born_ms": 2}, True),
+            ("t", {"born_ms": 2}, True),
+            ("t", {"born_ms": 2, "gone": True}, False),
+            ("t", {"born_ms": 2, "address": "10.0.0.9:80"}, False),
+        ],
+    )
+    def test_a_server_whose_address_another_has_taken(self, manual_clock, server, fields, replaced):
+        servers = directory.Directory(manual_clock)
+        old = record(1)
+        servers.observe(old)
+        servers.observe(record(2, server=server, **fields))
+        assert servers.is_replaced(old) is replaced
+
     def test_a_record_is_unchanged_by_encoding_and_decoding(self, manual_clock):
         from ebonywheel import codec
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -24,6 +24,7 @@
         ("outcome", "text"),
         [
             ("refused: no routing content yet (route, r1)", "no routing content"),
+            ("refused: quarantined: such requests crash servers (forward, r1)", "servers crashed"),
             ("refused: no server with room (forward, r1)", "full"),
             ("refused: no server (forward, r1)", "no server of the service"),
             ("refused: this host ends (route, r1)", "about to end"),
@@ -59,6 +60,10 @@
         )
         assert "could not be moved" in text and "503" in text
 
+    def test_stream_whose_server_crashed(self):
+        crash = log_line("server_crashed", 3_500, server="s1", requests=2, at_beginning=1)
+        assert "s1 crashed" in cause(crash, final_line("broken: closed", servers="s1"))
+
     def test_stream_whose_server_broke_off_without_notice(self):
         assert "without having told" in cause(final_line("broken: closed", servers="s1"))
 
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -1,5 +1,6 @@
 """Requests that crash the backend servers that run them, over all entry hosts of a system."""
 
+import contextlib
 import http.client
 import itertools
 import signal
@@ -14,23 +15,31 @@
 # Time after the fifth crash from which the promise holds.
 STABLE_WINDOW_S = 4.0
 CRASHES_BEFORE_BOUND = 5
+# The same for a request that is repeated as a whole.
+CRASHES_BY_ONE_REQUEST = 3
 MAX_LATER_ARRIVALS = 3
 ENTRY_HOSTS = 3
 CRASHING_PART, SOUND_PART = "bad0", "cafe"
 MAX_TRIES = 12
 REPORT_INTERVAL_S = 1.0
-ROUTES = [platformsystem.route("plan", "/plan/", "streaming", "plan", **{"timeout-ms": 20000})]
+CRASHING_BODY = b"crash"
+ROUTES = [
+    platformsystem.route("plan", "/plan/", "streaming", "plan", **{"timeout-ms": 20000}),
+    platformsystem.route("book", "/book/"),
+    platformsystem.route("look", "/look/", "safe"),
+]
 
 
 class Fleet:
-    """Engines that crash on one part of a prompt and are replaced by new ones.
+    """Servers that crash on some requests and are replaced by new ones.
 
     Attributes:
-        arrivals: Times at which requests with the part reached an engine, monotonic seconds.
+        arrivals: Times at which such requests reached a server, monotonic seconds.
     """
 
-    def __init__(self, system, size):
+    def __init__(self, system, service, size):
         self.system = system
+        self.service = service
         self.numbers = itertools.count(1)
         self.servers = []
         self.arrivals = []
@@ -40,7 +49,7 @@
         threading.Thread(target=self.report_regularly, daemon=True).start()
 
     def report_regularly(self):
-        """Report the engines that run to the first control host, as they would themselves."""
+        """Report the servers that run to the first control host, as they would themselves."""
         while not self.closed.wait(REPORT_INTERVAL_S):
             for server in list(self.servers):
                 if not server.crashed:
@@ -48,15 +57,24 @@
                     self.system.call_control("PUT", path, server.next_report())
 
     def start_server(self):
-        """Start an engine and announce it to all entry hosts."""
+        """Start a server and announce it to all entry hosts."""
         zone = list(platformsystem.ZONES)[len(self.servers) % len(platformsystem.ZONES)]
-        server = platformserver.PlatformServer(f"i-{next(self.numbers)}", "plan", zone)
+        server = platformserver.PlatformServer(
+            f"{self.service}-{next(self.numbers)}", self.service, zone
+        )
         server.script = self.run_request
         self.system.announce(server)
         self.servers.append(server)
 
     def run_request(self, handler, received):
-        """Answer with a short stream, or crash when the answer begins."""
+        """Answer, or crash: a generation when its answer begins, another request before."""
+        if received.body == CRASHING_BODY:
+            self.arrivals.append(time.monotonic())
+            handler.server.owner.crash()
+            return
+        if "x-prompt-prefix" not in received.headers:
+            platformserver.answer_plainly(handler, received)
+            return
         if CRASHING_PART not in received.headers["x-prompt-prefix"]:
             handler.start_stream()
             handler.send_chunk(b"id: 1\ndata: token\n\n")
@@ -67,16 +85,16 @@
         handler.server.owner.crash()
 
     def crash_count(self):
-        """Return the number of engines that have crashed."""
+        """Return the number of servers that have crashed."""
         return sum(server.crashed for server in self.servers)
 
     def replace_crashed(self):
-        """Start an engine for each one that has crashed and was not replaced yet."""
+        """Start a server for each one that has crashed and was not replaced yet."""
         while len(self.servers) - self.crash_count() < ENTRY_HOSTS:
             self.start_server()
 
     def close(self):
-        """Stop all engines."""
+        """Stop all servers."""
         self.closed.set()
         for server in self.servers:
             if not server.crashed:
@@ -93,7 +111,7 @@
     def send(self, part, node=None):
         """Send a generation; return its status and whether its answer came whole."""
         number = next(self.numbers)
-        node = node or self.system.entries[number % len(self.system.entries)]
+        node = node or next(self.system.entry_turns)
         headers = {
             "X-Token-Counts": "300,40",
             "X-Model-Name": "m",
@@ -122,15 +140,21 @@
 
 
 @pytest.fixture
-def fleet(system):
-    """Run one engine in each data centre."""
-    started = Fleet(system, ENTRY_HOSTS)
-    yield started
-    started.close()
+def start_fleet(system):
+    """Return a function that starts one server of a service in each data centre."""
+    with contextlib.ExitStack() as exit_stack:
+
+        def start(service):
+            fleet = Fleet(system, service, ENTRY_HOSTS)
+            exit_stack.callback(fleet.close)
+            return fleet
+
+        yield start
 
 
 # Guards against engines that are crashed one after the other by prompts with one part in common.
-def test_prompts_that_crash_engines_stop_reaching_them_and_similar_ones_do_not(system, fleet):
+def test_prompts_that_crash_engines_stop_reaching_them_and_similar_ones_do_not(system, start_fleet):
+    fleet = start_fleet("plan")
     callers = Callers(system)
     for _ in range(MAX_TRIES):
         if fleet.crash_count() >= CRASHES_BEFORE_BOUND:
@@ -157,6 +181,46 @@
     assert len(fleet.arrivals) == arrivals_before
 
 
+# Guards against a request that is sent again and again and crashes a server each time.
+@pytest.mark.parametrize(("method", "path"), [("POST", "/book/1"), ("GET", "/look/1")])
+def test_a_request_that_crashes_servers_stops_reaching_them(system, start_fleet, method, path):
+    fleet = start_fleet("book")
+    for _ in range(MAX_TRIES):
+        if fleet.crash_count() >= CRASHES_BY_ONE_REQUEST:
+            break
+        system.request(method, path, CRASHING_BODY, node=next(system.entry_turns))
+        fleet.replace_crashed()
+    time.sleep(STABLE_WINDOW_S)
+    arrivals_before = len(fleet.arrivals)
+    for _ in range(MAX_TRIES):
+        system.request(method, path, CRASHING_BODY, node=next(system.entry_turns))
+        fleet.replace_crashed()
+        assert system.request(method, path, b"another").status == 200
+    assert len(fleet.arrivals) - arrivals_before <= MAX_LATER_ARRIVALS
+    assert system.request(method, path, CRASHING_BODY).status == 503
+
+
+# Guards against requests that are blamed for answers that a living server breaks off.
+def test_a_server_that_breaks_off_answers_but_lives_has_not_crashed(system, start_fleet):
+    fleet = start_fleet("plan")
+
+    def break_off(handler, received):
+        fleet.arrivals.append(time.monotonic())
+        handler.start_stream()
+        handler.close_early()
+
+    for server in fleet.servers:
+        server.script = break_off
+    callers = Callers(system)
+    crashes_before = sum(len(node.events("server_crashed")) for node in system.entries)
+    for _ in range(MAX_TRIES):
+        assert callers.send("d00f") == (200, False)
+        time.sleep(REPORT_INTERVAL_S / 4)
+    assert len(fleet.arrivals) == MAX_TRIES
+    crashes = sum(len(node.events("server_crashed")) for node in system.entries)
+    assert crashes == crashes_before
+
+
 def _restart(system):
     """Kill all control hosts at once, then an entry host, and wait until all serve again."""
     for node in system.controls:
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -50,6 +50,13 @@
         self.last_event_at = now
 
 
+class CrashReporter:
+    """Takes notice of nothing."""
+
+    async def record_progress(self, context):
+        return
+
+
 def relay(monkeypatch, parts):
     """Relay a stream of these parts and return what the caller got of it."""
     from ebonywheel import clock
@@ -57,7 +64,7 @@
     monkeypatch.setattr(streaming, "STALL_TIMEOUT_S", STALL_S)
     core = types.SimpleNamespace(clock=clock.SystemClock())
     sender = types.SimpleNamespace(view=None)
-    forwarder = streaming.StreamForwarder(core, sender, None)
+    forwarder = streaming.StreamForwarder(core, sender, None, CrashReporter())
     reply = types.SimpleNamespace(
         record=messages.DirectoryRecord("s", address="10.0.0.1:80"),
         connection=ScriptedConnection(parts),
