Take a stream that ends with its connection inside an event for broken off

What callers would see: an event stream with neither a length nor chunks, whose server crashes, was passed on with half an event and a proper end, so it looked complete.

Cause: the end of the connection was always taken for the end of such an answer, and bytes after the last blank line for a part of it. That holds only where the framing says so.

Change: such a stream is complete only if it ends after a whole event, has at least one, and is not being stopped to be handed over to another server. Otherwise it counts as broken off, so that it is resumed at its copy, or its caller's connection is closed early, and its server is checked for a crash.

Three of the four cases of test_a_stream_that_ends_with_its_connection failed before. After: test_platform_contract, test_streaming, test_httpclient, test_moves pass (80 tests).

Not covered: one that is cut exactly after an event looks complete; nothing in it says otherwise.

--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -341,10 +341,23 @@
                 run.context.record_events(self.core.clock.monotonic())
                 await self.crashes.record_progress(run.context)
                 await exchange.write(whole_events)
+        if connection.close_delimited:
+            self._check_whole(run)
         if run.splitter.buffer:
             # Bytes after the last blank line are still part of the answer.
             await exchange.write(bytes(run.splitter.buffer))
 
+    def _check_whole(self, run: Run) -> None:
+        """Check a stream that ended with its connection, as one that breaks off does, too.
+
+        Raises:
+            UpstreamError: It broke off, or was stopped to be handed over.
+        """
+        if run.splitter.buffer or not run.splitter.count or run.move_finished is not None:
+            raise exceptions.UpstreamError(
+                "connection closed before the end of the stream", "relay", run.record.address, True
+            )
+
     def _silence_timeout_s(self, run: Run) -> float:
         """Return how long to wait for further bytes of a stream.
 
--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -34,6 +34,7 @@
         sent: True once any byte of the current request may have been sent.
         allow_close_delimited: True to accept a response body that is delimited only by the end of
             the connection.
+        close_delimited: Whether the body of the last response is.
         conn: HTTP/1.1 protocol state.
         request_head: Head of the last request.
         names_requests: True once a response has named the request that it answers. From then on
@@ -43,6 +44,7 @@
     def __init__(self, address: str, allow_close_delimited: bool = False):
         self.address = address
         self.allow_close_delimited = allow_close_delimited
+        self.close_delimited = False
         self.sock: curio.io.Socket | None = None
         self.conn = h11.Connection(h11.CLIENT)
         self.sent = False
@@ -107,7 +109,8 @@
         if not isinstance(event, h11.Response):
             raise self._error("connection closed before the response", "wait")
         headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
-        if not self.allow_close_delimited and not self._is_delimited(event.status_code, headers):
+        self.close_delimited = not self._is_delimited(event.status_code, headers)
+        if self.close_delimited and not self.allow_close_delimited:
             raise self._error("response has neither a length nor chunked encoding", "wait")
         return ResponseHead(event.status_code, headers)
 
--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -92,12 +92,16 @@
         self.end_headers()
         self.wfile.write(body)
 
-    def start_stream(self):
+    def start_stream(self, chunked=True):
         self.send_response(200)
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("X-Response-Stamp", f"stamp-{self.server.owner.name}")
         self.send_header("X-Attempt-Id", self.headers.get("X-Attempt-Id", ""))
-        self.send_header("Transfer-Encoding", "chunked")
+        if chunked:
+            self.send_header("Transfer-Encoding", "chunked")
+        else:
+            self.send_header("Connection", "close")
+            self.close_connection = True
         self.end_headers()
 
     def send_chunk(self, data):
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -300,6 +300,31 @@
         with pytest.raises(http.client.IncompleteRead):
             answer.read()
 
+    # Guards against a stream without a length that looks complete although its server crashed.
+    @pytest.mark.parametrize(
+        ("content", "complete"),
+        [
+            (b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", True),
+            (b"id: 1\ndata: a\n\nid: 2\nda", False),
+            (b"id: 1\nda", False),
+            (b"", False),
+        ],
+    )
+    def test_a_stream_that_ends_with_its_connection(self, serving, start_server, content, complete):
+        server = start_server("plan")
+
+        def script(handler, received):
+            handler.start_stream(chunked=False)
+            handler.wfile.write(content)
+
+        server.script = script
+        answer = serving.send("POST", "/plan/1", headers=PLAN_HEADERS).getresponse()
+        if complete:
+            assert answer.read() == content
+        else:
+            with pytest.raises(http.client.IncompleteRead):
+                answer.read()
+
     def test_the_log_names_the_shared_parts_of_a_broken_answer(self, serving, start_server):
         server = start_server("plan")
 
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -15,6 +15,8 @@
 class ScriptedConnection:
     """Yields parts of a stream at a fixed interval, then its end."""
 
+    close_delimited = False
+
     def __init__(self, parts):
         self.parts = list(parts)
 
