--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -11,7 +11,16 @@
 import msgspec
 
 from ebonywheel import exceptions, kernel, messages
-from ebonywheel.gateway import balance, dialect, moveplan, routes, sender, streaming, view
+from ebonywheel.gateway import (
+    balance,
+    dialect,
+    moveplan,
+    relayedrun,
+    routes,
+    sender,
+    streaming,
+    view,
+)
 
 # Timeout of one copy: about as long as the notice of an engine that shuts down.
 COPY_TIMEOUT_S = 3.0
@@ -72,7 +81,7 @@
             self.evacuating.add(server)
             await self.core.spawn(self._evacuate(server))
 
-    async def start_late_move(self, run: streaming.Run) -> None:
+    async def start_late_move(self, run: relayedrun.Run) -> None:
         """Start to move a run whose answer began after its server's shutdown notice."""
         notice = self.notices.get(run.record.server)
         if notice is not None and _supports_moves(run.context.service):
@@ -101,7 +110,7 @@
         finally:
             self.evacuating.discard(server)
 
-    async def _move_late(self, run: streaming.Run, notice: ShutdownNotice) -> None:
+    async def _move_late(self, run: relayedrun.Run, notice: ShutdownNotice) -> None:
         move = moveplan.plan_late_move(
             _to_engine_run(run),
             run.context.service.engine,
@@ -112,7 +121,7 @@
         if move is not None:
             await self._move(run, move, notice.received_at)
 
-    async def _plan_moves(self, runs: list[streaming.Run]) -> list[moveplan.PlannedMove]:
+    async def _plan_moves(self, runs: list[relayedrun.Run]) -> list[moveplan.PlannedMove]:
         first = runs[0]
         engine = first.context.service.engine
         report = await self._fetch_report(first)
@@ -137,7 +146,7 @@
         )
         return moves
 
-    def _near_room(self, run: streaming.Run) -> int:
+    def _near_room(self, run: relayedrun.Run) -> int:
         """Return the free memory of the neighbours of a run's server, in tokens."""
         memory = run.context.service.engine.memory_tokens
         room = 0
@@ -147,11 +156,11 @@
                 room += max(0, int(memory * MAX_DESTINATION_LOAD) - used)
         return room
 
-    def _movable_runs(self, server: str) -> list[streaming.Run]:
+    def _movable_runs(self, server: str) -> list[relayedrun.Run]:
         runs = self.streams.runs.get(server, {})
         return [run for run in runs.values() if _supports_moves(run.context.service)]
 
-    async def _fetch_report(self, run: streaming.Run) -> dialect.EngineReport | None:
+    async def _fetch_report(self, run: relayedrun.Run) -> dialect.EngineReport | None:
         """Fetch the report of a run's engine; it also lists the runs of other hosts."""
         try:
             call = self.dialect.report_call()
@@ -162,7 +171,7 @@
         return self.dialect.decode_report(status, body)
 
     async def _move(
-        self, run: streaming.Run, move: moveplan.PlannedMove, started_at: float
+        self, run: relayedrun.Run, move: moveplan.PlannedMove, started_at: float
     ) -> None:
         """Move one run; its planned times count from `started_at`, monotonic seconds."""
         if run.attempt() in self.moving:
@@ -175,7 +184,7 @@
             self.moving.discard(run.attempt())
 
     async def _copy_and_hand_over(
-        self, run: streaming.Run, move: moveplan.PlannedMove, started_at: float
+        self, run: relayedrun.Run, move: moveplan.PlannedMove, started_at: float
     ) -> None:
         source = run.record.server
         excluded = {source}
@@ -207,7 +216,7 @@
         if remaining_s > 0:
             await curio.sleep(remaining_s)
 
-    async def _catch_up(self, run: streaming.Run, record: messages.DirectoryRecord) -> None:
+    async def _catch_up(self, run: relayedrun.Run, record: messages.DirectoryRecord) -> None:
         """Copy what is new while the run continues, until the links are free for a short copy.
 
         A copy queues behind those of other runs and servers on both links.
@@ -222,7 +231,7 @@
             if not copy_result.complete or took_s <= MAX_HAND_OVER_COPY_S:
                 return
 
-    async def _hand_over(self, run: streaming.Run, record: messages.DirectoryRecord) -> None:
+    async def _hand_over(self, run: relayedrun.Run, record: messages.DirectoryRecord) -> None:
         """Stop a copied run and copy it again, so that it continues at the copy."""
         run.move_finished = curio.Event()
         try:
@@ -231,7 +240,7 @@
             await run.move_finished.set()
 
     def _choose_destination(
-        self, run: streaming.Run, excluded: set[str], move: moveplan.PlannedMove
+        self, run: relayedrun.Run, excluded: set[str], move: moveplan.PlannedMove
     ) -> balance.Candidate | None:
         context = run.context
         requirements = balance.Requirements(
@@ -246,7 +255,7 @@
         return self.view.choose(requirements, self.view.location_of(run.record))
 
     async def _copy(
-        self, run: streaming.Run, record: messages.DirectoryRecord, stop: bool
+        self, run: relayedrun.Run, record: messages.DirectoryRecord, stop: bool
     ) -> dialect.CopyResult:
         """Copy a run to a server, whose memory is reserved before the copy starts."""
         tokens = streaming.expected_memory_tokens(run.context.request.prompt)
@@ -263,7 +272,7 @@
             self.core.log.warning("copy_failed", request=run.attempt(), error=error)
         finally:
             now = self.core.clock.monotonic()
-            copy = streaming.Copy(record, source.address, copy_result.handle, reservation)
+            copy = relayedrun.Copy(record, source.address, copy_result.handle, reservation)
             # The run may have ended or continued at an earlier copy meanwhile.
             wanted = not run.closed and run.record is source
             if copy_result.complete and wanted:
@@ -285,7 +294,7 @@
         return copy_result
 
 
-def _to_engine_run(run: streaming.Run) -> dialect.EngineRun:
+def _to_engine_run(run: relayedrun.Run) -> dialect.EngineRun:
     """Return a run as its engine would report it, from what this host knows."""
     return dialect.EngineRun(run.attempt(), run.context.request.prompt.tokens, run.splitter.count)
 
--- /dev/null
+++ b/src/ebonywheel/gateway/relayedrun.py
@@ -0,0 +1,57 @@
+"""Generations that an entry host relays, and copies of them at other servers."""
+
+import curio
+import msgspec
+
+from ebonywheel import messages
+from ebonywheel.gateway import events, sender, view
+
+
+class Copy(msgspec.Struct):
+    """A copy of a run at another server.
+
+    Attributes:
+        record: The server that holds the copy.
+        source: Address of the server that made the copy; identifies it together with the handle.
+        reservation: Memory reserved for the copy at the server that holds it.
+    """
+
+    record: messages.DirectoryRecord
+    source: str
+    handle: str
+    reservation: view.Reservation
+
+
+class Run:
+    """A generation that this host relays.
+
+    Attributes:
+        context: The request.
+        record: The server that runs it now.
+        reply: The server's answer, while it is read.
+        splitter: Splits the answer into events; holds the id of the last one.
+        closed: True once the caller has its answer or will get no more of it.
+        copy: The newest copy of the run, None when there is none.
+        move_finished: Set when the hand-over ends, even if it failed; None without one.
+    """
+
+    __slots__ = ("context", "record", "reply", "splitter", "closed", "copy", "move_finished")
+
+    def __init__(self, context: view.RequestContext, reply: sender.Reply):
+        self.context = context
+        self.record = reply.record
+        self.reply = reply
+        self.splitter = events.EventSplitter()
+        self.closed = False
+        self.copy: Copy | None = None
+        self.move_finished: curio.Event | None = None
+
+    def replace_copy(self, copy: Copy | None) -> None:
+        """Replace the run's copy, and release the memory of the old one."""
+        if self.copy is not None:
+            self.copy.reservation.release()
+        self.copy = copy
+
+    def attempt(self) -> str:
+        """Return the id of the run's request."""
+        return self.context.request.attempt
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -8,10 +8,9 @@
 import typing
 
 import curio
-import msgspec
 
 from ebonywheel import exceptions, http, kernel, messages
-from ebonywheel.gateway import balance, crashes, dialect, events, refusals, sender, view
+from ebonywheel.gateway import balance, crashes, dialect, refusals, relayedrun, sender, view
 
 # Load up to which a server gets new generations: the whole memory.
 MAX_ADMISSION_LOAD = 1.0
@@ -31,56 +30,6 @@
 DROP_TIMEOUT_S = 0.5
 
 
-class Copy(msgspec.Struct):
-    """A copy of a run at another server.
-
-    Attributes:
-        record: The server that holds the copy.
-        source: Address of the server that made the copy; identifies it together with the handle.
-        reservation: Memory reserved for the copy at the server that holds it.
-    """
-
-    record: messages.DirectoryRecord
-    source: str
-    handle: str
-    reservation: view.Reservation
-
-
-class Run:
-    """A generation that this host relays.
-
-    Attributes:
-        context: The request.
-        record: The server that runs it now.
-        reply: The server's answer, while it is read.
-        splitter: Splits the answer into events; holds the id of the last one.
-        closed: True once the caller has its answer or will get no more of it.
-        copy: The newest copy of the run, None when there is none.
-        move_finished: Set when the hand-over ends, even if it failed; None without one.
-    """
-
-    __slots__ = ("context", "record", "reply", "splitter", "closed", "copy", "move_finished")
-
-    def __init__(self, context: view.RequestContext, reply: sender.Reply):
-        self.context = context
-        self.record = reply.record
-        self.reply = reply
-        self.splitter = events.EventSplitter()
-        self.closed = False
-        self.copy: Copy | None = None
-        self.move_finished: curio.Event | None = None
-
-    def replace_copy(self, copy: Copy | None) -> None:
-        """Replace the run's copy, and release the memory of the old one."""
-        if self.copy is not None:
-            self.copy.reservation.release()
-        self.copy = copy
-
-    def attempt(self) -> str:
-        """Return the id of the run's request."""
-        return self.context.request.attempt
-
-
 class StreamForwarder:
     """Relays event streams.
 
@@ -101,8 +50,10 @@
         self.view = request_sender.view
         self.budgets = budgets
         self.crashes = crash_reporter
-        self.runs: dict[str, dict[str, Run]] = {}
-        self.on_late_run: list[collections.abc.Callable[[Run], typing.Awaitable[None]]] = []
+        self.runs: dict[str, dict[str, relayedrun.Run]] = {}
+        self.on_late_run: list[
+            collections.abc.Callable[[relayedrun.Run], typing.Awaitable[None]]
+        ] = []
 
     async def forward(self, exchange: http.Exchange, context: view.RequestContext) -> None:
         """Answer one request with an event stream.
@@ -114,7 +65,7 @@
         """
         reply = await self._start_run(context)
         context.status = reply.head.status
-        run = Run(context, reply)
+        run = relayedrun.Run(context, reply)
         self._register(run)
         try:
             if reply.head.status != STATUS_OK:
@@ -127,14 +78,14 @@
         finally:
             await self._close(run)
 
-    async def _notify_if_late(self, run: Run) -> None:
+    async def _notify_if_late(self, run: relayedrun.Run) -> None:
         """Report a run that began too late to be in the move plan of its server."""
         if self.view.remains_in_service(run.record):
             return
         for callback in self.on_late_run:
             await callback(run)
 
-    async def _close(self, run: Run) -> None:
+    async def _close(self, run: relayedrun.Run) -> None:
         self._unregister(run)
         run.closed = True
         copy = run.copy
@@ -252,7 +203,7 @@
 
     # -- relay -----------------------------------------------------------------------------
 
-    async def _relay(self, exchange: http.Exchange, run: Run) -> None:
+    async def _relay(self, exchange: http.Exchange, run: relayedrun.Run) -> None:
         """Relay events until the run finishes, resuming it at another server when it breaks off."""
         while True:
             try:
@@ -296,7 +247,7 @@
         )
         await self.crashes.record_broken(context, record, error)
 
-    async def _resume(self, run: Run, error: exceptions.UpstreamError) -> None:
+    async def _resume(self, run: relayedrun.Run, error: exceptions.UpstreamError) -> None:
         """Resume a run that broke off, at the server that holds its copy.
 
         Raises:
@@ -332,7 +283,7 @@
         run.move_finished = None
         run.splitter.buffer.clear()
 
-    async def _relay_events(self, exchange: http.Exchange, run: Run) -> None:
+    async def _relay_events(self, exchange: http.Exchange, run: relayedrun.Run) -> None:
         connection = run.reply.connection
         while (chunk := await connection.read_chunk(self._silence_timeout_s(run))) is not None:
             whole_events = run.splitter.feed(chunk)
@@ -347,7 +298,7 @@
             # Bytes after the last blank line are still part of the answer.
             await exchange.write(bytes(run.splitter.buffer))
 
-    def _check_whole(self, run: Run) -> None:
+    def _check_whole(self, run: relayedrun.Run) -> None:
         """Check a stream that ended with its connection, as one that breaks off does, too.
 
         Raises:
@@ -358,7 +309,7 @@
                 "connection closed before the end of the stream", "relay", run.record.address, True
             )
 
-    def _silence_timeout_s(self, run: Run) -> float:
+    def _silence_timeout_s(self, run: relayedrun.Run) -> float:
         """Return how long to wait for further bytes of a stream.
 
         Raises:
@@ -375,7 +326,9 @@
             )
         return timeout_s
 
-    async def drop_copy(self, attempt: str, record: messages.DirectoryRecord, copy: Copy) -> None:
+    async def drop_copy(
+        self, attempt: str, record: messages.DirectoryRecord, copy: relayedrun.Copy
+    ) -> None:
         """Delete an unused copy of a run that has ended, by a call to the run's server."""
         call = self.sender.dialect.drop_copy_call(copy.handle)
         try:
@@ -384,10 +337,10 @@
             # The server that holds the copy deletes it by itself after a few seconds.
             self.core.log.info("copy_not_dropped", request=attempt, error=error)
 
-    def _register(self, run: Run) -> None:
+    def _register(self, run: relayedrun.Run) -> None:
         self.runs.setdefault(run.record.server, {})[run.attempt()] = run
 
-    def _unregister(self, run: Run) -> None:
+    def _unregister(self, run: relayedrun.Run) -> None:
         server_runs = self.runs.get(run.record.server)
         if server_runs is not None:
             server_runs.pop(run.attempt(), None)
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ebonywheel import exceptions, messages
-from ebonywheel.gateway import events, streaming
+from ebonywheel.gateway import events, relayedrun, streaming
 
 STALL_S = 0.3
 INTERVAL_S = 0.05
@@ -73,7 +73,7 @@
         reservation=types.SimpleNamespace(mark_answer_begun=lambda: None),
     )
     exchange = Exchange()
-    curio.run(forwarder._relay_events, exchange, streaming.Run(Context(core.clock), reply))
+    curio.run(forwarder._relay_events, exchange, relayedrun.Run(Context(core.clock), reply))
     return exchange.written
 
 
