Read only whole lines of what running processes write; explain names torn ones

Cause: each reader took the end of the file for the end of a line. Places looked for: Node.events (platform tests and the soak), Process.text (tests of processes; callfuzz counts bookings by regular expression in it, where a torn slot number would count for another slot). Readers of answers, pipes of one process and files of ended processes were looked at and read whole content already.

`ebonywheel explain` names file and number of each line that it passed over, also one in the middle of a log that a killed process tore.

--- a/src/ebonywheel/explain.py
+++ b/src/ebonywheel/explain.py
@@ -56,32 +56,48 @@
         cause: One sentence; without the request's final line, what is missing.
         lines: Lines of the request and its context, by time; the lines of the host that took the
             request come last.
+        passed_over: File and number of each line that could not be read.
     """
 
     request: str
     cause: str
     lines: list[LogLine]
+    passed_over: list[str] = []
 
 
-def read_lines(paths: collections.abc.Iterable[str]) -> collections.abc.Iterator[LogLine]:
-    """Yield the JSON lines of log files, skipping all others.
+class LogContent(msgspec.Struct):
+    """What was read from some log files.
+
+    Attributes:
+        lines: Their JSON lines.
+        passed_over: File and number of each line that looks like one but cannot be decoded.
+    """
+
+    lines: list[LogLine] = []
+    passed_over: list[str] = []
+
+
+def read_logs(paths: collections.abc.Iterable[str]) -> LogContent:
+    """Read the JSON lines of log files; lines without an opening brace are other output.
 
     Raises:
         SettingsError: A file cannot be read.
     """
+    content = LogContent()
     for path in paths:
         try:
             text = pathlib.Path(path).read_text("utf-8", "replace")
         except OSError as error:
             raise exceptions.SettingsError(error.strerror or "", "read log", path) from error
-        for text_line in text.splitlines():
+        for number, text_line in enumerate(text.splitlines(), start=1):
             start = text_line.find("{")
             if start < 0:
                 continue
             try:
-                yield msgspec.json.decode(text_line[start:], type=LogLine)
+                content.lines.append(msgspec.json.decode(text_line[start:], type=LogLine))
             except msgspec.DecodeError:
-                continue
+                content.passed_over.append(f"{path}:{number}")
+    return content
 
 
 def explain(request: str, lines: collections.abc.Iterable[LogLine]) -> Explanation:
--- a/src/ebonywheel/operator.py
+++ b/src/ebonywheel/operator.py
@@ -141,8 +141,9 @@
         return program.EXIT_BAD_INPUT if invalid else program.EXIT_OK
 
     async def _explain(self) -> int:
-        lines = explain.read_lines(self.arguments.logs)
-        explanation = explain.explain(self.arguments.request, lines)
+        content = explain.read_logs(self.arguments.logs)
+        explanation = explain.explain(self.arguments.request, content.lines)
+        explanation.passed_over = content.passed_over
         return self._print_result(explanation, screens.explanation)
 
     async def _diff(self) -> int:
--- a/src/ebonywheel/screens.py
+++ b/src/ebonywheel/screens.py
@@ -40,6 +40,7 @@
         rows.append(
             f"{_utc_time(line['at_ms'])} {line.get('node', '-')} {line['event']} {fields_text}"
         )
+    rows += [f"passed over, not readable: {place}" for place in value.passed_over]
     return "\n".join([*rows, f"cause: {value.cause}"])
 
 
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -15,6 +15,8 @@
 import h11
 import msgspec
 
+import processlogs
+
 SECRET = "cluster-secret-for-tests"
 SERVER_SECRET = "server-secret-for-tests"
 OPERATOR_TOKEN = "operator-token-for-tests"
@@ -156,7 +158,8 @@
         return self.popen.poll() is None
 
     def text(self) -> str:
-        return self.log.read_text()
+        """Return the whole lines that the process has written."""
+        return "\n".join(processlogs.whole_lines(self.log))
 
 
 class Host:
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -10,6 +10,7 @@
 import sys
 
 import cluster
+import processlogs
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PROGRAM = ROOT / "platform" / "run.py"
@@ -134,13 +135,7 @@
 
     def events(self, name):
         """Return the log entries of an event."""
-        found = []
-        for line in self.log.read_text().splitlines():
-            if line.startswith("{"):
-                entry = json.loads(line)
-                if entry["event"] == name:
-                    found.append(entry)
-        return found
+        return [entry for entry in processlogs.entries(self.log) if entry["event"] == name]
 
 
 class System:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -112,7 +112,21 @@
         assert exit_info.value.code == 0
         assert "cause: its time ran out" in capsys.readouterr().out
 
+    # Guards against a line that was torn when its process was killed, and is lost without a word.
+    def test_a_line_that_cannot_be_read_is_named(self, tmp_path, capsys, monkeypatch):
+        log = tmp_path / "log"
+        final = json.dumps(final_line("timeout"))
+        log.write_text(f"other output\n{final[:40]}{final}\n{final}\n{final[:40]}")
+        monkeypatch.setattr("sys.argv", ["ebonywheel", "explain", "r1", str(log)])
+        with pytest.raises(SystemExit) as exit_info:
+            operator.main()
+        printed = capsys.readouterr().out
+        assert exit_info.value.code == 0 and "cause: its time ran out" in printed
+        assert [line for line in printed.splitlines() if "not readable" in line] == [
+            f"passed over, not readable: {log}:{number}" for number in (2, 4)
+        ]
+
     def test_unreadable_log_is_named(self, tmp_path):
         with pytest.raises(exceptions.SettingsError, match=".") as error_info:
-            list(explain.read_lines([str(tmp_path / "none")]))
+            explain.read_logs([str(tmp_path / "none")])
         assert "none" in str(error_info.value)
