--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -67,6 +67,8 @@
         backoff_s: Length of the next backoff.
         cold_until: When its cold start ends, monotonic seconds.
         cold_request_times: Times of this host's requests during its cold start, monotonic seconds.
+        limit_per_s: Requests per second that it last stated to take from all hosts together, None
+            for no limit.
     """
 
     requests: int = 0
@@ -80,6 +82,7 @@
     backoff_s: float = INITIAL_BACKOFF_S
     cold_until: float = 0.0
     cold_request_times: list[float] = []
+    limit_per_s: float | None = None
 
     def record_answer(self, failed: bool) -> None:
         """Update the failure rate with an answer, and reset the backoff."""
--- a/src/ebonywheel/gateway/dialect.py
+++ b/src/ebonywheel/gateway/dialect.py
@@ -98,6 +98,8 @@
         load: Load of the server, None when not stated.
         keep_alive_s: How long the server keeps the idle connection open, None when not stated.
         headers: Headers to forward.
+        limit_per_s: Requests per second that the server takes from all hosts together, None when it
+            states no limit.
     """
 
     status: int
@@ -106,6 +108,7 @@
     load: ServerLoad | None
     keep_alive_s: float | None
     headers: http.Headers
+    limit_per_s: float | None = None
 
 
 class EngineRun(msgspec.Struct, frozen=True):
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -119,6 +119,19 @@
         assert (answer.status, answer.content) == (200, b"the answer")
         assert answer.headers["X-Response-Stamp"] == f"stamp-{server.name}"
 
+    def test_the_log_names_the_limit_that_a_server_states(self, serving, start_server):
+        server = start_server()
+        for limit in ("2.5", "2.5", None):
+            headers = {"Server-Limit": limit} if limit else {}
+            server.script = lambda handler, _, headers=headers: handler.answer(200, b"", headers)
+            assert serving.request("POST", "/book/1").headers["Server-Limit"] == limit
+        changes = [
+            (entry["before"], entry["now"])
+            for entry in serving.entries[0].events("server_limit_changed")
+            if entry["server"] == server.name
+        ]
+        assert changes == [(None, 2.5), (2.5, None)]
+
     def test_a_chunked_body_arrives_whole(self, serving, start_server):
         server = start_server()
         assert serving.request("POST", "/book/1", iter([b"two ", b"slots"])).status == 200
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -213,6 +213,26 @@
         assert answer.load == dialect.ServerLoad(3, 0, 8)
         assert answer.keep_alive_s == 5.0
 
+    @pytest.mark.parametrize(
+        ("text", "limit_per_s"),
+        [
+            ("2.5", 2.5),
+            ("0", 0.0),
+            ("3", 3.0),
+            ("-1", None),
+            ("nan", None),
+            ("inf", None),
+            ("x", None),
+        ],
+    )
+    def test_the_limit_of_a_server_is_decoded(self, text, limit_per_s):
+        head = httpclient.ResponseHead(200, {"server-limit": text})
+        assert self.platform_dialect.decode_answer(head).limit_per_s == limit_per_s
+
+    def test_a_server_need_not_state_a_limit(self):
+        head = httpclient.ResponseHead(200, {})
+        assert self.platform_dialect.decode_answer(head).limit_per_s is None
+
     def test_an_engines_report_is_decoded(self):
         body = {
             "queued": 1,
