Keep to the limits that servers state, over all entry hosts together

Cause: hypothesis 1, nobody read the limit; and hypothesis 2 would have followed, as hosts that each keep to the limit send seven times as much together. Hypothesis 3 (repeats) is excluded: in the test first tries alone are three times the limit. The class: a limit that is a sum over all hosts, of which each sees its part only.

What a server states in an answer is merged by time of the answer, reported to all control hosts with each watch, and told to all entry hosts by the nearest one: changes at once, confirmations every 10 s. Before a request is sent to a server that states a limit, its host asks the leader for a permit. The leader, which alone holds the lease, grants them from a token bucket for each incarnation, at the stated rate; a new leader starts with nothing, as the old one may have just granted some. A host without a permit takes another server and leaves this one alone for the wait that the leader names; when none is left, the request is refused at once as not run. Without an answer of a leader a host uses an equal part of the limit, which it earns from then on. A server that states less than one request in 20 s gets one in that time, so that its answer can tell when the limit has ended.

The same cause elsewhere: generations, and runs that are moved to another server, ask as well. The other limits over all hosts (cold rate, repeats) are shared by equal parts already.

Why it works: what a server gets is bounded by what one place grants, whichever hosts send it and however many these are. Weighed: equal parts alone (195 hosts at 2 a second would each send one in 97 s, so most requests that find a host are denied though the server takes them).

--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -20,6 +20,7 @@
     membermanager,
     messages,
     orders,
+    permits,
     program,
     queries,
     registry,
@@ -34,6 +35,8 @@
 FORWARD_TIMEOUT_S = 6.0
 # Less than the second after which a caller asks another control host.
 READ_TIMEOUT_S = 0.8
+# An entry host that waits for longer than this does without a permit.
+PERMIT_TIMEOUT_S = 0.3
 APPLIED_POLL_S = 0.01
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
@@ -66,6 +69,7 @@
         self.watches = watchserver.WatchServer(core, self.replica, self.state_machine)
         self.watcher = watcher.Watcher(core, PeerView(core, self.watches), core.host.link)
         self.member_manager = membermanager.MemberManager(core, self.replica)
+        self.permits = permits.Permits(core.clock, self.replica.require_lease)
         self.admin = admin.Admin(core, loaded.operators, self)
         self.admin.identity = self.formation.info
 
@@ -120,6 +124,8 @@
                 return self._read_index()
             case messages.JoinRequest():
                 return await self._join(message, forward=message.ask)
+            case messages.PermitRequest():
+                return await self._grant_permit(message, forward=peer.role != "control")
         raise exceptions.FrameError(f"unexpected {type(message).__name__}", "dispatch", str(peer))
 
     async def submit(self, request: messages.Submit, forward: bool = True) -> messages.SubmitReply:
@@ -205,6 +211,13 @@
             return await self._leader_link("join").call(forwarded, FORWARD_TIMEOUT_S)
         return self.member_manager.join(request)
 
+    async def _grant_permit(
+        self, request: messages.PermitRequest, forward: bool
+    ) -> messages.PermitReply:
+        if forward and self.replica.role is not replica.Role.LEADER:
+            return await self._leader_link("permit").call(request, PERMIT_TIMEOUT_S)
+        return self.permits.grant(request)
+
     async def _forward(self, request: messages.Submit) -> messages.SubmitReply:
         try:
             return await self._leader_link("submit").call(request, FORWARD_TIMEOUT_S)
--- a/src/ebonywheel/explain.py
+++ b/src/ebonywheel/explain.py
@@ -31,6 +31,10 @@
         "refused: quarantined",
         "servers crashed under requests with a part of its prompt, or under it",
     ),
+    (
+        "refused: servers are at their limits",
+        "all servers left had stated a limit that was used up",
+    ),
     ("refused: no server with room", "every engine was full or had too many prompts to read"),
     ("refused: no server", "no server of the service was in service"),
     ("refused: refused by", "the servers refused it as not run"),
--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -31,6 +31,9 @@
 # centre. A shutdown notice leaves time to copy the running generations to a neighbour, but not to
 # another data centre, so a server without a neighbour loses them all.
 NO_NEIGHBOUR_COST = 0.35
+# Cost of a server that has stated a limit. Others as near are used first; others in another region
+# are not, as the limited one still takes some work, and tells by that when its limit has ended.
+LIMITED_COST = 0.15
 # Weight of each answer in the moving average of a server's failure rate.
 FAILURE_RATE_SMOOTHING = 0.1
 # Load added per unit of failure rate above the lowest rate among the servers considered.
@@ -69,6 +72,9 @@
         cold_request_times: Times of this host's requests during its cold start, monotonic seconds.
         limit_per_s: Requests per second that it last stated to take from all hosts together, None
             for no limit.
+        denied_until: Until when it is not chosen, as the limit left no room; monotonic seconds.
+        own_part_at: When this host may send a request next without the leader, monotonic seconds;
+            0 while the leader grants permits.
     """
 
     requests: int = 0
@@ -83,6 +89,12 @@
     cold_until: float = 0.0
     cold_request_times: list[float] = []
     limit_per_s: float | None = None
+    denied_until: float = 0.0
+    own_part_at: float = 0.0
+
+    def is_denied(self, now: float) -> bool:
+        """Return whether its limit leaves no room for a request now."""
+        return self.limit_per_s is not None and now < self.denied_until
 
     def record_answer(self, failed: bool) -> None:
         """Update the failure rate with an answer, and reset the backoff."""
@@ -209,8 +221,10 @@
         neighbour_cost = (
             NO_NEIGHBOUR_COST if requirements.long_running and candidate.without_neighbour else 0.0
         )
+        limit_cost = 0.0 if candidate.state.limit_per_s is None else LIMITED_COST
         return (
             load_with_request(candidate, requirements)
+            + limit_cost
             + unread_load(candidate, requirements)
             + location_cost
             + failure_cost
@@ -235,7 +249,7 @@
 def _is_eligible(
     candidate: Candidate, requirements: Requirements, now: float, entry_hosts: int
 ) -> bool:
-    if candidate.record.server in requirements.excluded:
+    if candidate.record.server in requirements.excluded or candidate.state.is_denied(now):
         return False
     if requirements.data_centre and candidate.record.data_centre != requirements.data_centre:
         return False
--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -9,6 +9,7 @@
     crashes,
     dialect,
     moves,
+    permitclient,
     plain,
     refusals,
     routes,
@@ -54,8 +55,10 @@
         self.sender = sender.Sender(core, entry_view, wire_dialect)
         self.watcher = watcher.Watcher(core, entry_view)
         self.crashes = crashes.CrashReporter(core, self.sender, self.watcher)
-        self.plain = plain.PlainForwarder(core, self.sender, budgets, self.crashes)
-        self.streams = streaming.StreamForwarder(core, self.sender, budgets, self.crashes)
+        parts = (core, self.sender, budgets, self.crashes)
+        permits = permitclient.PermitClient(core, entry_view, self.watcher)
+        self.plain = plain.PlainForwarder(*parts, permits)
+        self.streams = streaming.StreamForwarder(*parts, permits)
         self.mover = moves.Mover(core, self.sender, self.streams)
         entry_view.on_shutdown_notice.append(self.mover.start_evacuation)
         self.streams.on_late_run.append(self.mover.start_late_move)
--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -193,6 +193,9 @@
             if candidate is None:
                 break
             record = candidate.record
+            if not await self.streams.permits.acquire(record):
+                excluded.add(record.server)
+                continue
             copy_result = await self._copy(run, record, stop=False)
             if copy_result.complete:
                 await self._wait_until(started_at + move.hand_over_s)
--- /dev/null
+++ b/src/ebonywheel/gateway/permitclient.py
@@ -0,0 +1,88 @@
+"""Asking for permits to send requests to servers that have stated a limit."""
+
+import curio
+
+from ebonywheel import exceptions, kernel, messages, watcher
+from ebonywheel.gateway import balance, view
+
+# Two one-way delays between regions, twice, as the nearest control host asks the leader, and a busy
+# control host.
+PERMIT_TIMEOUT_S = 0.3
+# A permit that arrives this late is not used: the leader may have granted others since.
+PERMIT_VALID_S = 0.5
+# When the leader is asked again after it did not answer.
+RETRY_S = 1.0
+MIN_WAIT_S = 0.02
+MAX_WAIT_S = 1.0
+# Requests per second that a server gets if it states less: its answers tell when the limit changes.
+MIN_LIMIT_PER_S = 0.05
+MS_PER_S = 1000
+
+
+class PermitClient:
+    """Obtains permits from the leader, or from this host's part of the limit without one.
+
+    Attributes:
+        leaderless_until: Until when no leader is asked, as none answered; monotonic seconds.
+    """
+
+    def __init__(
+        self, core: kernel.Kernel, entry_view: view.EntryView, control_watcher: watcher.Watcher
+    ):
+        self.core = core
+        self.view = entry_view
+        self.watcher = control_watcher
+        self.leaderless_until = 0.0
+
+    async def acquire(self, record: messages.DirectoryRecord) -> bool:
+        """Return whether a request may be sent to a server now.
+
+        If not, the server's state tells until when it is not to be chosen.
+        """
+        state = self.view.state_of(record)
+        if state.limit_per_s is None:
+            return True
+        per_s = max(MIN_LIMIT_PER_S, state.limit_per_s)
+        wait_s = await self._request_permit(record, per_s)
+        if wait_s is None:
+            wait_s = self._take_own_part(state, per_s)
+        else:
+            state.own_part_at = 0.0
+        if not wait_s:
+            return True
+        self.core.metrics.count("permits_denied", service=record.service)
+        wait_s = min(MAX_WAIT_S, max(MIN_WAIT_S, wait_s))
+        state.denied_until = self.core.clock.monotonic() + wait_s
+        return False
+
+    async def _request_permit(self, record: messages.DirectoryRecord, per_s: float) -> float | None:
+        """Return how long to wait for a permit, 0 if it is granted, None if no leader answers."""
+        asked_at = self.core.clock.monotonic()
+        if asked_at < self.leaderless_until:
+            return None
+        request = messages.PermitRequest(record.server, record.born_ms, per_s)
+        try:
+            async with curio.timeout_after(PERMIT_TIMEOUT_S):
+                reply = await self.watcher.call(request, PERMIT_TIMEOUT_S)
+        except (exceptions.LinkError, curio.TaskTimeout) as error:
+            self.leaderless_until = self.core.clock.monotonic() + RETRY_S
+            self.core.log.warning("permit_unanswered", server=record.server, error=error)
+            return None
+        late = self.core.clock.monotonic() - asked_at > PERMIT_VALID_S
+        if reply.granted and late:
+            return MIN_WAIT_S
+        return reply.wait_ms / MS_PER_S
+
+    def _take_own_part(self, state: balance.ServerState, per_s: float) -> float:
+        """Use an equal part of the limit; return how long to wait for it, 0 for not at all.
+
+        It is earned from the first use on, so that hosts do not send a burst together.
+        """
+        now = self.core.clock.monotonic()
+        interval_s = self.view.entry_hosts / per_s
+        if not state.own_part_at:
+            state.own_part_at = now + interval_s
+        if now < state.own_part_at:
+            return state.own_part_at - now
+        state.own_part_at = now + interval_s
+        return 0.0
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -4,7 +4,16 @@
 import msgspec
 
 from ebonywheel import exceptions, http, kernel
-from ebonywheel.gateway import balance, crashes, dialect, refusals, routes, sender, view
+from ebonywheel.gateway import (
+    balance,
+    crashes,
+    dialect,
+    permitclient,
+    refusals,
+    routes,
+    sender,
+    view,
+)
 
 # Longer answers are relayed as they arrive, to bound the memory that an answer takes.
 BUFFER_BYTES = 256 * 1024
@@ -31,12 +40,14 @@
         request_sender: sender.Sender,
         budgets: refusals.Budgets,
         crash_reporter: crashes.CrashReporter,
+        permits: permitclient.PermitClient,
     ):
         self.core = core
         self.sender = request_sender
         self.view = request_sender.view
         self.budgets = budgets
         self.crashes = crash_reporter
+        self.permits = permits
 
     async def forward(self, exchange: http.Exchange, context: view.RequestContext) -> None:
         """Answer one request.
@@ -53,6 +64,9 @@
             candidate = self._choose_server(context)
             if candidate is None:
                 break
+            if not await self.permits.acquire(candidate.record):
+                context.denied.append(candidate.record.server)
+                continue
             context.tried.append(candidate.record.server)
             try:
                 buffered = await self._send_once(exchange, context, candidate)
@@ -95,11 +109,11 @@
             # It was quarantined since the last attempt.
             return None
         requirements = balance.Requirements(
-            context.service, regions=context.regions(), excluded=frozenset(context.tried)
+            context.service, regions=context.regions(), excluded=context.excluded_servers()
         )
         chosen = self.view.choose(requirements)
         if chosen is None:
-            context.reason = context.reason or "no server"
+            context.reason = context.reason or self.view.reason_without_server(context, "no server")
         return chosen
 
     def _take_retry(self, context: view.RequestContext) -> bool:
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -91,26 +91,9 @@
             if connection is not None:
                 await connection.close()
             raise
-        self._observe_limit(record, state, head)
+        self.view.limits.observe_answer(record, head.limit_per_s)
         return Reply(record, connection, head, reservation)
 
-    def _observe_limit(
-        self,
-        record: messages.DirectoryRecord,
-        state: balance.ServerState,
-        head: dialect.AnswerHead,
-    ) -> None:
-        """Record the limit that a server states, or that it states none any more."""
-        if head.limit_per_s == state.limit_per_s:
-            return
-        self.core.log.info(
-            "server_limit_changed",
-            server=record.server,
-            before=state.limit_per_s,
-            now=head.limit_per_s,
-        )
-        state.limit_per_s = head.limit_per_s
-
     async def _read_matching_head(
         self, connection: httpclient.ClientConnection, attempt: str, timeout_s: float
     ) -> dialect.AnswerHead:
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -10,7 +10,16 @@
 import curio
 
 from ebonywheel import exceptions, http, kernel, messages
-from ebonywheel.gateway import balance, crashes, dialect, refusals, relayedrun, sender, view
+from ebonywheel.gateway import (
+    balance,
+    crashes,
+    dialect,
+    permitclient,
+    refusals,
+    relayedrun,
+    sender,
+    view,
+)
 
 # Load up to which a server gets new generations: the whole memory.
 MAX_ADMISSION_LOAD = 1.0
@@ -44,12 +53,14 @@
         request_sender: sender.Sender,
         budgets: refusals.Budgets,
         crash_reporter: crashes.CrashReporter,
+        permits: permitclient.PermitClient,
     ):
         self.core = core
         self.sender = request_sender
         self.view = request_sender.view
         self.budgets = budgets
         self.crashes = crash_reporter
+        self.permits = permits
         self.runs: dict[str, dict[str, relayedrun.Run]] = {}
         self.on_late_run: list[
             collections.abc.Callable[[relayedrun.Run], typing.Awaitable[None]]
@@ -97,10 +108,13 @@
 
     async def _start_run(self, context: view.RequestContext) -> sender.Reply:
         tokens = expected_memory_tokens(context.request.prompt)
-        for _ in range(MAX_SERVERS_TRIED):
+        while len(context.tried) < MAX_SERVERS_TRIED:
             candidate = self._choose_server(context, tokens)
             if candidate is None:
                 break
+            if not await self.permits.acquire(candidate.record):
+                context.denied.append(candidate.record.server)
+                continue
             context.tried.append(candidate.record.server)
             self._log_choice(context, candidate, tokens)
             try:
@@ -150,7 +164,7 @@
             context.service,
             tokens,
             context.regions(),
-            frozenset(context.tried),
+            context.excluded_servers(),
             MAX_ADMISSION_LOAD,
             unread=context.request.prompt.tokens,
             max_unread=PREFILL_TOKENS_PER_S * context.route.target_latency_s,
@@ -158,7 +172,9 @@
         )
         chosen = self.view.choose(requirements)
         if chosen is None:
-            context.reason = context.reason or "no server with room"
+            context.reason = context.reason or self.view.reason_without_server(
+                context, "no server with room"
+            )
         return chosen
 
     def _log_choice(
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -9,7 +9,7 @@
 import result
 
 from ebonywheel import directory, exceptions, kernel, link, messages
-from ebonywheel.gateway import balance, quarantine, routes
+from ebonywheel.gateway import balance, limits, quarantine, routes
 
 TableDecoder = typing.Callable[[bytes], result.Result[routes.Table, exceptions.DocumentError]]
 FETCH_TIMEOUT_S = 2.0
@@ -47,6 +47,7 @@
         entry_hosts_at: When that many were reported last, monotonic seconds.
         on_shutdown_notice: Called with the id of a server that shuts down or has left.
         quarantine: Fingerprints of requests that crash servers, or may do so.
+        limits: Limits that servers stated.
     """
 
     def __init__(
@@ -74,6 +75,7 @@
         self.entry_hosts_at = 0.0
         self.on_shutdown_notice: list[collections.abc.Callable[[str], typing.Awaitable[None]]] = []
         self.quarantine = quarantine.Quarantine()
+        self.limits = limits.ServerLimits(core, self._state_for)
         self.fetch_lock = curio.Lock()
 
     # -- watch -----------------------------------------------------------------------------
@@ -95,6 +97,7 @@
             changes_only=not nearest and self.directory.oldest_age_s() < MAX_RELAYED_AGE_S,
             suspects_wanted=True,
             suspects_index=self.quarantine.index,
+            limits=self.limits.reports(),
         )
 
     def distance(self, data_centre: str) -> float:
@@ -125,6 +128,7 @@
             self.core.log.info("data_centres_out", out=" ".join(reply.out), index=reply.out_index)
         self._record_entry_hosts(reply.entry_hosts)
         self._update_quarantine(reply)
+        self.limits.merge(reply.limits)
         if request.uses_wanted:
             # A control host of an older version sends all sums, and no number.
             complete = reply.uses_complete or not reply.uses_number
@@ -197,11 +201,13 @@
 
     def state_of(self, record: messages.DirectoryRecord) -> balance.ServerState:
         """Return the load and health of a server's incarnation."""
-        key = (record.server, record.born_ms)
+        return self._state_for((record.server, record.born_ms))
+
+    def _state_for(self, key: _IncarnationKey) -> balance.ServerState:
         state = self.states.get(key)
         if state is None:
-            state = self.states[key] = balance.ServerState()
-            self._apply_other_uses(record.server, state)
+            state = self.states[key] = balance.ServerState(limit_per_s=self.limits.limit_of(key))
+            self._apply_other_uses(key[0], state)
         return state
 
     def candidates(self, service: str) -> list[balance.Candidate]:
@@ -268,9 +274,18 @@
             self.entry_hosts,
         )
 
+    def reason_without_server(self, context: "RequestContext", text: str) -> str:
+        """Return why no server was chosen: a text, or that servers are at their limits."""
+        now = self.core.clock.monotonic()
+        at_limit = context.denied or any(
+            candidate.state.is_denied(now) for candidate in self.candidates(context.service.name)
+        )
+        return "servers are at their limits" if at_limit else text
+
     def prune(self) -> None:
         """Forget servers that have been silent for long."""
         self.directory.prune()
+        self.limits.prune()
         known = {
             (entry.record.server, entry.record.born_ms) for entry in self.directory.entries.values()
         }
@@ -325,6 +340,7 @@
         caller_deadline_at: When the caller stops waiting, monotonic seconds.
         success_recorded: True once the request is known not to crash its server.
         tried: Ids of the servers that the request was sent to.
+        denied: Ids of the servers whose limits left no room for it.
         reason: Why the last attempt failed, for the log and the answer.
         status: Status of the forwarded answer, 0 when none was forwarded.
         first_event_at: When the first event of a stream arrived, monotonic seconds; 0 before.
@@ -341,12 +357,17 @@
     caller_deadline_at: float
     success_recorded: bool = False
     tried: list[str] = []
+    denied: list[str] = []
     reason: str = ""
     status: int = 0
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
 
+    def excluded_servers(self) -> frozenset[str]:
+        """Return the ids of the servers that must not be chosen any more."""
+        return frozenset(self.tried) | frozenset(self.denied)
+
     def fingerprints(self) -> tuple[bytes, ...]:
         """Return the digests of what the request may have in common with others."""
         customer = "" if self.customer is None else self.customer.name
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -554,6 +554,23 @@
     unread: int = 0
 
 
+class ServerLimit(msgspec.Struct):
+    """What a backend server's latest answer stated about its limit.
+
+    Attributes:
+        born_ms: When the server's process started, Unix milliseconds.
+        stated: Whether it stated a limit.
+        per_s: Requests per second that it takes from all entry hosts together.
+        age_ms: Milliseconds since the answer.
+    """
+
+    server: str = ""
+    born_ms: int = 0
+    stated: bool = False
+    per_s: float = 0.0
+    age_ms: int = 0
+
+
 class SuspectFingerprint(msgspec.Struct):
     """A fingerprint whose requests crash backend servers, or may do so.
 
@@ -586,6 +603,7 @@
         changes_only: True to leave out records that were only renewed.
         suspects_wanted: True to get the suspect fingerprints when they have changed.
         suspects_index: Log index of those that the sender has.
+        limits: What servers stated to the sender about their limits, if any stated one lately.
     """
 
     host: str = ""
@@ -603,6 +621,7 @@
     changes_only: bool = False
     suspects_wanted: bool = False
     suspects_index: int = 0
+    limits: list[ServerLimit] = []
 
 
 class WatchReply(msgspec.Struct):
@@ -622,6 +641,8 @@
         uses_number: Number of this reply, to be named in the next request.
         suspects_index: Log index of the last change of `suspects`, 0 when these are left out.
         suspects: All suspect fingerprints, if wanted and newer than those that the sender has.
+        limits: What servers stated to any entry host, if `uses` were requested. Without
+            `uses_complete`, only what is newer than the reply that the request names.
     """
 
     epoch: int = 0
@@ -638,6 +659,7 @@
     uses_number: int = 0
     suspects_index: int = 0
     suspects: list[SuspectFingerprint] = []
+    limits: list[ServerLimit] = []
 
 
 class RoutingRequest(msgspec.Struct):
@@ -683,6 +705,30 @@
     members: list[MemberInfo] = []
 
 
+class PermitRequest(msgspec.Struct):
+    """Ask the leader for a permit to send one request to a server that has stated a limit.
+
+    Attributes:
+        born_ms: When the server's process started, Unix milliseconds.
+        per_s: The limit as last stated, in requests per second.
+    """
+
+    server: str = ""
+    born_ms: int = 0
+    per_s: float = 0.0
+
+
+class PermitReply(msgspec.Struct):
+    """Answer to `PermitRequest`.
+
+    Attributes:
+        wait_ms: Milliseconds until a permit can be granted, 0 when one is granted.
+    """
+
+    granted: bool = False
+    wait_ms: int = 0
+
+
 # The position gives each message its type number on the wire: append only.
 MESSAGES: tuple[type[msgspec.Struct], ...] = (
     Hello,
@@ -723,4 +769,6 @@
     ReadIndexReply,
     JoinRequest,
     JoinReply,
+    PermitRequest,
+    PermitReply,
 )
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -10,7 +10,7 @@
 import curio
 import msgspec
 
-from ebonywheel import crashstate, directory, kernel, messages, replica, state
+from ebonywheel import crashstate, directory, kernel, messages, replica, state, statedlimits
 
 MAX_WAIT_MS = 2000
 # Work in flight reported longer ago is ignored, as its host is gone or partitioned: watches are
@@ -32,12 +32,14 @@
         uses: Its own work.
         told: Sums over the other hosts that it was told of, by server.
         told_number: Number of the reply that told it of them.
+        limits_told_at: When it was told of servers' limits, monotonic seconds.
     """
 
     received_at: float
     uses: list[messages.ServerUse]
     told: dict[str, _Sums] = {}
     told_number: int = 0
+    limits_told_at: float = 0.0
 
 
 class WatchServer:
@@ -46,6 +48,7 @@
     Attributes:
         directory: Backend servers known here.
         uses: Work in flight by entry host.
+        limits: What servers stated about their limits to any entry host.
         epoch: Random id of this process's positions, which start anew after a restart.
         wake_count: Number of times that waiting watches were woken.
         state_version: Log indexes of the last changes of the state that watches are woken for.
@@ -60,6 +63,7 @@
         self.state_machine = state_machine
         self.directory = directory.Directory(core.clock)
         self.uses: dict[str, HostUses] = {}
+        self.limits = statedlimits.StatedLimits(core.clock)
         self.epoch = secrets.randbits(EPOCH_BITS) + 1
         self.wake_count = 0
         self.state_version = self._state_version()
@@ -108,6 +112,7 @@
         return self._reply(request)
 
     def _record_uses(self, request: messages.WatchRequest, now: float) -> None:
+        self.limits.merge(request.limits)
         known = self.uses.get(request.host)
         if known is None:
             self.uses[request.host] = HostUses(now, request.uses)
@@ -214,6 +219,8 @@
             if told.get(server) != values
         ]
         reply.uses += [messages.ServerUse(server) for server in told if server not in sums]
+        reply.limits = self.limits.changes(0.0 if reply.uses_complete else asker.limits_told_at)
+        asker.limits_told_at = now
         asker.told = sums
         asker.told_number += 1
         reply.uses_number = asker.told_number
@@ -232,6 +239,7 @@
         while True:
             await curio.sleep(PRUNE_INTERVAL_S)
             self.directory.prune()
+            self.limits.prune()
             self.uses = self._recent_uses()
 
 
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -316,6 +316,14 @@
   unread @3 :UInt64;
 }
 
+struct ServerLimit {
+  server @0 :Text;
+  bornMs @1 :UInt64;
+  stated @2 :Bool;
+  perS @3 :Float64;
+  ageMs @4 :UInt64;
+}
+
 struct SuspectFingerprint {
   fingerprint @0 :Data;
   crashedMs @1 :UInt64;
@@ -338,6 +346,7 @@
   changesOnly @12 :Bool;
   suspectsWanted @13 :Bool;
   suspectsIndex @14 :UInt64;
+  limits @15 :List(ServerLimit);
 }
 
 struct WatchReply {
@@ -355,6 +364,7 @@
   usesNumber @11 :UInt64;
   suspectsIndex @12 :UInt64;
   suspects @13 :List(SuspectFingerprint);
+  limits @14 :List(ServerLimit);
 }
 
 struct RoutingRequest {
@@ -381,3 +391,14 @@
 struct JoinReply {
   members @0 :List(MemberInfo);
 }
+
+struct PermitRequest {
+  server @0 :Text;
+  bornMs @1 :UInt64;
+  perS @2 :Float64;
+}
+
+struct PermitReply {
+  granted @0 :Bool;
+  waitMs @1 :UInt64;
+}
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -25,6 +25,7 @@
         [
             ("refused: no routing content yet (route, r1)", "no routing content"),
             ("refused: quarantined: such requests crash servers (forward, r1)", "servers crashed"),
+            ("refused: servers are at their limits (forward, r1)", "limit that was used up"),
             ("refused: no server with room (forward, r1)", "full"),
             ("refused: no server (forward, r1)", "no server of the service"),
             ("refused: this host ends (route, r1)", "about to end"),
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -59,6 +59,40 @@
     assert mover.stops == []
 
 
+class Permits:
+    """Permits no request to one server."""
+
+    def __init__(self, denied):
+        self.denied = denied
+
+    async def acquire(self, record):
+        return record is not self.denied
+
+
+# Guards against runs that are continued at a server beyond the limit that it states.
+def test_a_run_moves_to_a_server_that_takes_another_request(monkeypatch):
+    limited = messages.DirectoryRecord("limited", address="10.0.0.3:80")
+    offered = [limited, DESTINATION]
+    copied_to = []
+
+    def choose(run, excluded, move):
+        return next(
+            types.SimpleNamespace(record=each) for each in offered if each.server not in excluded
+        )
+
+    async def copy(run, record, stop):
+        copied_to.append(record.server)
+        return dialect.CopyResult(True, "h", False)
+
+    mover = Mover([])
+    mover.streams = types.SimpleNamespace(permits=Permits(limited))
+    monkeypatch.setattr(mover, "_choose_destination", choose)
+    monkeypatch.setattr(mover, "_copy", copy)
+    move = types.SimpleNamespace(start_s=0.0, hand_over_s=0.0)
+    curio.run(mover._copy_and_hand_over, make_run(), move, mover.core.clock.monotonic())
+    assert set(copied_to) == {"destination"}
+
+
 class Sender:
     """Answers a copy call after doing something to the run meanwhile."""
 
--- /dev/null
+++ b/tests/test_permitclient.py
@@ -0,0 +1,105 @@
+"""Tests of how an entry host obtains permits."""
+
+import types
+
+import curio
+import pytest
+
+from ebonywheel import clock, exceptions, messages
+from ebonywheel.gateway import balance, permitclient
+
+RECORD = messages.DirectoryRecord("s", 1, service="book", address="10.0.0.1:80")
+ENTRY_HOSTS = 4
+
+
+class Leader:
+    """Answers permit requests as scripted.
+
+    Attributes:
+        reply: What it answers; None for no answer.
+        delay_s: How long it takes.
+        asked: Requests that it got.
+    """
+
+    def __init__(self, time_source):
+        self.clock = time_source
+        self.reply = messages.PermitReply(True)
+        self.delay_s = 0.0
+        self.asked = []
+
+    async def call(self, message, timeout_s):
+        self.asked.append(message)
+        self.clock.advance(self.delay_s)
+        if self.reply is None:
+            raise exceptions.LinkError("no answer", "call", "control-1")
+        return self.reply
+
+
+class Parts:
+    """A client with its surroundings; `state` is that of the server."""
+
+    def __init__(self):
+        self.clock = clock.ManualClock(100.0)
+        self.leader = Leader(self.clock)
+        self.state = balance.ServerState(limit_per_s=2.0)
+        view = types.SimpleNamespace(state_of=lambda record: self.state, entry_hosts=ENTRY_HOSTS)
+        quiet = types.SimpleNamespace(
+            count=lambda *arguments, **labels: None, warning=lambda *arguments, **fields: None
+        )
+        core = types.SimpleNamespace(clock=self.clock, metrics=quiet, log=quiet)
+        self.client = permitclient.PermitClient(core, view, self.leader)
+
+    def acquire(self):
+        return curio.run(self.client.acquire, RECORD)
+
+
+@pytest.fixture
+def parts():
+    return Parts()
+
+
+def test_a_server_without_a_limit_needs_no_permit(parts):
+    parts.state.limit_per_s = None
+    assert parts.acquire()
+    assert not parts.leader.asked
+
+
+def test_a_granted_permit_is_used(parts):
+    assert parts.acquire()
+    assert parts.leader.asked == [messages.PermitRequest("s", 1, 2.0)]
+
+
+def test_without_a_permit_the_server_is_not_chosen_for_the_wait(parts):
+    parts.leader.reply = messages.PermitReply(False, 400)
+    assert not parts.acquire()
+    assert parts.state.is_denied(parts.clock.now + 0.39)
+    assert not parts.state.is_denied(parts.clock.now + 0.41)
+
+
+def test_a_permit_that_arrives_late_is_not_used(parts):
+    parts.leader.delay_s = permitclient.PERMIT_VALID_S + 0.1
+    assert not parts.acquire()
+
+
+def test_without_a_leader_a_host_sends_its_part(parts):
+    parts.leader.reply = None
+    sent = 0
+    for _ in range(2000):
+        sent += parts.acquire()
+        parts.clock.advance(0.01)
+    assert 0.8 * 20.0 * 2.0 / ENTRY_HOSTS <= sent <= 20.0 * 2.0 / ENTRY_HOSTS
+    # It asks again now and then.
+    assert 15 <= len(parts.leader.asked) <= 21
+
+
+def test_a_host_that_loses_the_leader_sends_nothing_at_once(parts):
+    assert parts.acquire()
+    parts.clock.advance(60.0)
+    parts.leader.reply = None
+    assert not parts.acquire()
+
+
+def test_a_server_that_takes_nothing_is_tried_now_and_then(parts):
+    parts.state.limit_per_s = 0.0
+    assert parts.acquire()
+    assert parts.leader.asked[0].per_s == permitclient.MIN_LIMIT_PER_S
