Check limits of servers and requests that crash servers in the soak

The stand-ins of the soak now state limits and crash under generations with one part in their prompts. Both rules are sums over the hosts in touch, which the soak knows from the faults that it causes; as faults come every second, it has calm spells of three stable windows.

Found on the way, in the stand-in: a proxy that closes a socket at which another of its threads waits leaves the connection open, and its listener takes one more.

--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -92,11 +92,13 @@
         self.end_headers()
         self.wfile.write(body)
 
-    def start_stream(self, chunked=True):
+    def start_stream(self, chunked=True, headers=None):
         self.send_response(200)
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("X-Response-Stamp", f"stamp-{self.server.owner.name}")
         self.send_header("X-Attempt-Id", self.headers.get("X-Attempt-Id", ""))
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
         if chunked:
             self.send_header("Transfer-Encoding", "chunked")
         else:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,6 +11,10 @@
 KINDS = {"book": ("POST", "/book/1"), "look": ("GET", "/look/1"), "plan": ("POST", "/plan/1")}
 PLAN_HEADERS = {"X-Token-Counts": "300,120", "X-Model-Name": "m"}
 DEADLINE_MS = 4000
+# Share of the generations that crash their servers unless they are refused, and how long these have
+# the same part.
+CRASHING_SHARE = 0.2
+CRASHING_PART_S = 40.0
 READ_BYTES = 65536
 # Time that an accepted withdrawal of a key may take to be in force, with hosts that were paused.
 WITHDRAWN_MARGIN_S = 8.0
@@ -48,6 +52,7 @@
         self.world = world
         self.ledger = world.ledger
         self.random = random.Random(f"{seed} caller {number}")
+        self.draws = random.Random(f"{seed} prompts {number}")
         self.connections = {}
         self.sent = 0
 
@@ -90,6 +95,7 @@
         self.sent += 1
         self.request_sent = self.server_broke = False
         request = f"c{self.number}-{self.sent}"
+        self.ledger.hosts[request] = node.name
         key = self.random.choice(["key-1", "key-2"])
         method, path = KINDS[kind]
         headers = {
@@ -97,14 +103,16 @@
             "X-Attempt-Id": request,
             "X-Deadline-Ms": str(DEADLINE_MS),
             "Authorization": f"Token {key}",
-            **(PLAN_HEADERS if kind == "plan" else {}),
         }
+        if kind == "plan":
+            headers |= {**PLAN_HEADERS, "X-Prompt-Prefix": self.prompt_prefix()}
         connection = self.connect(node)
         withdrawn = key == "key-2" and self.world.keys.is_withdrawn(time.monotonic())
         connection.request(method, path, b"", headers)
         self.request_sent = True
         answer = connection.getresponse()
         self.ledger.count(kind, str(answer.status))
+        self.record_limit(answer, node)
         if answer.status == 200 and withdrawn:
             self.ledger.breach("a withdrawn key is refused", request, node.name, key)
         if answer.status == 200 and kind == "plan":
@@ -114,6 +122,19 @@
         if answer.will_close:
             self.drop(node)
 
+    def prompt_prefix(self):
+        """Return the parts of a prompt; one of them crashes servers in some prompts."""
+        part = "cafe"
+        if not self.world.calm and self.draws.random() < CRASHING_SHARE:
+            part = f"{servers.CRASHING_PART}{int(self.ledger.now() / CRASHING_PART_S)}"
+        return f"a1:80,{part}:9,{self.number:x}{self.sent:x}:5"
+
+    def record_limit(self, answer, node):
+        """Record that a host has relayed an answer with a limit."""
+        server = answer.headers.get("X-Response-Stamp", "").removeprefix("stamp-")
+        if answer.headers.get("Server-Limit") is not None:
+            self.world.record_limit_told(server, node)
+
     def read_answer(self, answer, request, node):
         body = answer.read()
         if answer.status == 200 and body != request.encode():
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -4,6 +4,8 @@
 import threading
 import time
 
+from soak import sums
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -30,6 +32,9 @@
 
     Attributes:
         runs: Servers that ran each request, in order.
+        hosts: Name of the entry host that each request was sent to.
+        disturbances: Which hosts are in touch.
+        crashing: Requests that crash servers.
         outcomes: Number of requests by kind and outcome.
         breaches: Broken promises.
     """
@@ -40,6 +45,9 @@
         self.runs = collections.defaultdict(list)
         self.once = set()
         self.refused = {}
+        self.hosts = {}
+        self.disturbances = sums.Disturbances()
+        self.crashing = sums.CrashingRequests()
         self.outcomes = collections.Counter()
         self.breaches = []
 
@@ -55,6 +63,10 @@
         if twice:
             self.breach("at most once", request, "", f"ran at {self.runs[request]}")
 
+    def is_in_touch(self, request):
+        """Return whether the host of a request is in touch."""
+        return self.disturbances.is_in_touch(self.hosts[request])
+
     def was_refused(self, request, host, status):
         """Record that a caller was told that its request did not run and never will."""
         with self.lock:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -1,17 +1,21 @@
 """Stand-in servers behind loopback proxies that delay, reset or silence their connections."""
 
+import contextlib
 import random
 import socket
 import threading
 import time
 
 import platformserver
+from soak import sums
 
 EVENTS = 30
 EVENT_INTERVAL_S = 0.05
 READ_BYTES = 65536
 REPORT_INTERVAL_S = 0.4
 MODES = ("pass", "delay", "reset", "silent", "one way")
+# Start of the ids of parts under which servers crash.
+CRASHING_PART = "bad"
 
 
 class Proxy:
@@ -60,14 +64,25 @@
         except OSError:
             pass
         for end in (source, sink):
-            end.close()
+            end_at_once(end)
 
     def close(self):
-        self.listener.close()
+        end_at_once(self.listener)
+
+
+def end_at_once(ended):
+    """Close a socket; without a shutdown, another thread that waits at it would keep it open."""
+    with contextlib.suppress(OSError):
+        ended.shutdown(socket.SHUT_RDWR)
+    ended.close()
 
 
 class SoakServer(platformserver.PlatformServer):
-    """Runs requests, records them, and fails some in the ways that servers do."""
+    """Runs requests, records them, and fails some in the ways that servers do.
+
+    Attributes:
+        limit: Limit that it states, None for none.
+    """
 
     def __init__(self, name, service, zone, ledger, seed):
         super().__init__(name, service, zone)
@@ -76,6 +91,7 @@
         self.proxy = Proxy(self.address)
         self.address = self.proxy.address
         self.drained_at = None
+        self.limit = None
         self.script = self.stream if service == "plan" else self.answer_once
 
     def check_drained(self, received, margin_s):
@@ -84,20 +100,53 @@
             request = received.headers["x-attempt-id"]
             self.ledger.breach("no work for a leaving server", request, "", self.name)
 
+    def check_limit(self, request):
+        """Count a request towards the limit that is stated, and return headers that state it."""
+        limit = self.limit
+        if limit is None:
+            return {}
+        # A connection that is disturbed may hold requests back and pass them on together.
+        if self.proxy.mode == "pass" and self.ledger.is_in_touch(request):
+            count = limit.count(self.ledger.hosts[request])
+            if count:
+                detail = f"{count} requests at {self.name}, which states {limit.per_s} a second"
+                self.ledger.breach("limits of servers", request, self.ledger.hosts[request], detail)
+        limit.first_stated_at = limit.first_stated_at or time.monotonic()
+        return {"Server-Limit": str(limit.per_s)}
+
+    def crash(self):
+        """Refuse connections and close the open ones, also at the proxy."""
+        self.proxy.close()
+        super().crash()
+
+    def crash_under(self, handler, request, part):
+        """Crash as the answer to a request begins."""
+        if self.ledger.is_in_touch(request):
+            count = self.ledger.crashing.count(part)
+            if count > sums.MAX_LATER_ARRIVALS:
+                detail = f"{count} came after the bound, at {self.name}"
+                host = self.ledger.hosts[request]
+                self.ledger.breach("requests that crash servers stop", request, host, detail)
+        self.ledger.crashing.record_crash(part)
+        handler.start_stream()
+        self.crash()
+
     def answer_once(self, handler, received):
         request = received.headers["x-attempt-id"]
         self.check_drained(received, 8.0)
+        stated = self.check_limit(request)
         fate = self.random.random()
         if fate < 0.04:
-            handler.answer(503, b"", {"X-Not-Executed": "1"})
+            handler.answer(503, b"", {"X-Not-Executed": "1", **stated})
             return
         self.ledger.ran(request, self.name, once=received.method == "POST")
         if fate < 0.07:
             handler.close_early()
         elif fate < 0.12:
-            handler.answer(500, b"no", {"X-Response-Stamp": "s"})
+            handler.answer(500, b"no", {"X-Response-Stamp": "s", **stated})
         else:
-            handler.answer(200, request.encode(), {"X-Response-Stamp": f"stamp-{self.name}"})
+            stamp = {"X-Response-Stamp": f"stamp-{self.name}"}
+            handler.answer(200, request.encode(), {**stamp, **stated})
             if fate < 0.15:
                 # A second copy of the answer, late.
                 time.sleep(self.random.uniform(0.0, 0.2))
@@ -109,9 +158,14 @@
         if "kv-from" in received.headers:
             handler.answer(503, b"", {"X-Not-Executed": "1"})
             return
+        stated = self.check_limit(request)
         self.ledger.ran(request, self.name, once=True)
+        part = received.headers["x-prompt-prefix"].split(",")[1]
+        if part.startswith(CRASHING_PART):
+            self.crash_under(handler, request, part)
+            return
         fate = self.random.random()
-        handler.start_stream()
+        handler.start_stream(headers=stated)
         for number in range(1, EVENTS + 1):
             if fate < 0.05 and number == EVENTS // 2:
                 handler.close_early()
@@ -126,8 +180,9 @@
         return 503, {}
 
     def close(self):
-        super().close()
-        self.proxy.close()
+        if not self.crashed:
+            super().close()
+            self.proxy.close()
 
 
 class Reporter:
--- /dev/null
+++ b/tests/soak/sums.py
@@ -0,0 +1,93 @@
+"""Promises on sums over all entry hosts, counted for the hosts that are in touch."""
+
+import collections
+import threading
+import time
+
+# The settings' stable window: a host is in touch once nothing has disturbed it for this long.
+STABLE_WINDOW_S = 4.0
+WINDOW_S = 4.0
+# A host keeps to a limit this long after it relayed an answer with it.
+TOLD_S = 0.5
+CRASHES_BEFORE_BOUND = 5
+MAX_LATER_ARRIVALS = 3
+
+
+class Disturbances:
+    """Which hosts are in touch.
+
+    Attributes:
+        calm_from: From when hosts are in touch if nothing disturbs them again, by name, infinite
+            while a disturbance goes on; control hosts stand under an empty name, as they count
+            for all.
+    """
+
+    def __init__(self):
+        self.calm_from = collections.defaultdict(float)
+
+    def begin(self, node):
+        """Record that a disturbance of a host begins."""
+        self.calm_from[self._key(node)] = float("inf")
+
+    def end(self, node):
+        """Record that it ends."""
+        self.calm_from[self._key(node)] = time.monotonic() + STABLE_WINDOW_S
+
+    def is_in_touch(self, name):
+        """Return whether an entry host is in touch."""
+        now = time.monotonic()
+        return now >= self.calm_from[name] and now >= self.calm_from[""]
+
+    def _key(self, node):
+        return "" if node.role == "control" else node.name
+
+
+class Limit:
+    """A limit that a server states, and the requests that count towards it.
+
+    Attributes:
+        told: When each host first relayed an answer with it, by name.
+        arrivals: Times of requests from hosts in touch, monotonic seconds.
+    """
+
+    def __init__(self, per_s):
+        self.per_s = per_s
+        self.first_stated_at = None
+        self.told = {}
+        self.arrivals = collections.deque()
+
+    def count(self, host):
+        """Count a request from a host in touch; return how many came in a window if too many."""
+        now = time.monotonic()
+        if self.first_stated_at is None or now - self.first_stated_at < STABLE_WINDOW_S:
+            return 0
+        if now - self.told.get(host, now) < TOLD_S:
+            return 0
+        self.arrivals.append(now)
+        while self.arrivals[0] <= now - WINDOW_S:
+            self.arrivals.popleft()
+        most = 1.5 * self.per_s * WINDOW_S + 5
+        return len(self.arrivals) if len(self.arrivals) > most else 0
+
+
+class CrashingRequests:
+    """Servers that crashed under requests with a part, and such requests that came later."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.crash_times = collections.defaultdict(list)
+        self.later_arrivals = collections.Counter()
+
+    def count(self, part):
+        """Count a request from a host in touch; return how many came after the bound."""
+        with self.lock:
+            crashes = self.crash_times[part][:CRASHES_BEFORE_BOUND]
+            if len(crashes) == CRASHES_BEFORE_BOUND:
+                if time.monotonic() - crashes[-1] > STABLE_WINDOW_S:
+                    self.later_arrivals[part] += 1
+            return self.later_arrivals[part]
+
+    def record_crash(self, part):
+        """Record that a server crashed."""
+        with self.lock:
+            self.crash_times[part].append(time.monotonic())
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,7 +6,7 @@
 import time
 
 import platformsystem
-from soak import callers, promises, servers
+from soak import callers, promises, servers, sums
 
 ROUTES = [
     platformsystem.route("book", "/book/"),
@@ -16,6 +16,10 @@
 SERVICES = ("book", "book", "plan", "plan", "plan")
 CALLERS_FOR_EACH_HOST = 3
 MAX_PAUSE_S = 3.0
+LIMITS_PER_S = (0.2, 0.5, 2.0)
+# Share of the pauses between faults in which nothing is disturbed until all hosts are in touch.
+CALM_SHARE = 0.06
+CALM_S = 3 * sums.STABLE_WINDOW_S
 READ_TIMEOUT_S = 8.0
 START_S = 0.15
 
@@ -24,6 +28,7 @@
     """One soak.
 
     Attributes:
+        calm: True while nothing but a planned stop may disturb what is served.
         planned_stop: Entry host that is being stopped by SIGTERM while nothing else is disturbed.
         undo: Times and actions that end the faults in progress.
         version: Version of the newest manifest that was acknowledged.
@@ -31,11 +36,14 @@
 
     def __init__(self, folder, seed, processes):
         self.random = random.Random(seed)
+        # Its own draws, so that the faults of a seed stay as they are.
+        self.sums_random = random.Random(f"{seed} sums")
         self.seed = seed
         self.ledger = promises.Ledger()
         self.system = platformsystem.System(folder, entries=max(1, processes - 3))
         self.stopping = threading.Event()
         self.keys = callers.Keys()
+        self.calm = False
         self.planned_stop = None
         self.undo = []
         self.actions = []
@@ -61,10 +69,14 @@
         while time.monotonic() < ends_at:
             self.end_faults(time.monotonic())
             self.restart_ended()
+            self.replace_crashed()
             action = self.random.choice(self.faults())
             self.actions.append(f"{self.ledger.now():.1f} s {action.__name__}")
             action()
             time.sleep(self.random.uniform(0.2, 1.5))
+            if self.sums_random.random() < CALM_SHARE:
+                self.actions.append(f"{self.ledger.now():.1f} s stay_calm")
+                self.stay_calm()
         self.end_faults(float("inf"))
         self.check_manifest()
         self.stopping.set()
@@ -83,14 +95,27 @@
 
     # -- servers and operators -----------------------------------------------------------------
 
-    def add_server(self, service):
+    def add_server(self, service, draws=None):
         """Start a server, which reports by itself from then on."""
-        zone = self.random.choice(list(platformsystem.ZONES))
+        zone = (draws or self.random).choice(list(platformsystem.ZONES))
         name = f"i-{service}-{next(self.numbers)}"
         self.reporter.servers.append(
             servers.SoakServer(name, service, zone, self.ledger, self.seed)
         )
 
+    def replace_crashed(self):
+        """Start a server for each one that has crashed."""
+        for server in list(self.reporter.servers):
+            if server.crashed:
+                self.reporter.servers.remove(server)
+                self.add_server(server.service, self.sums_random)
+
+    def record_limit_told(self, name, node):
+        """Record that a host has relayed a server's limit."""
+        for server in list(self.reporter.servers):
+            if server.name == name and server.limit is not None:
+                server.limit.told.setdefault(node.name, time.monotonic())
+
     def manifest(self, version, withdrawn):
         """Return a manifest with or without the second key."""
         content = platformsystem.manifest(version, ROUTES)
@@ -174,9 +199,14 @@
             node.process.send_signal(number)
 
     def pause(self, node):
+        self.ledger.disturbances.begin(node)
         self.signal_alive(node, signal.SIGSTOP)
-        seconds = self.random.uniform(0.2, MAX_PAUSE_S)
-        self.later(seconds, lambda: self.signal_alive(node, signal.SIGCONT))
+
+        def resume():
+            self.signal_alive(node, signal.SIGCONT)
+            self.ledger.disturbances.end(node)
+
+        self.later(self.random.uniform(0.2, MAX_PAUSE_S), resume)
 
     def pause_entry(self):
         self.pause(self.random.choice(self.system.entries))
@@ -186,12 +216,14 @@
 
     def kill(self, *nodes):
         for node in nodes:
+            self.ledger.disturbances.begin(node)
             if node.process.poll() is None:
                 node.process.kill()
             node.process.wait()
         for node in nodes:
             node.write_settings(self.system.seeds, False)
             node.start()
+            self.ledger.disturbances.end(node)
         # The interpreter of a new process cannot take signals yet.
         time.sleep(START_S)
 
@@ -207,17 +239,19 @@
     def stop_entry_under_load(self):
         """Stop an entry host as planned, with nothing else disturbed, and start it again."""
         self.end_faults(float("inf"))
+        self.calm = True
         time.sleep(1.0)
         node = self.random.choice(self.system.entries)
-        if node.process.poll() is not None:
-            node.start()
-            return
-        self.planned_stop = node
-        try:
-            node.stop()
-        finally:
-            self.planned_stop = None
+        self.ledger.disturbances.begin(node)
+        if node.process.poll() is None:
+            self.planned_stop = node
+            try:
+                node.stop()
+            finally:
+                self.planned_stop = None
         node.start()
+        self.ledger.disturbances.end(node)
+        self.calm = False
         time.sleep(START_S)
 
     def reload_all(self):
@@ -229,9 +263,25 @@
         server.proxy.mode = self.random.choice(servers.MODES)
         self.later(self.random.uniform(0.5, 4.0), lambda: setattr(server.proxy, "mode", "pass"))
 
+    def stay_calm(self):
+        """Disturb nothing for a while, in which servers state limits."""
+        self.end_faults(float("inf"))
+        for server in self.reporter.servers:
+            server.limit = sums.Limit(self.sums_random.choice(LIMITS_PER_S))
+        ends_at = time.monotonic() + CALM_S
+        while time.monotonic() < ends_at:
+            self.replace_crashed()
+            time.sleep(START_S)
+        for server in self.reporter.servers:
+            server.limit = None
+
     def drain_server(self):
         """Replace a server: the new one starts first, and the old one stays to be checked."""
-        ready = [server for server in self.reporter.servers if server.drained_at is None]
+        ready = [
+            server
+            for server in self.reporter.servers
+            if server.drained_at is None and not server.crashed
+        ]
         server = self.random.choice(ready)
         self.add_server(server.service)
         self.reporter.drain(server)
