One type for the id and start of a server; tell limits apart from uses

No change of behaviour, found in reading the diff: the type stood in four modules, and the watch server told limits in the method for work in flight. test_limits, test_permits, test_permitclient, test_statedlimits, test_crashes, test_crashstate, test_watchserver, test_platform_limits, test_platform_crashes, test_quarantine, test_herding, test_directory pass.

--- a/src/ebonywheel/directory.py
+++ b/src/ebonywheel/directory.py
@@ -14,6 +14,8 @@
 FORGET_S = 60.0
 # How long a leave that arrives before its server's first record is kept: two report periods.
 EARLY_LEAVE_S = 5.0
+# Id and start time of a server, in Unix milliseconds: it may start anew under the same id.
+IncarnationKey = tuple[str, int]
 
 
 class DirectoryEntry(msgspec.Struct):
--- a/src/ebonywheel/gateway/crashes.py
+++ b/src/ebonywheel/gateway/crashes.py
@@ -9,7 +9,7 @@
 import curio
 import msgspec
 
-from ebonywheel import commands, exceptions, kernel, messages, watcher
+from ebonywheel import commands, directory, exceptions, kernel, messages, watcher
 from ebonywheel.gateway import sender, view
 
 # Requests at one server that break off within this time are reported together.
@@ -29,8 +29,6 @@
 MAX_REQUESTS_PER_SERVER = 32
 MS_PER_S = 1000
 
-_IncarnationKey = tuple[str, int]
-
 
 class BrokenServer(msgspec.Struct):
     """A server at which answers broke off.
@@ -63,8 +61,8 @@
         self.pool = request_sender.pool
         self.view = request_sender.view
         self.watcher = control_watcher
-        self.broken: dict[_IncarnationKey, BrokenServer] = {}
-        self.alive_until: dict[_IncarnationKey, float] = {}
+        self.broken: dict[directory.IncarnationKey, BrokenServer] = {}
+        self.alive_until: dict[directory.IncarnationKey, float] = {}
 
     async def record_success(self, context: view.RequestContext) -> None:
         """Record a request whose answer is complete, or has gone on for a while."""
@@ -125,7 +123,7 @@
         began_at = context.first_event_at
         return not began_at or self.core.clock.monotonic() - began_at < BEGINNING_S
 
-    async def _check(self, key: _IncarnationKey, broken: BrokenServer) -> None:
+    async def _check(self, key: directory.IncarnationKey, broken: BrokenServer) -> None:
         """Report a server that has crashed, once the requests at it have broken off."""
         await curio.sleep(GATHER_S)
         try:
@@ -145,7 +143,7 @@
         if broken.requests:
             await self._report(broken)
 
-    def _record_alive(self, key: _IncarnationKey) -> None:
+    def _record_alive(self, key: directory.IncarnationKey) -> None:
         now = self.core.clock.monotonic()
         self.alive_until = {
             other: until for other, until in self.alive_until.items() if until > now
--- a/src/ebonywheel/gateway/limits.py
+++ b/src/ebonywheel/gateway/limits.py
@@ -2,7 +2,7 @@
 
 import collections.abc
 
-from ebonywheel import kernel, messages, statedlimits
+from ebonywheel import directory, kernel, messages, statedlimits
 from ebonywheel.gateway import balance
 
 
@@ -18,7 +18,7 @@
     def __init__(
         self,
         core: kernel.Kernel,
-        state_of: collections.abc.Callable[[statedlimits.IncarnationKey], balance.ServerState],
+        state_of: collections.abc.Callable[[directory.IncarnationKey], balance.ServerState],
     ):
         self.core = core
         self.state_of = state_of
@@ -45,7 +45,7 @@
         """Return what servers stated to this host."""
         return self.own.changes(0.0)
 
-    def limit_of(self, key: statedlimits.IncarnationKey) -> float | None:
+    def limit_of(self, key: directory.IncarnationKey) -> float | None:
         """Return a server's limit in requests per second, None for no limit."""
         return self.known.limit_of(key)
 
@@ -56,7 +56,7 @@
         self.own.prune()
         self.known.prune()
 
-    def _apply(self, key: statedlimits.IncarnationKey) -> None:
+    def _apply(self, key: directory.IncarnationKey) -> None:
         state = self.state_of(key)
         per_s = self.known.limit_of(key)
         if per_s != state.limit_per_s:
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -20,8 +20,6 @@
 # host that has just started has not heard of all of them yet; going by its number would raise each
 # host's share of the limits.
 ENTRY_HOSTS_HELD_S = 5.0
-# Id and start time of a server: after a restart under the same id its state starts anew.
-_IncarnationKey = tuple[str, int]
 _NO_USE = messages.ServerUse()
 
 
@@ -69,7 +67,7 @@
         self.out_of_service: frozenset[str] = frozenset()
         self.out_index = 0
         self.directory = directory.Directory(core.clock)
-        self.states: dict[_IncarnationKey, balance.ServerState] = {}
+        self.states: dict[directory.IncarnationKey, balance.ServerState] = {}
         self.other_uses: dict[str, messages.ServerUse] = {}
         self.entry_hosts = 1
         self.entry_hosts_at = 0.0
@@ -203,7 +201,7 @@
         """Return the load and health of a server's incarnation."""
         return self._state_for((record.server, record.born_ms))
 
-    def _state_for(self, key: _IncarnationKey) -> balance.ServerState:
+    def _state_for(self, key: directory.IncarnationKey) -> balance.ServerState:
         state = self.states.get(key)
         if state is None:
             state = self.states[key] = balance.ServerState(limit_per_s=self.limits.limit_of(key))
--- a/src/ebonywheel/permits.py
+++ b/src/ebonywheel/permits.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ebonywheel import clock, messages
+from ebonywheel import clock, directory, messages
 
 # Permits that may be granted at once after a pause, in seconds of the limit, and at least one.
 BURST_S = 0.5
@@ -17,8 +17,6 @@
 FORGET_S = 60.0
 MAX_SERVERS = 4096
 
-_IncarnationKey = tuple[str, int]
-
 
 class Bucket(msgspec.Struct):
     """Token bucket of one server; starts empty, as another leader may have granted before.
@@ -42,7 +40,7 @@
     def __init__(self, time_source: clock.Clock, check_leading: typing.Callable[[str], None]):
         self.clock = time_source
         self.check_leading = check_leading
-        self.buckets: dict[_IncarnationKey, Bucket] = {}
+        self.buckets: dict[directory.IncarnationKey, Bucket] = {}
 
     def grant(self, request: messages.PermitRequest) -> messages.PermitReply:
         """Grant a permit, or tell when one can be granted.
--- a/src/ebonywheel/statedlimits.py
+++ b/src/ebonywheel/statedlimits.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ebonywheel import clock, messages
+from ebonywheel import clock, directory, messages
 
 # A limit that no newer answer confirms is forgotten after this time.
 HOLD_S = 60.0
@@ -10,8 +10,6 @@
 CONFIRM_INTERVAL_S = 10.0
 MS_PER_S = 1000
 
-IncarnationKey = tuple[str, int]
-
 
 class StatedLimit(msgspec.Struct):
     """What a server's latest answer stated.
@@ -33,9 +31,11 @@
 
     def __init__(self, time_source: clock.Clock):
         self.clock = time_source
-        self.entries: dict[IncarnationKey, StatedLimit] = {}
+        self.entries: dict[directory.IncarnationKey, StatedLimit] = {}
 
-    def observe(self, key: IncarnationKey, per_s: float | None, answered_at: float) -> None:
+    def observe(
+        self, key: directory.IncarnationKey, per_s: float | None, answered_at: float
+    ) -> None:
         """Take a statement over if it is newer."""
         known = self.entries.get(key)
         if known is not None and answered_at <= known.answered_at:
@@ -69,7 +69,7 @@
             if entry.news_at >= since and now - entry.answered_at < HOLD_S
         ]
 
-    def limit_of(self, key: IncarnationKey) -> float | None:
+    def limit_of(self, key: directory.IncarnationKey) -> float | None:
         """Return a server's limit in requests per second, None for no limit."""
         entry = self.entries.get(key)
         if entry is None or self.clock.monotonic() - entry.answered_at >= HOLD_S:
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -1,4 +1,4 @@
-"""Answers of a control host to watch requests: backend servers, routing, and other hosts' load.
+"""Answers of a control host to watch requests: backend servers, routing, and what other hosts tell.
 
 Entry hosts and the other control hosts keep one watch request open at each control host. News that
 takes work away from a server, and changes of the replicated state, are answered at once; other news
@@ -25,7 +25,7 @@
 
 
 class HostUses(msgspec.Struct):
-    """What an entry host reported and was told of the work in flight.
+    """What an entry host reported and was told of the work in flight, and was told of limits.
 
     Attributes:
         received_at: When it reported last, monotonic seconds.
@@ -163,6 +163,7 @@
             reply.suspects = self._suspects()
         if request.uses_wanted:
             self._tell_uses(request, reply, recent_uses)
+            self._tell_limits(request, reply)
         return reply
 
     def _suspects(self) -> list[messages.SuspectFingerprint]:
@@ -209,8 +210,9 @@
         """
         sums = _sum_uses(request.host, recent_uses)
         # The host may have been forgotten during the wait if this process was paused.
-        now = self.core.clock.monotonic()
-        asker = self.uses.setdefault(request.host, HostUses(now, request.uses))
+        asker = self.uses.setdefault(
+            request.host, HostUses(self.core.clock.monotonic(), request.uses)
+        )
         reply.uses_complete = request.uses_number == 0 or request.uses_number != asker.told_number
         told = {} if reply.uses_complete else asker.told
         reply.uses = [
@@ -219,12 +221,16 @@
             if told.get(server) != values
         ]
         reply.uses += [messages.ServerUse(server) for server in told if server not in sums]
-        reply.limits = self.limits.changes(0.0 if reply.uses_complete else asker.limits_told_at)
-        asker.limits_told_at = now
         asker.told = sums
         asker.told_number += 1
         reply.uses_number = asker.told_number
 
+    def _tell_limits(self, request: messages.WatchRequest, reply: messages.WatchReply) -> None:
+        """Add servers' limits to a reply, only what is news to a host that has the rest."""
+        asker = self.uses[request.host]
+        reply.limits = self.limits.changes(0.0 if reply.uses_complete else asker.limits_told_at)
+        asker.limits_told_at = self.core.clock.monotonic()
+
     async def _wake_after_applied(self) -> None:
         version = self._state_version()
         if version != self.state_version:
