Stop reporting the end of a limit after a while

test_the_end_of_a_limit_is_not_reported_for_ever failed before. The time to wait for a permit is one constant. test_limits, test_permits, test_permitclient, test_moves, test_platform_limits, test_platform_contract pass.

--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -35,8 +35,6 @@
 FORWARD_TIMEOUT_S = 6.0
 # Less than the second after which a caller asks another control host.
 READ_TIMEOUT_S = 0.8
-# An entry host that waits for longer than this does without a permit.
-PERMIT_TIMEOUT_S = 0.3
 APPLIED_POLL_S = 0.01
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
@@ -215,7 +213,7 @@
         self, request: messages.PermitRequest, forward: bool
     ) -> messages.PermitReply:
         if forward and self.replica.role is not replica.Role.LEADER:
-            return await self._leader_link("permit").call(request, PERMIT_TIMEOUT_S)
+            return await self._leader_link("permit").call(request, permits.TIMEOUT_S)
         return self.permits.grant(request)
 
     async def _forward(self, request: messages.Submit) -> messages.SubmitReply:
--- a/src/ebonywheel/gateway/limits.py
+++ b/src/ebonywheel/gateway/limits.py
@@ -28,7 +28,7 @@
     def observe_answer(self, record: messages.DirectoryRecord, per_s: float | None) -> None:
         """Take over what an answer stated."""
         key = (record.server, record.born_ms)
-        if per_s is None and key not in self.known.entries:
+        if per_s is None and self.known.limit_of(key) is None:
             return
         now = self.core.clock.monotonic()
         self.own.observe(key, per_s, now)
--- a/src/ebonywheel/gateway/permitclient.py
+++ b/src/ebonywheel/gateway/permitclient.py
@@ -2,14 +2,11 @@
 
 import curio
 
-from ebonywheel import exceptions, kernel, messages, watcher
+from ebonywheel import exceptions, kernel, messages, permits, watcher
 from ebonywheel.gateway import balance, view
 
-# Two one-way delays between regions, twice, as the nearest control host asks the leader, and a busy
-# control host.
-PERMIT_TIMEOUT_S = 0.3
 # A permit that arrives this late is not used: the leader may have granted others since.
-PERMIT_VALID_S = 0.5
+VALID_S = 0.5
 # When the leader is asked again after it did not answer.
 RETRY_S = 1.0
 MIN_WAIT_S = 0.02
@@ -62,13 +59,13 @@
             return None
         request = messages.PermitRequest(record.server, record.born_ms, per_s)
         try:
-            async with curio.timeout_after(PERMIT_TIMEOUT_S):
-                reply = await self.watcher.call(request, PERMIT_TIMEOUT_S)
+            async with curio.timeout_after(permits.TIMEOUT_S):
+                reply = await self.watcher.call(request, permits.TIMEOUT_S)
         except (exceptions.LinkError, curio.TaskTimeout) as error:
             self.leaderless_until = self.core.clock.monotonic() + RETRY_S
             self.core.log.warning("permit_unanswered", server=record.server, error=error)
             return None
-        late = self.core.clock.monotonic() - asked_at > PERMIT_VALID_S
+        late = self.core.clock.monotonic() - asked_at > VALID_S
         if reply.granted and late:
             return MIN_WAIT_S
         return reply.wait_ms / MS_PER_S
--- a/src/ebonywheel/permits.py
+++ b/src/ebonywheel/permits.py
@@ -9,6 +9,9 @@
 
 from ebonywheel import clock, directory, messages
 
+# How long an entry host waits for a permit: two one-way delays between regions, twice, as the
+# control host that it asks may have to ask the leader, and a busy control host.
+TIMEOUT_S = 0.3
 # Permits that may be granted at once after a pause, in seconds of the limit, and at least one.
 BURST_S = 0.5
 MIN_BURST = 1.0
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -13,7 +13,7 @@
 import curio
 import pytest
 
-from ebonywheel import clock, exceptions, messages, permits, statedata, watchserver
+from ebonywheel import clock, exceptions, messages, permits, statedata, statedlimits, watchserver
 from ebonywheel.gateway import balance, permitclient, routes, view
 
 ENTRY_HOSTS = 195
@@ -265,6 +265,20 @@
     assert 0.7 * 12.0 <= taken <= 12.0 + 0.5
 
 
+def test_the_end_of_a_limit_is_not_reported_for_ever():
+    simulation = Simulation(1, (2.0,), 1.0)
+    host = simulation.hosts[0]
+    record = messages.DirectoryRecord("s0", 1)
+    host.view.limits.observe_answer(record, 2.0)
+    simulation.clock.advance(1.0)
+    host.view.limits.observe_answer(record, None)
+    assert [item.stated for item in host.view.limits.reports()] == [False]
+    for _ in range(2):
+        simulation.clock.advance(statedlimits.HOLD_S / 2)
+        host.view.limits.observe_answer(record, None)
+    assert not host.view.limits.reports()
+
+
 def test_a_limit_that_is_no_longer_stated_ends():
     simulation = Simulation(1, (2.0, 2.0, None), 40.0)
     simulation.stated = True
--- a/tests/test_permitclient.py
+++ b/tests/test_permitclient.py
@@ -77,7 +77,7 @@
 
 
 def test_a_permit_that_arrives_late_is_not_used(parts):
-    parts.leader.delay_s = permitclient.PERMIT_VALID_S + 0.1
+    parts.leader.delay_s = permitclient.VALID_S + 0.1
     assert not parts.acquire()
 
 
