--- a/tests/test_crashstate.py
+++ b/tests/test_crashstate.py
@@ -85,6 +85,12 @@
         evidence.crash("s1", "a b again")
         assert evidence.crash("s2", "a b again") == ["again"]
 
+    # Guards against a request that crashes servers faster than crashes are told apart.
+    def test_a_request_that_crashes_servers_in_quick_succession_is_quarantined(self, evidence):
+        evidence.crash("s1", "again", began=False)
+        evidence.crash("s2", "again", began=False, after_ms=5)
+        assert evidence.crash("s3", "again", began=False, after_ms=5) == ["again"]
+
     def test_two_causes_are_told_apart(self, evidence):
         for number in range(1, 3):
             evidence.crash(f"s{number}", f"a bad x{number}")
