--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -106,6 +106,15 @@
             self.close_connection = True
         self.end_headers()
 
+    def start_answer_without_length(self):
+        """Send the head of an answer that ends with its connection."""
+        self.send_response(200)
+        self.send_header("X-Response-Stamp", f"stamp-{self.server.owner.name}")
+        self.send_header("X-Attempt-Id", self.headers.get("X-Attempt-Id", ""))
+        self.send_header("Connection", "close")
+        self.close_connection = True
+        self.end_headers()
+
     def send_chunk(self, data):
         self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
         self.wfile.flush()
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -10,6 +10,7 @@
 import sys
 
 import cluster
+import platformserver
 import processlogs
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -237,3 +238,39 @@
             return 0
         finally:
             connection.close()
+
+
+class AnnouncedServers:
+    """Stand-in servers that a test starts, announced to all entry hosts of a system.
+
+    Attributes:
+        started: All of them.
+    """
+
+    # One number for each server of the test run, so that no two have the same name in the logs.
+    numbers = itertools.count(1)
+
+    def __init__(self, system):
+        self.system = system
+        self.started = []
+
+    def start(self, service="book", zone="puget-a"):
+        """Start and announce a server."""
+        server = platformserver.PlatformServer(f"i-{next(self.numbers)}", service, zone)
+        self.started.append(server)
+        self.system.announce(server)
+        return server
+
+    def leave(self):
+        """Stop all servers, and wait until every entry host knows that they have left."""
+        for server in self.started:
+            self.system.call_control("DELETE", f"/api/instances/{server.name}")
+            if not server.crashed:
+                server.close()
+        names = {server.name for server in self.started}
+        for node in self.system.entries:
+            wait_for(lambda node=node: names <= _gone_servers(node), "servers to leave")
+
+
+def _gone_servers(node):
+    return {entry["server"] for entry in node.events("server_changed") if entry["gone"]}
--- /dev/null
+++ b/tests/test_platform_answers.py
@@ -0,0 +1,81 @@
+"""Answers of faulty backend servers, as callers get them from a real entry host."""
+
+import http.client
+
+import pytest
+
+import platformsystem
+
+ROUTES = [
+    platformsystem.route("book", "/book/"),
+    platformsystem.route("look", "/look/", "safe"),
+    platformsystem.route("plan", "/plan/", "streaming", "plan", **{"timeout-ms": 20000}),
+]
+PLAN_HEADERS = {"X-Token-Counts": "3000,800", "X-Model-Name": "m", "X-Length-Hint": "700"}
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+
+@pytest.fixture(scope="module")
+def system(tmp_path_factory):
+    """Run a system with a route of each kind."""
+    started = platformsystem.System(tmp_path_factory.mktemp("platform"))
+    try:
+        started.publish(platformsystem.manifest(7, ROUTES))
+        yield started
+    finally:
+        started.close()
+
+
+@pytest.fixture
+def start_server(system):
+    """Return a function that starts and announces a stand-in server; all leave after the test."""
+    servers = platformsystem.AnnouncedServers(system)
+    yield servers.start
+    servers.leave()
+
+
+class TestEndOfConnection:
+    # Guards against a stream without a length that looks complete although its server crashed
+    # between two events.
+    def test_a_stream_whose_server_crashes_after_an_event_is_broken_off(self, system, start_server):
+        server = start_server("plan")
+
+        def script(handler, received):
+            handler.start_stream(chunked=False)
+            handler.wfile.write(EVENTS)
+            server.crash()
+
+        server.script = script
+        answer = system.send("POST", "/plan/1", headers=PLAN_HEADERS).getresponse()
+        with pytest.raises(http.client.IncompleteRead):
+            answer.read()
+
+    # Guards against a part of an answer without a length that looks like all of it although its
+    # server crashed.
+    @pytest.mark.parametrize("length", [400, 400_000])
+    def test_an_answer_whose_server_crashes_is_not_complete(self, system, start_server, length):
+        server = start_server()
+
+        def script(handler, received):
+            handler.start_answer_without_length()
+            handler.wfile.write(b"x" * length)
+            server.crash()
+
+        server.script = script
+        answer = system.send("POST", "/book/1").getresponse()
+        if answer.status == 200:
+            with pytest.raises(http.client.IncompleteRead):
+                answer.read()
+        else:
+            assert answer.status == 502
+
+    def test_an_answer_whose_server_lives_is_complete(self, system, start_server):
+        server = start_server()
+
+        def script(handler, received):
+            handler.start_answer_without_length()
+            handler.wfile.write(b"the answer")
+
+        server.script = script
+        answer = system.request("POST", "/book/1")
+        assert (answer.status, answer.content) == (200, b"the answer")
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -1,7 +1,6 @@
 """The platform's contract with callers, operators and servers, tested with stand-in servers."""
 
 import http.client
-import itertools
 import json
 import signal
 import threading
@@ -21,8 +20,6 @@
 # Log lines of at least 200 bytes; together they exceed a 64 KiB pipe and a buffer of that size.
 PIPE_LINES = 900
 PLAN_HEADERS = {"X-Token-Counts": "3000,800", "X-Model-Name": "m", "X-Length-Hint": "700"}
-# One for each stand-in server of the run, so that no two have the same name in the logs.
-server_numbers = itertools.count(1)
 
 
 @pytest.fixture(scope="module")
@@ -45,27 +42,9 @@
 @pytest.fixture
 def start_server(serving):
     """Return a function that starts and announces a stand-in server; all leave after the test."""
-    started = []
-
-    def start(service="book", zone="puget-a"):
-        server = platformserver.PlatformServer(f"i-{next(server_numbers)}", service, zone)
-        started.append(server)
-        serving.announce(server)
-        return server
-
-    yield start
-    for server in started:
-        serving.call_control("DELETE", f"/api/instances/{server.name}")
-        server.close()
-    platformsystem.wait_for(
-        lambda: {
-            entry["server"]
-            for entry in serving.entries[0].events("server_changed")
-            if entry["gone"]
-        }
-        >= {server.name for server in started},
-        "servers to leave",
-    )
+    servers = platformsystem.AnnouncedServers(serving)
+    yield servers.start
+    servers.leave()
 
 
 class TestOperators:
