Take an answer without a length for whole only if its server still runs

What callers saw: a stream whose server crashed between two events, and a part of a plain answer, looked complete.

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel of a server that crashes closes its connections in the same way.

Change: after such an end the server is asked for a new connection, as for other answers that break off. If it accepts none, the answer has broken off. The new connection is kept for later requests.

Why it works: a crashed process accepts nothing; the end arrives after the crash, so the question comes after it.

--- a/src/ebonywheel/gateway/crashes.py
+++ b/src/ebonywheel/gateway/crashes.py
@@ -153,9 +153,10 @@
     async def _has_crashed(self, record: messages.DirectoryRecord) -> bool:
         if self.view.directory.is_replaced(record):
             return True
-        return self.view.remains_in_service(record) and await self.pool.is_refused(
-            record, PROBE_TIMEOUT_S
-        )
+        if not self.view.remains_in_service(record):
+            return False
+        error = await self.pool.probe(record, PROBE_TIMEOUT_S)
+        return error is not None and isinstance(error.__cause__, ConnectionRefusedError)
 
     async def _report(self, broken: BrokenServer) -> None:
         while True:
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -169,6 +169,7 @@
                 body += chunk
                 if len(body) > BUFFER_BYTES:
                     return False
+            await self.sender.confirm_end(reply)
         except BaseException:
             await self.sender.abandon(reply)
             raise
@@ -185,6 +186,7 @@
             await exchange.write(buffered)
             async for chunk in reply.connection.chunks(http.WRITE_TIMEOUT_S):
                 await exchange.write(chunk)
+            await self.sender.confirm_end(reply)
             await exchange.end()
         except BaseException:
             await self.sender.abandon(reply)
--- a/src/ebonywheel/gateway/pool.py
+++ b/src/ebonywheel/gateway/pool.py
@@ -52,17 +52,19 @@
         await connection.connect(min(CONNECT_TIMEOUT_S, timeout_s))
         return connection
 
-    async def is_refused(self, record: messages.DirectoryRecord, timeout_s: float) -> bool:
-        """Return whether a server refuses a new connection; one that it accepts is kept for use."""
+    async def probe(
+        self, record: messages.DirectoryRecord, timeout_s: float
+    ) -> exceptions.UpstreamError | None:
+        """Open a new connection to a server, which is kept for use; return why that failed."""
         connection = httpclient.ClientConnection(record.address, allow_close_delimited=True)
         self.opened += 1
         try:
             await connection.connect(timeout_s)
         except exceptions.UpstreamError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
+            return error
         usable_until = self.clock.monotonic() + DEFAULT_KEEP_ALIVE_S - KEEP_ALIVE_MARGIN_S
         self._keep(record, connection, usable_until)
-        return False
+        return None
 
     async def release(
         self,
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -10,6 +10,8 @@
 # considered broken.
 MAX_STRAY_ANSWERS = 2
 WRITE_TIMEOUT_S = 5.0
+# Time for a new connection that shows that a server still runs.
+PROBE_TIMEOUT_S = 0.5
 # Answers of engines to report and copy calls have a few kilobytes.
 MAX_ENGINE_ANSWER_BYTES = 256 * 1024
 # Lowest status that counts as a failure of the server.
@@ -119,6 +121,25 @@
         state.record_answer(failed=True)
         self.core.metrics.count("upstream_failures", service=record.service, step=error.step)
 
+    async def confirm_end(self, reply: Reply) -> None:
+        """Check that an answer that ended with its connection is whole.
+
+        A server that crashes closes its connections, too, but accepts no new one.
+
+        Raises:
+            UpstreamError: The server may have crashed.
+        """
+        if not reply.connection.close_delimited:
+            return
+        error = await self.pool.probe(reply.record, PROBE_TIMEOUT_S)
+        if error is not None:
+            raise exceptions.UpstreamError(
+                "server went away at the end of an answer without a length",
+                "confirm end",
+                reply.record.address,
+                True,
+            ) from error
+
     async def finish(self, reply: Reply) -> None:
         """Return the connection to the pool after the whole answer has been read."""
         reply.reservation.release()
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -206,6 +206,7 @@
     ) -> None:
         try:
             body = await reply.connection.body(http.WRITE_TIMEOUT_S, sender.MAX_ENGINE_ANSWER_BYTES)
+            await self.sender.confirm_end(reply)
         except BaseException:
             await self.sender.abandon(reply)
             raise
@@ -310,6 +311,7 @@
                 await exchange.write(whole_events)
         if connection.close_delimited:
             self._check_whole(run)
+            await self.sender.confirm_end(run.reply)
         if run.splitter.buffer:
             # Bytes after the last blank line are still part of the answer.
             await exchange.write(bytes(run.splitter.buffer))
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -71,8 +71,12 @@
     async def spawn(self, coro):
         self.tasks.append(await curio.spawn(coro))
 
-    async def is_refused(self, record, timeout_s):
-        return record.server not in self.simulation.engines
+    async def probe(self, record, timeout_s):
+        if record.server in self.simulation.engines:
+            return None
+        error = UpstreamError("connection refused", "connect", record.address)
+        error.__cause__ = ConnectionRefusedError()
+        return error
 
     async def call(self, message, timeout_s):
         if self.cut:
