Tell callers that a request has not run if its time was over before it was sent

Cause: when the time of an attempt ran out, it counted as sent, also while its connection was still being opened. The log named the step 'wait' for it.

Change: the state of a request says whether a byte of the last attempt may have left.

Both cases of test_a_request_without_a_connection_in_time_has_not_run failed before (502).

--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -151,8 +151,9 @@
                 complete = await self._read_answer(reply, body)
         except curio.TaskTimeout as error:
             self.view.state_of(candidate.record).record_answer(failed=True)
+            text, step = ("no answer", "wait") if context.sent else ("no connection", "connect")
             raise exceptions.UpstreamError(
-                "no answer in time", "wait", candidate.record.address, True
+                f"{text} in time", step, candidate.record.address, context.sent
             ) from error
         if complete:
             return BufferedAnswer(reply.head, bytes(body))
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -71,6 +71,7 @@
         state = self.view.state_of(record)
         reservation = view.Reservation(state, tokens, unread=unread)
         connection = None
+        context.sent = False
         try:
             connection = await self.pool.acquire(record, timeout_s)
             now = self.core.clock.monotonic()
@@ -78,6 +79,7 @@
                 state.cold_request_times.append(now)
             request = context.request
             headers = self.dialect.encode_headers(request, sending)
+            context.sent = True
             await connection.request(
                 request.method, request.target, headers, request.body, WRITE_TIMEOUT_S
             )
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -339,6 +339,7 @@
         success_recorded: True once the request is known not to crash its server.
         tried: Ids of the servers that the request was sent to.
         denied: Ids of the servers whose limits left no room for it.
+        sent: Whether any byte may have reached the server tried last.
         reason: Why the last attempt failed, for the log and the answer.
         status: Status of the forwarded answer, 0 when none was forwarded.
         first_event_at: When the first event of a stream arrived, monotonic seconds; 0 before.
@@ -356,6 +357,7 @@
     success_recorded: bool = False
     tried: list[str] = []
     denied: list[str] = []
+    sent: bool = False
     reason: str = ""
     status: int = 0
     first_event_at: float = 0.0
--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -254,9 +254,10 @@
         self.system = system
         self.started = []
 
-    def start(self, service="book", zone="puget-a"):
-        """Start and announce a server."""
+    def start(self, service="book", zone="puget-a", address=None):
+        """Start and announce a server, at another address if one is given."""
         server = platformserver.PlatformServer(f"i-{next(self.numbers)}", service, zone)
+        server.address = address or server.address
         self.started.append(server)
         self.system.announce(server)
         return server
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -1,6 +1,8 @@
 """Answers of faulty backend servers, as callers get them from a real entry host."""
 
+import contextlib
 import http.client
+import socket
 
 import pytest
 
@@ -34,6 +36,30 @@
     servers.leave()
 
 
+@contextlib.contextmanager
+def full_listener():
+    """Yield the address of a listener that drops the first packet of each new connection."""
+    with contextlib.ExitStack() as exit_stack:
+        listener = exit_stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
+        address = listener.getsockname()
+        for _ in range(3):
+            client = exit_stack.enter_context(socket.socket())
+            client.setblocking(False)
+            client.connect_ex(address)
+        yield f"{address[0]}:{address[1]}"
+
+
+class TestConnect:
+    # Guards against callers that are told of a request that it may have run although its time was
+    # over before any server could be connected to.
+    @pytest.mark.parametrize("path", ["/book/1", "/look/1"])
+    def test_a_request_without_a_connection_in_time_has_not_run(self, system, start_server, path):
+        with full_listener() as address:
+            start_server(address=address)
+            answer = system.request("POST", path, headers={"X-Deadline-Ms": "700"})
+        assert answer.status == 503 and float(answer.headers["Retry-After"]) > 0
+
+
 class TestEndOfConnection:
     # Guards against a stream without a length that looks complete although its server crashed
     # between two events.
