--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -15,6 +15,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PROGRAM = ROOT / "platform" / "run.py"
+PARTITIONED_HOST = ROOT / "tests" / "partitionedhost.py"
 FRONT_PORT, READY_PORT, CONTROL_PORT, FIRST_INTERNAL_PORT = 18740, 18749, 18748, 17200
 ZONES = {"puget-a": "puget", "yakima-a": "yakima", "willamette-a": "willamette"}
 WAIT_S = cluster.WAIT_S
@@ -87,6 +88,18 @@
         self.zone = zone
         self.process = None
         self.log = self.folder / "log"
+        self.partition_file = None
+
+    def make_partitionable(self):
+        """Let later processes of this host run so that `partition` can cut them off."""
+        self.partition_file = self.folder / "partition"
+        self.partition("")
+
+    def partition(self, mode):
+        """Cut this host off from all backend servers, in a mode of `partitionedhost`."""
+        written = self.partition_file.with_suffix(".new")
+        written.write_text(mode)
+        written.replace(self.partition_file)
 
     def write_settings(self, seeds, bootstrap):
         """Write the settings file."""
@@ -125,9 +138,11 @@
 
     def _spawn(self, **output):
         environment = {**os.environ, "EBONYWHEEL_BOOT": str(self.folder / "boot.toml")}
-        return subprocess.Popen(
-            [sys.executable, str(PROGRAM), self.role], env=environment, **output
-        )
+        launcher = []
+        if self.partition_file is not None:
+            launcher = [str(PARTITIONED_HOST), str(self.partition_file)]
+        command = [sys.executable, *launcher, str(PROGRAM), self.role]
+        return subprocess.Popen(command, env=environment, **output)
 
     def stop(self, signal_number=signal.SIGTERM):
         """Send a signal and wait until the process ends; return the exit code."""
@@ -140,9 +155,13 @@
 
 
 class System:
-    """Three control hosts and some entry hosts."""
+    """Three control hosts and some entry hosts.
+
+    Attributes:
+        entry_turns: The entry hosts in turn, without end.
+    """
 
-    def __init__(self, folder, entries=1):
+    def __init__(self, folder, entries=1, partitionable=False):
         zones = list(ZONES)
         prefix = loopback_prefix()
         self.folder = folder
@@ -153,6 +172,9 @@
         self.entry_turns = itertools.cycle(self.entries)
         self.seeds = [f"{node.ip}:{CONTROL_PORT}" for node in self.controls]
         self.attempts = itertools.count(1)
+        if partitionable:
+            for node in self.entries:
+                node.make_partitionable()
         for node in self.controls + self.entries:
             node.write_settings(self.seeds, True)
             node.start()
