--- a/src/ebonywheel/gateway/crashes.py
+++ b/src/ebonywheel/gateway/crashes.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ebonywheel import commands, directory, exceptions, kernel, messages, watcher
-from ebonywheel.gateway import sender, view
+from ebonywheel.gateway import inflight, sender
 
 # Requests at one server that break off within this time are reported together.
 GATHER_S = 0.05
@@ -64,7 +64,7 @@
         self.broken: dict[directory.IncarnationKey, BrokenServer] = {}
         self.alive_until: dict[directory.IncarnationKey, float] = {}
 
-    async def record_success(self, context: view.RequestContext) -> None:
+    async def record_success(self, context: inflight.RequestContext) -> None:
         """Record a request whose answer is complete, or has gone on for a while."""
         context.success_recorded = True
         quarantine = self.view.quarantine
@@ -81,19 +81,19 @@
             )
             await self.core.spawn(self._report_success(command))
 
-    async def record_progress(self, context: view.RequestContext) -> None:
+    async def record_progress(self, context: inflight.RequestContext) -> None:
         """Record a request as a success once its answer has gone on for long enough."""
         if not context.success_recorded and self._has_survived(context):
             await self.record_success(context)
 
-    def _has_survived(self, context: view.RequestContext) -> bool:
+    def _has_survived(self, context: inflight.RequestContext) -> bool:
         """Return whether an answer has gone on for long enough for its server to be safe."""
         began_at = context.first_event_at
         return began_at > 0 and self.core.clock.monotonic() - began_at >= SURVIVED_S
 
     async def record_broken(
         self,
-        context: view.RequestContext,
+        context: inflight.RequestContext,
         record: messages.DirectoryRecord,
         error: exceptions.UpstreamError,
     ) -> None:
@@ -117,7 +117,7 @@
                 )
             )
 
-    def _has_just_begun(self, context: view.RequestContext) -> bool:
+    def _has_just_begun(self, context: inflight.RequestContext) -> bool:
         if not context.status:
             return False
         began_at = context.first_event_at
--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -8,6 +8,7 @@
 from ebonywheel.gateway import (
     crashes,
     dialect,
+    inflight,
     moves,
     permitclient,
     plain,
@@ -137,7 +138,7 @@
         finally:
             self._log_request(exchange, context, outcome, started_at)
 
-    def _admit(self, request: dialect.CallerRequest, started_at: float) -> view.RequestContext:
+    def _admit(self, request: dialect.CallerRequest, started_at: float) -> inflight.RequestContext:
         """Find the route, customer and service of a request.
 
         Raises:
@@ -158,7 +159,7 @@
         caller_timeout_s = (
             route.timeout_s if request.caller_timeout_s is None else request.caller_timeout_s
         )
-        return view.RequestContext(
+        return inflight.RequestContext(
             request,
             route,
             service,
@@ -182,7 +183,7 @@
                 "this host ends", "route", request.attempt, 503, RETRY_ELSEWHERE_S
             )
 
-    def _check_quarantine(self, context: view.RequestContext) -> None:
+    def _check_quarantine(self, context: inflight.RequestContext) -> None:
         """Refuse a request that would crash its server.
 
         Raises:
@@ -204,7 +205,7 @@
             )
         return customer
 
-    async def _forward(self, exchange: http.Exchange, context: view.RequestContext) -> None:
+    async def _forward(self, exchange: http.Exchange, context: inflight.RequestContext) -> None:
         self.budgets.count_first_try(context.service.name)
         if context.route.kind is routes.RouteKind.STREAM:
             await self.streams.forward(exchange, context)
@@ -225,7 +226,7 @@
     def _log_request(
         self,
         exchange: http.Exchange,
-        context: view.RequestContext | None,
+        context: inflight.RequestContext | None,
         outcome: str,
         started_at: float,
     ) -> None:
--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -14,12 +14,12 @@
 from ebonywheel.gateway import (
     balance,
     dialect,
+    inflight,
     moveplan,
     relayedrun,
     routes,
     sender,
     streaming,
-    view,
 )
 
 # Timeout of one copy: about as long as the notice of an engine that shuts down.
@@ -262,7 +262,7 @@
     ) -> dialect.CopyResult:
         """Copy a run to a server, whose memory is reserved before the copy starts."""
         tokens = streaming.expected_memory_tokens(run.context.request.prompt)
-        reservation = view.Reservation(self.view.state_of(record), tokens, requests=0)
+        reservation = inflight.Reservation(self.view.state_of(record), tokens, requests=0)
         source = run.record
         call = self.dialect.copy_call(run.attempt(), record.address, stop)
         started_at = self.core.clock.monotonic()
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -8,11 +8,11 @@
     balance,
     crashes,
     dialect,
+    inflight,
     permitclient,
     refusals,
     routes,
     sender,
-    view,
 )
 
 # Longer answers are relayed as they arrive, to bound the memory that an answer takes.
@@ -49,7 +49,7 @@
         self.crashes = crash_reporter
         self.permits = permits
 
-    async def forward(self, exchange: http.Exchange, context: view.RequestContext) -> None:
+    async def forward(self, exchange: http.Exchange, context: inflight.RequestContext) -> None:
         """Answer one request.
 
         Raises:
@@ -101,7 +101,7 @@
         context.status = last_answer.head.status
         await _respond(exchange, last_answer)
 
-    def _choose_server(self, context: view.RequestContext) -> balance.Candidate | None:
+    def _choose_server(self, context: inflight.RequestContext) -> balance.Candidate | None:
         if self._remaining_s(context) <= 0:
             context.reason = context.reason or "deadline passed"
             return None
@@ -116,7 +116,7 @@
             context.reason = context.reason or self.view.reason_without_server(context, "no server")
         return chosen
 
-    def _take_retry(self, context: view.RequestContext) -> bool:
+    def _take_retry(self, context: inflight.RequestContext) -> bool:
         """Return whether the request may be sent again, and take the retry from the budget."""
         if context.route.kind is not routes.RouteKind.IDEMPOTENT:
             return False
@@ -127,7 +127,7 @@
     async def _send_once(
         self,
         exchange: http.Exchange,
-        context: view.RequestContext,
+        context: inflight.RequestContext,
         candidate: balance.Candidate,
     ) -> BufferedAnswer | None:
         """Send the request once and read its answer.
@@ -194,7 +194,7 @@
             raise
         await self.sender.finish(reply)
 
-    def _remaining_s(self, context: view.RequestContext) -> float:
+    def _remaining_s(self, context: inflight.RequestContext) -> float:
         return context.deadline_at - self.core.clock.monotonic()
 
 
--- a/src/ebonywheel/gateway/refusals.py
+++ b/src/ebonywheel/gateway/refusals.py
@@ -3,7 +3,7 @@
 import typing
 
 from ebonywheel import exceptions, retries
-from ebonywheel.gateway import view
+from ebonywheel.gateway import inflight
 
 # Retry-after time when no better value is known: two report periods of the servers.
 RETRY_AFTER_S = 1.0
@@ -16,7 +16,7 @@
 
 
 def not_run_error(
-    context: view.RequestContext, retry_after_s: float = RETRY_AFTER_S
+    context: inflight.RequestContext, retry_after_s: float = RETRY_AFTER_S
 ) -> exceptions.NotRunError:
     """Return the error for a request that did not run."""
     return exceptions.NotRunError(
@@ -28,7 +28,9 @@
     )
 
 
-def quarantined_error(context: view.RequestContext, remaining_s: float) -> exceptions.NotRunError:
+def quarantined_error(
+    context: inflight.RequestContext, remaining_s: float
+) -> exceptions.NotRunError:
     """Return the error for a request that would crash its server.
 
     Its status promises that the request did not run; a 422 would leave that open.
@@ -37,14 +39,14 @@
     return not_run_error(context, remaining_s)
 
 
-def outcome_unknown_error(context: view.RequestContext) -> exceptions.HttpError:
+def outcome_unknown_error(context: inflight.RequestContext) -> exceptions.HttpError:
     """Return the error for a request that may have run."""
     return exceptions.HttpError(
         context.reason, "forward", context.request.attempt, STATUS_OUTCOME_UNKNOWN
     )
 
 
-def timeout_error(context: view.RequestContext) -> exceptions.HttpError:
+def timeout_error(context: inflight.RequestContext) -> exceptions.HttpError:
     """Return the error for a request whose deadline passed."""
     return exceptions.HttpError("time ran out", "forward", context.request.attempt, STATUS_TIMEOUT)
 
--- a/src/ebonywheel/gateway/relayedrun.py
+++ b/src/ebonywheel/gateway/relayedrun.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from ebonywheel import messages
-from ebonywheel.gateway import events, sender, view
+from ebonywheel.gateway import events, inflight, sender
 
 
 class Copy(msgspec.Struct):
@@ -19,7 +19,7 @@
     record: messages.DirectoryRecord
     source: str
     handle: str
-    reservation: view.Reservation
+    reservation: inflight.Reservation
 
 
 class Run:
@@ -37,7 +37,7 @@
 
     __slots__ = ("context", "record", "reply", "splitter", "closed", "copy", "move_finished")
 
-    def __init__(self, context: view.RequestContext, reply: sender.Reply):
+    def __init__(self, context: inflight.RequestContext, reply: sender.Reply):
         self.context = context
         self.record = reply.record
         self.reply = reply
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from ebonywheel import exceptions, httpclient, kernel, messages
-from ebonywheel.gateway import balance, dialect, pool, view
+from ebonywheel.gateway import balance, dialect, inflight, pool, view
 
 # Answers to other requests are skipped. After more than this many in a row the connection is
 # considered broken.
@@ -28,7 +28,7 @@
     record: messages.DirectoryRecord
     connection: httpclient.ClientConnection
     head: dialect.AnswerHead
-    reservation: view.Reservation
+    reservation: inflight.Reservation
 
 
 class Sender:
@@ -48,7 +48,7 @@
 
     async def send(
         self,
-        context: view.RequestContext,
+        context: inflight.RequestContext,
         record: messages.DirectoryRecord,
         sending: dialect.Sending,
         timeout_s: float,
@@ -69,7 +69,7 @@
             UpstreamError: No answer arrived; its `sent` is true when the request may have run.
         """
         state = self.view.state_of(record)
-        reservation = view.Reservation(state, tokens, unread=unread)
+        reservation = inflight.Reservation(state, tokens, unread=unread)
         connection = None
         context.sent = False
         try:
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -14,11 +14,11 @@
     balance,
     crashes,
     dialect,
+    inflight,
     permitclient,
     refusals,
     relayedrun,
     sender,
-    view,
 )
 
 # Load up to which a server gets new generations: the whole memory.
@@ -66,7 +66,7 @@
             collections.abc.Callable[[relayedrun.Run], typing.Awaitable[None]]
         ] = []
 
-    async def forward(self, exchange: http.Exchange, context: view.RequestContext) -> None:
+    async def forward(self, exchange: http.Exchange, context: inflight.RequestContext) -> None:
         """Answer one request with an event stream.
 
         Raises:
@@ -106,7 +106,7 @@
 
     # -- start -----------------------------------------------------------------------------
 
-    async def _start_run(self, context: view.RequestContext) -> sender.Reply:
+    async def _start_run(self, context: inflight.RequestContext) -> sender.Reply:
         tokens = expected_memory_tokens(context.request.prompt)
         while len(context.tried) < MAX_SERVERS_TRIED:
             candidate = self._choose_server(context, tokens)
@@ -135,7 +135,7 @@
 
     async def _send(
         self,
-        context: view.RequestContext,
+        context: inflight.RequestContext,
         record: messages.DirectoryRecord,
         resume: dialect.Resume | None,
     ) -> sender.Reply:
@@ -159,7 +159,9 @@
             unread,
         )
 
-    def _choose_server(self, context: view.RequestContext, tokens: int) -> balance.Candidate | None:
+    def _choose_server(
+        self, context: inflight.RequestContext, tokens: int
+    ) -> balance.Candidate | None:
         requirements = balance.Requirements(
             context.service,
             tokens,
@@ -178,7 +180,7 @@
         return chosen
 
     def _log_choice(
-        self, context: view.RequestContext, candidate: balance.Candidate, tokens: int
+        self, context: inflight.RequestContext, candidate: balance.Candidate, tokens: int
     ) -> None:
         """Log the choice at the start, as this host may crash before it logs the outcome."""
         state = candidate.state
@@ -202,7 +204,7 @@
         await self.sender.finish(reply)
 
     async def _relay_failure(
-        self, exchange: http.Exchange, context: view.RequestContext, reply: sender.Reply
+        self, exchange: http.Exchange, context: inflight.RequestContext, reply: sender.Reply
     ) -> None:
         try:
             body = await reply.connection.body(http.WRITE_TIMEOUT_S, sender.MAX_ENGINE_ANSWER_BYTES)
@@ -245,7 +247,7 @@
 
     async def _record_broken(
         self,
-        context: view.RequestContext,
+        context: inflight.RequestContext,
         record: messages.DirectoryRecord,
         error: exceptions.UpstreamError,
         events_received: int,
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -16,7 +16,7 @@
 
 from ebonywheel import clock, commands, messages, registry, state, statedata, watchserver
 from ebonywheel.exceptions import LinkError, UpstreamError
-from ebonywheel.gateway import crashes, dialect, routes, view
+from ebonywheel.gateway import crashes, dialect, inflight, routes, view
 
 registry.load_plugins()
 ENTRY_HOSTS = 195
@@ -210,7 +210,7 @@
     def arrive(self):
         host = self.rng.choice(self.hosts)
         request, crashes_engines, duration_s = self.make_request(self)
-        context = view.RequestContext(request, None, SERVICE, None, self.clock.now, 0.0, 0.0)
+        context = inflight.RequestContext(request, None, SERVICE, None, self.clock.now, 0.0, 0.0)
         refused = host.view.quarantined_s(context) > 0
         if not crashes_engines:
             first_part = request.prompt.shared_parts[0]
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -14,7 +14,7 @@
 import pytest
 
 from ebonywheel import clock, exceptions, messages, permits, statedata, statedlimits, watchserver
-from ebonywheel.gateway import balance, permitclient, routes, view
+from ebonywheel.gateway import balance, inflight, permitclient, routes, view
 
 ENTRY_HOSTS = 195
 SERVICE = routes.Service("book")
@@ -180,7 +180,7 @@
         if candidate is None:
             self.refused.append(self.clock.now)
             return
-        reservation = view.Reservation(candidate.state, 0)
+        reservation = inflight.Reservation(candidate.state, 0)
         self.arrivals[candidate.record.server].append(self.clock.now)
         self.schedule(WORK_S, ANSWER, host, candidate.record, reservation)
 
