Test what a newly started engine gets over many draws

The test failed once in the suite and once in 40 runs of it alone, with unchanged code of the choice: since two servers are drawn for each request, an empty engine is among them in four of ten cases, so it got fewer than 2 of 10 requests by chance in about one of 40 runs. The upper bound now holds for each of 200 runs instead of one, the lower one for their mean: as strict for the overload that it guards against, and without the draw.

--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -1,6 +1,7 @@
 """Selection of a backend server by load, distance, failures and limits."""
 
 import collections
+import statistics
 
 import pytest
 
@@ -39,16 +40,21 @@
 
     def test_a_newly_started_server_does_not_get_every_request(self):
         """Guards against overloading an empty engine that joins while the others are half full."""
-        others = [candidate(f"old-{n}", tokens=16_000) for n in range(4)]
-        new = candidate("new")
-        choices = collections.Counter()
-        for _ in range(10):
-            name = choose([new, *others], tokens=3_000)
-            choices[name] += 1
-            chosen = next(each for each in (new, *others) if each.record.server == name)
-            chosen.state.tokens += 3_000
-            chosen.state.unread += 3_000
-        assert 2 <= choices["new"] <= 5
+        counts = []
+        for _ in range(200):
+            others = [candidate(f"old-{n}", tokens=16_000) for n in range(4)]
+            new = candidate("new")
+            choices = collections.Counter()
+            for _ in range(10):
+                name = choose([new, *others], tokens=3_000)
+                choices[name] += 1
+                chosen = next(each for each in (new, *others) if each.record.server == name)
+                chosen.state.tokens += 3_000
+                chosen.state.unread += 3_000
+            counts.append(choices["new"])
+        assert max(counts) <= 5
+        # It is among the two that are compared in four of ten choices, so in few of ten by chance.
+        assert statistics.mean(counts) >= 2
 
     def test_a_long_generation_avoids_a_server_without_a_neighbour(self):
         """Engines shut down at short notice; only neighbours can take over their runs in time."""
