Have callers served by other entry hosts while this one cannot reach the servers

Cause: no host knew that it was cut off. Each request tried up to three servers anew, a second each, and ended with the host, as nothing but its own connections led to the servers.

Change: - reach: a server is unreachable from a failed connection until a probe succeeds. Silence of more than a second while a request waits brings a probe on, a failure probes of others. After three in a row with nothing heard in between, the host is cut off. - relays, relayserver: such a host hands each request to a host that the control hosts name as one that reaches the servers, and passes the answer on. A request is sent to a further host only if the one before promises that nothing ran.

Why it works: reachability is learnt without waiting for callers' requests to fail, and the way through another host does not depend on the links that are cut.

--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -115,7 +115,9 @@
             case messages.IdentityRequest():
                 return self.formation.identify()
             case messages.WatchRequest():
-                return await self.watches.watch(message)
+                return await self.watches.watch(message, peer)
+            case messages.RelayHostsRequest():
+                return self.watches.relay_hosts(peer.host)
             case messages.RoutingRequest():
                 return self.watches.routing()
             case messages.ReadIndexRequest():
--- a/src/ebonywheel/exceptions.py
+++ b/src/ebonywheel/exceptions.py
@@ -133,6 +133,12 @@
         self.retry_after = retry_after
 
 
+class ElsewhereError(NotRunError):
+    """This host cannot serve the request, but another entry host may."""
+
+    code = "elsewhere"
+
+
 class UnknownOutcomeError(EbonywheelError):
     """It is unknown whether the operation took effect."""
 
--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -66,6 +66,9 @@
         other_tokens: Expected tokens of all other hosts' requests, as last reported.
         other_unread: Unread prompt tokens of all other hosts, as last reported.
         failure_rate: Moving average of the share of answers that were failures.
+        unreachable: True from a failed connection until one can be opened.
+        heard_at: When it sent anything or accepted a connection last, monotonic seconds.
+        waiting_since: When the requests were sent whose answers have not begun, monotonic seconds.
         backoff_until: End of the backoff after a failure to reach it, monotonic seconds.
         backoff_s: Length of the next backoff.
         cold_until: When its cold start ends, monotonic seconds.
@@ -84,6 +87,9 @@
     other_tokens: int = 0
     other_unread: int = 0
     failure_rate: float = 0.0
+    unreachable: bool = False
+    heard_at: float = 0.0
+    waiting_since: list[float] = []
     backoff_until: float = 0.0
     backoff_s: float = INITIAL_BACKOFF_S
     cold_until: float = 0.0
@@ -96,6 +102,12 @@
         """Return whether its limit leaves no room for a request now."""
         return self.limit_per_s is not None and now < self.denied_until
 
+    def silent_s(self, now: float) -> float:
+        """Return how long it has sent nothing while a request waits, 0 when none does."""
+        if not self.waiting_since:
+            return 0.0
+        return now - max(self.heard_at, min(self.waiting_since))
+
     def record_answer(self, failed: bool) -> None:
         """Update the failure rate with an answer, and reset the backoff."""
         self.failure_rate += FAILURE_RATE_SMOOTHING * (float(failed) - self.failure_rate)
@@ -207,10 +219,16 @@
     available = [
         candidate
         for candidate in with_room
-        if candidate.age_s < MAX_REPORT_AGE_S and candidate.state.backoff_until <= now
+        if candidate.age_s < MAX_REPORT_AGE_S
+        and not candidate.state.unreachable
+        and candidate.state.backoff_until <= now
     ]
     # When every server looks unreachable, this host's view is more likely to be wrong.
-    considered = available or with_room
+    considered = (
+        available
+        or [candidate for candidate in with_room if not candidate.state.unreachable]
+        or with_room
+    )
     if not considered:
         return None
     lowest_rate = min(candidate.state.failure_rate for candidate in considered)
--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -13,6 +13,8 @@
     permitclient,
     plain,
     refusals,
+    relays,
+    relayserver,
     routes,
     sender,
     streaming,
@@ -63,6 +65,8 @@
         self.mover = moves.Mover(core, self.sender, self.streams)
         entry_view.on_shutdown_notice.append(self.mover.start_evacuation)
         self.streams.on_late_run.append(self.mover.start_late_move)
+        self.relays = relays.Relays(core, entry_view, self.watcher)
+        self.relay_server = relayserver.RelayServer(core, self)
         self.draining_since: float | None = None
         self.http = http.Server(core, address, self.handle, DEFAULT_MAX_BODY_BYTES)
         self.http.limits.body_s = BODY_TIMEOUT_S
@@ -72,6 +76,8 @@
         self.core.exit_stack.push_async_callback(self.sender.pool.close)
         await self.watcher.follow(seeds)
         await self.core.spawn(self._run_housekeeping(), essential=True)
+        await self.core.spawn(self.sender.reach.run(), essential=True)
+        await self.relay_server.start()
         await self.http.start()
 
     def ready(self) -> bool:
@@ -81,7 +87,13 @@
     async def drain(self) -> None:
         """Wait until no new requests are accepted and all accepted ones are answered."""
         self.draining_since = self.core.clock.monotonic()
-        while self._accepts_requests() or self.http.active_exchanges or self.http.lingering:
+        self.view.draining = True
+        while (
+            self._accepts_requests()
+            or self.http.active_exchanges
+            or self.http.lingering
+            or self.relay_server.relays
+        ):
             await curio.sleep(DRAIN_POLL_INTERVAL_S)
 
     def _accepts_requests(self) -> bool:
@@ -206,12 +218,54 @@
         return customer
 
     async def _forward(self, exchange: http.Exchange, context: inflight.RequestContext) -> None:
+        """Send a request to a server, or have another host do so if no server can be reached."""
         self.budgets.count_first_try(context.service.name)
+        try:
+            await self._forward_directly(exchange, context)
+        except exceptions.NotRunError as error:
+            cut_off = isinstance(error, exceptions.ElsewhereError)
+            if not context.elsewhere or not (cut_off or self.view.cut_off):
+                raise
+            if await self.relays.forward(exchange, exchange.request, context):
+                return
+            if not cut_off:
+                raise
+            context.elsewhere = False
+            await self._forward_directly(exchange, context)
+
+    async def _forward_directly(
+        self, exchange: http.ResponseWriter, context: inflight.RequestContext
+    ) -> None:
         if context.route.kind is routes.RouteKind.STREAM:
             await self.streams.forward(exchange, context)
         else:
             await self.plain.forward(exchange, context)
 
+    async def serve_relayed(self, exchange: relayserver.RelayedExchange) -> None:
+        """Serve a request of another host; raises like `relayserver.Servant`."""
+        started_at = self.core.clock.monotonic() - exchange.elapsed_s
+        context = None
+        outcome = "answered for another host"
+        try:
+            self._check_may_relay(exchange)
+            context = self._admit(self.dialect.decode_request(exchange.request), started_at)
+            context.tried, context.sent_to = list(exchange.sent_to), list(exchange.sent_to)
+            self._check_quarantine(context)
+            await self._forward_directly(exchange, context)
+        except exceptions.ElsewhereError as error:
+            outcome = f"refused: {error}"
+            if context is not None and context.may_have_run:
+                raise refusals.outcome_unknown_error(context) from error
+            raise
+        except (exceptions.EbonywheelError, curio.TaskTimeout) as error:
+            outcome = f"failed: {error}"
+            raise
+        except curio.CancelledError:
+            outcome = "caller left"
+            raise
+        finally:
+            self._log_request(exchange, context, outcome, started_at)
+
     async def _send_refusal(self, exchange: http.Exchange, error: exceptions.NotRunError) -> None:
         self.core.metrics.count("refusals", status=str(error.status))
         body = http.ErrorBody(error.code, error.text, error.step, error.peer, "not run")
@@ -223,9 +277,19 @@
         body = http.ErrorBody(error.code, error.text, error.step, error.peer)
         await exchange.respond_json(error.status, body)
 
+    def _check_may_relay(self, exchange: relayserver.RelayedExchange) -> None:
+        """Refuse to serve another host with older routing content, or on the way to the end.
+
+        Raises:
+            ElsewhereError: The request is refused.
+        """
+        outdated = self.view.routing_index < exchange.routing_index
+        if self.view.table is None or outdated or self.core.draining.is_set():
+            raise exceptions.ElsewhereError("this host serves no other", "relay")
+
     def _log_request(
         self,
-        exchange: http.Exchange,
+        exchange: http.Exchange | relayserver.RelayedExchange,
         context: inflight.RequestContext | None,
         outcome: str,
         started_at: float,
@@ -243,6 +307,7 @@
             kind=context.route.kind,
             service=context.service.name,
             servers=" ".join(context.tried),
+            relayed_by=context.relayed_by,
             outcome=outcome,
             status=context.status,
             reason=context.reason,
--- a/src/ebonywheel/gateway/inflight.py
+++ b/src/ebonywheel/gateway/inflight.py
@@ -52,7 +52,11 @@
         deadline_at: When the caller must have its whole answer, monotonic seconds.
         caller_deadline_at: When the caller stops waiting, monotonic seconds.
         success_recorded: True once the request is known not to crash its server.
-        tried: Ids of the servers that the request was sent to.
+        tried: Ids of the servers that were tried.
+        sent_to: Ids of those that the request may have been sent to.
+        may_have_run: True once a server may have run it without an answer.
+        elsewhere: True while another entry host may serve it if this one cannot.
+        relayed_by: Name of the last host that was asked to serve it, empty for none.
         denied: Ids of the servers whose limits left no room for it.
         sent: Whether any byte may have reached the server tried last.
         reason: Why the last attempt failed, for the log and the answer.
@@ -71,6 +75,10 @@
     caller_deadline_at: float
     success_recorded: bool = False
     tried: list[str] = []
+    sent_to: list[str] = []
+    may_have_run: bool = False
+    elsewhere: bool = True
+    relayed_by: str = ""
     denied: list[str] = []
     sent: bool = False
     reason: str = ""
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -49,16 +49,18 @@
         self.crashes = crash_reporter
         self.permits = permits
 
-    async def forward(self, exchange: http.Exchange, context: inflight.RequestContext) -> None:
+    async def forward(
+        self, exchange: http.ResponseWriter, context: inflight.RequestContext
+    ) -> None:
         """Answer one request.
 
         Raises:
+            ElsewhereError: This host cannot reach the servers; another one may.
             NotRunError: The request did not and will not run.
             HttpError: It is unknown whether the request ran.
             UpstreamError: A long answer broke off after a part of it was relayed.
         """
         last_answer: BufferedAnswer | None = None
-        may_have_run = False
         refused_count = 0
         while True:
             candidate = self._choose_server(context)
@@ -75,7 +77,7 @@
                 await self.crashes.record_broken(context, candidate.record, error)
                 if exchange.started:
                     raise
-                may_have_run = may_have_run or error.sent
+                context.may_have_run = context.may_have_run or error.sent
                 if error.sent and not self._take_retry(context):
                     if last_answer is not None:
                         break
@@ -92,9 +94,10 @@
                 break
             await self.crashes.record_success(context)
             last_answer = buffered
+            context.elsewhere = False
             if buffered.head.status < sender.STATUS_SERVER_ERROR or not self._take_retry(context):
                 break
-        if last_answer is None and may_have_run:
+        if last_answer is None and context.may_have_run:
             raise refusals.outcome_unknown_error(context)
         if last_answer is None:
             raise refusals.not_run_error(context)
@@ -114,19 +117,21 @@
         chosen = self.view.choose(requirements)
         if chosen is None:
             context.reason = context.reason or self.view.reason_without_server(context, "no server")
+        else:
+            refusals.check_reach(self.view, context, chosen)
         return chosen
 
     def _take_retry(self, context: inflight.RequestContext) -> bool:
         """Return whether the request may be sent again, and take the retry from the budget."""
         if context.route.kind is not routes.RouteKind.IDEMPOTENT:
             return False
-        if len(context.tried) >= context.route.max_servers or self._remaining_s(context) <= 0:
+        if len(context.sent_to) >= context.route.max_servers or self._remaining_s(context) <= 0:
             return False
         return self.budgets.take_retry(context.service.name)
 
     async def _send_once(
         self,
-        exchange: http.Exchange,
+        exchange: http.ResponseWriter,
         context: inflight.RequestContext,
         candidate: balance.Candidate,
     ) -> BufferedAnswer | None:
@@ -136,7 +141,7 @@
             The answer, None when it was long and has been relayed as it arrived.
         """
         remaining_s = self._remaining_s(context)
-        more_servers_allowed = len(context.tried) < context.route.max_servers
+        more_servers_allowed = len(context.sent_to) + 1 < context.route.max_servers
         if context.route.kind is routes.RouteKind.IDEMPOTENT and more_servers_allowed:
             remaining_s *= ATTEMPT_TIME_SHARE
         sending = dialect.Sending(
@@ -180,7 +185,7 @@
         return True
 
     async def _relay_rest(
-        self, exchange: http.Exchange, reply: sender.Reply, buffered: bytes
+        self, exchange: http.ResponseWriter, reply: sender.Reply, buffered: bytes
     ) -> None:
         try:
             await exchange.start(reply.head.status, reply.head.headers)
@@ -198,7 +203,7 @@
         return context.deadline_at - self.core.clock.monotonic()
 
 
-async def _respond(exchange: http.Exchange, buffered: BufferedAnswer) -> None:
+async def _respond(exchange: http.ResponseWriter, buffered: BufferedAnswer) -> None:
     headers = [
         *buffered.head.headers,
         ("content-length", str(len(buffered.body))),
--- a/src/ebonywheel/gateway/refusals.py
+++ b/src/ebonywheel/gateway/refusals.py
@@ -3,7 +3,7 @@
 import typing
 
 from ebonywheel import exceptions, retries
-from ebonywheel.gateway import inflight
+from ebonywheel.gateway import balance, inflight, view
 
 # Retry-after time when no better value is known: two report periods of the servers.
 RETRY_AFTER_S = 1.0
@@ -51,6 +51,24 @@
     return exceptions.HttpError("time ran out", "forward", context.request.attempt, STATUS_TIMEOUT)
 
 
+def check_reach(
+    entry_view: view.EntryView, context: inflight.RequestContext, candidate: balance.Candidate
+) -> None:
+    """Check that this host reaches the server that it has chosen.
+
+    Raises:
+        ElsewhereError: It does not, and another host may serve the request.
+    """
+    if context.elsewhere and entry_view.is_out_of_reach(candidate):
+        raise exceptions.ElsewhereError(
+            "this host cannot reach the servers",
+            "forward",
+            context.request.attempt,
+            STATUS_NOT_RUN,
+            RETRY_AFTER_S,
+        )
+
+
 class Budgets:
     """Retry budgets by service: this host's part of the budgets that all entry hosts share.
 
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from ebonywheel import exceptions, httpclient, kernel, messages
-from ebonywheel.gateway import balance, dialect, inflight, pool, view
+from ebonywheel.gateway import balance, dialect, inflight, pool, reach, view
 
 # Answers to other requests are skipped. After more than this many in a row the connection is
 # considered broken.
@@ -36,6 +36,7 @@
 
     Attributes:
         pool: Connections to the servers.
+        reach: Which servers can be reached.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         self.view = entry_view
         self.dialect = wire_dialect
         self.pool = pool.Pool(core.clock)
+        self.reach = reach.Reach(core, entry_view, self.pool)
 
     async def send(
         self,
@@ -69,6 +71,7 @@
             UpstreamError: No answer arrived; its `sent` is true when the request may have run.
         """
         state = self.view.state_of(record)
+        sent_at = None
         reservation = inflight.Reservation(state, tokens, unread=unread)
         connection = None
         context.sent = False
@@ -80,6 +83,9 @@
             request = context.request
             headers = self.dialect.encode_headers(request, sending)
             context.sent = True
+            context.sent_to.append(record.server)
+            sent_at = now
+            state.waiting_since.append(sent_at)
             await connection.request(
                 request.method, request.target, headers, request.body, WRITE_TIMEOUT_S
             )
@@ -95,6 +101,10 @@
             if connection is not None:
                 await connection.close()
             raise
+        finally:
+            if sent_at is not None:
+                state.waiting_since.remove(sent_at)
+        self.reach.heard(state)
         self.view.limits.observe_answer(record, head.limit_per_s)
         return Reply(record, connection, head, reservation)
 
@@ -118,7 +128,7 @@
         state: balance.ServerState,
         error: exceptions.UpstreamError,
     ) -> None:
-        if error.step == "connect" or not error.timed_out:
+        if error.step != "connect" and not error.timed_out:
             state.record_unreachable(self.core.clock.monotonic())
         state.record_answer(failed=True)
         self.core.metrics.count("upstream_failures", service=record.service, step=error.step)
@@ -142,6 +152,11 @@
                 True,
             ) from error
 
+    def record_heard(self, reply: Reply) -> None:
+        """Record that a part of an answer has arrived."""
+        if reply.reservation.state is not None:
+            self.reach.heard(reply.reservation.state)
+
     async def finish(self, reply: Reply) -> None:
         """Return the connection to the pool after the whole answer has been read."""
         reply.reservation.release()
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -66,10 +66,13 @@
             collections.abc.Callable[[relayedrun.Run], typing.Awaitable[None]]
         ] = []
 
-    async def forward(self, exchange: http.Exchange, context: inflight.RequestContext) -> None:
+    async def forward(
+        self, exchange: http.ResponseWriter, context: inflight.RequestContext
+    ) -> None:
         """Answer one request with an event stream.
 
         Raises:
+            ElsewhereError: This host cannot reach the servers; another one may.
             NotRunError: The request did not and will not run.
             HttpError: It is unknown whether the request ran.
             UpstreamError: The stream broke off after a part of it was relayed.
@@ -177,6 +180,8 @@
             context.reason = context.reason or self.view.reason_without_server(
                 context, "no server with room"
             )
+        else:
+            refusals.check_reach(self.view, context, chosen)
         return chosen
 
     def _log_choice(
@@ -204,7 +209,7 @@
         await self.sender.finish(reply)
 
     async def _relay_failure(
-        self, exchange: http.Exchange, context: inflight.RequestContext, reply: sender.Reply
+        self, exchange: http.ResponseWriter, context: inflight.RequestContext, reply: sender.Reply
     ) -> None:
         try:
             body = await reply.connection.body(http.WRITE_TIMEOUT_S, sender.MAX_ENGINE_ANSWER_BYTES)
@@ -222,7 +227,7 @@
 
     # -- relay -----------------------------------------------------------------------------
 
-    async def _relay(self, exchange: http.Exchange, run: relayedrun.Run) -> None:
+    async def _relay(self, exchange: http.ResponseWriter, run: relayedrun.Run) -> None:
         """Relay events until the run finishes, resuming it at another server when it breaks off."""
         while True:
             try:
@@ -302,9 +307,10 @@
         run.move_finished = None
         run.splitter.buffer.clear()
 
-    async def _relay_events(self, exchange: http.Exchange, run: relayedrun.Run) -> None:
+    async def _relay_events(self, exchange: http.ResponseWriter, run: relayedrun.Run) -> None:
         connection = run.reply.connection
         while (chunk := await connection.read_chunk(self._silence_timeout_s(run))) is not None:
+            self.sender.record_heard(run.reply)
             whole_events = run.splitter.feed(chunk)
             if whole_events:
                 run.reply.reservation.mark_answer_begun()
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -42,6 +42,8 @@
         other_uses: Load from all other entry hosts by server, without servers that have none.
         entry_hosts: Number of entry hosts that share the servers.
         entry_hosts_at: When that many were reported last, monotonic seconds.
+        cut_off: True while this host can reach none of the servers, though they run.
+        draining: True once this host is about to end.
         on_shutdown_notice: Called with the id of a server that shuts down or has left.
         quarantine: Fingerprints of requests that crash servers, or may do so.
         limits: Limits that servers stated.
@@ -70,6 +72,8 @@
         self.other_uses: dict[str, messages.ServerUse] = {}
         self.entry_hosts = 1
         self.entry_hosts_at = 0.0
+        self.cut_off = False
+        self.draining = False
         self.on_shutdown_notice: list[collections.abc.Callable[[str], typing.Awaitable[None]]] = []
         self.quarantine = quarantine.Quarantine()
         self.limits = limits.ServerLimits(core, self._state_for)
@@ -95,6 +99,7 @@
             suspects_wanted=True,
             suspects_index=self.quarantine.index,
             limits=self.limits.reports(),
+            may_relay=not (self.cut_off or self.draining),
         )
 
     def distance(self, data_centre: str) -> float:
@@ -239,6 +244,11 @@
             return 0.0
         return self.quarantine.remaining_s(context.fingerprints(), self.core.clock.monotonic())
 
+    def is_out_of_reach(self, candidate: balance.Candidate) -> bool:
+        """Return whether this host cannot reach a server though it runs."""
+        runs = candidate.age_s < balance.MAX_REPORT_AGE_S
+        return runs and (self.cut_off or candidate.state.unreachable)
+
     def remains_in_service(self, record: messages.DirectoryRecord) -> bool:
         """Return whether a server's incarnation is in service and not shutting down."""
         entry = self.directory.entries.get(record.server)
--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -76,6 +76,28 @@
             raise exceptions.HttpError(str(error), "decode body", self.peer) from error
 
 
+class ResponseWriter(typing.Protocol):
+    """Takes the response to one request.
+
+    Attributes:
+        started: True once the response has begun.
+    """
+
+    started: bool
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Begin a response, which is chunked unless the headers give its length."""
+
+    async def write(self, data: bytes) -> None:
+        """Add a part of the body."""
+
+    async def end(self) -> None:
+        """End the response."""
+
+    async def respond_raw(self, status: int, fields: Headers, body: bytes) -> None:
+        """Give a complete response with exactly these headers, which must include its length."""
+
+
 class Exchange:
     """One request and its response, on the server side.
 
--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -5,7 +5,9 @@
 """
 
 import collections.abc
+import errno
 import select
+import socket
 import typing
 
 import curio
@@ -34,6 +36,7 @@
         sent: True once any byte of the current request may have been sent.
         allow_close_delimited: True to accept a response body that is delimited only by the end of
             the connection.
+        keep_alive: When the server is taken for dead.
         close_delimited: Whether the body of the last response is.
         conn: HTTP/1.1 protocol state.
         request_head: Head of the last request.
@@ -41,9 +44,15 @@
             one that names none may be a late copy of an earlier response.
     """
 
-    def __init__(self, address: str, allow_close_delimited: bool = False):
+    def __init__(
+        self,
+        address: str,
+        allow_close_delimited: bool = False,
+        keep_alive: sockets.KeepAlive = sockets.KEEP_ALIVE,
+    ):
         self.address = address
         self.allow_close_delimited = allow_close_delimited
+        self.keep_alive = keep_alive
         self.close_delimited = False
         self.sock: curio.io.Socket | None = None
         self.conn = h11.Connection(h11.CLIENT)
@@ -66,7 +75,7 @@
             raise self._timeout_error("no connection in time", "connect") from error
         except OSError as error:
             raise self._error(str(error), "connect") from error
-        sockets.set_tcp_options(self.sock)
+        sockets.set_tcp_options(self.sock, self.keep_alive)
 
     async def request(
         self, method: str, target: str, headers: http.Headers, body: bytes, timeout_s: float
@@ -200,6 +209,10 @@
         poll.register(self.sock.fileno(), select.POLLIN | select.POLLHUP | select.POLLERR)
         return not poll.poll(0)
 
+    def is_dead(self) -> bool:
+        """Return whether the kernel has given the connection up, as the server is silent."""
+        return self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == errno.ETIMEDOUT
+
     def start_next(self) -> None:
         """Reset the connection for the next exchange, which may be its first."""
         if self.conn.our_state is not h11.IDLE:
--- a/src/ebonywheel/link.py
+++ b/src/ebonywheel/link.py
@@ -28,11 +28,16 @@
 
 
 class PeerInfo(msgspec.Struct):
-    """The authenticated identity of the other end of a connection."""
+    """The authenticated identity of the other end of a connection.
+
+    Attributes:
+        link: Address at which it accepts links, empty when unknown or none.
+    """
 
     role: str
     host: str
     data_centre: str
+    link: str = ""
 
     def __str__(self) -> str:
         return f"{self.role}:{self.host}"
@@ -291,7 +296,8 @@
 async def _handshake_as_client(core: kernel.Kernel, stream: frames.FrameStream) -> PeerInfo:
     """Verify the accepting side's proof, then prove the secret to it; return its identity."""
     nonce = secrets.token_bytes(NONCE_BYTES)
-    hello = messages.Hello(core.role, core.host.name, core.host.data_centre, nonce)
+    host = core.host
+    hello = messages.Hello(core.role, host.name, host.data_centre, nonce, host.link)
     await stream.write(codec.encode(hello, 0, codec.FLAG_REQUEST))
     challenge = await stream.read_handshake(messages.Challenge)
     expected = _sign(core.secret, b"accept", challenge.host, nonce, challenge.nonce)
@@ -319,7 +325,7 @@
             "peer does not hold the shared secret", "handshake", stream.name
         )
     await stream.write(codec.encode(messages.Ack(), 0, codec.FLAG_REPLY))
-    return PeerInfo(hello.role, hello.host, hello.data_centre)
+    return PeerInfo(hello.role, hello.host, hello.data_centre, hello.link)
 
 
 def _sign(secret: bytes, side: bytes, host: str, peer_nonce: bytes, own_nonce: bytes) -> bytes:
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -16,12 +16,14 @@
         host: Name of the sending host.
         data_centre: Data centre of the sending host.
         nonce: Random bytes that the accepting side must sign.
+        link: Address at which the sending process accepts links, empty for none.
     """
 
     role: str = ""
     host: str = ""
     data_centre: str = ""
     nonce: bytes = b""
+    link: str = ""
 
 
 class Challenge(msgspec.Struct):
@@ -604,6 +606,8 @@
         suspects_wanted: True to get the suspect fingerprints when they have changed.
         suspects_index: Log index of those that the sender has.
         limits: What servers stated to the sender about their limits, if any stated one lately.
+        may_relay: True when the sender reaches the backend servers, and may relay requests for
+            hosts that do not.
     """
 
     host: str = ""
@@ -622,6 +626,7 @@
     suspects_wanted: bool = False
     suspects_index: int = 0
     limits: list[ServerLimit] = []
+    may_relay: bool = False
 
 
 class WatchReply(msgspec.Struct):
@@ -729,6 +734,97 @@
     wait_ms: int = 0
 
 
+class RelayHostsRequest(msgspec.Struct):
+    """Ask a control host for entry hosts that may relay requests to backend servers."""
+
+
+class RelayHost(msgspec.Struct):
+    """An entry host that may relay requests.
+
+    Attributes:
+        link: Address at which it accepts links.
+    """
+
+    host: str = ""
+    data_centre: str = ""
+    link: str = ""
+
+
+class RelayHostsReply(msgspec.Struct):
+    """Answer to `RelayHostsRequest`: some hosts of each data centre, drawn at random."""
+
+    hosts: list[RelayHost] = []
+
+
+class HeaderField(msgspec.Struct):
+    """One HTTP header."""
+
+    name: str = ""
+    value: str = ""
+
+
+class RelayRequest(msgspec.Struct):
+    """Ask another entry host to serve a caller's request; it is sent once at most.
+
+    Attributes:
+        relay: Random id that the asking host gives it.
+        headers: All headers of the caller, in order.
+        elapsed_ms: Milliseconds since the request arrived.
+        sent_to: Servers that it may have been sent to before.
+        routing_index: Log index of the routing content by which it was admitted.
+    """
+
+    relay: int = 0
+    method: str = ""
+    path: str = ""
+    raw_query: str = ""
+    headers: list[HeaderField] = []
+    body: bytes = b""
+    elapsed_ms: int = 0
+    sent_to: list[str] = []
+    routing_index: int = 0
+
+
+class RelayRead(msgspec.Struct):
+    """Ask for the next part of a relayed answer, over any connection.
+
+    Attributes:
+        position: Number of bytes of the answer received so far; these are not asked for again.
+    """
+
+    relay: int = 0
+    position: int = 0
+
+
+class RelayReply(msgspec.Struct):
+    """What there is of a relayed answer; answer to `RelayRequest` and `RelayRead`.
+
+    Attributes:
+        status: Status of the answer, 0 before its head has come.
+        headers: Headers of the answer, left out once some of the body was read.
+        data: The next bytes of its body, possibly none yet.
+        ended: True when no more of it follows.
+        failure: Why it ended without being whole: ``elsewhere`` when the request has not run and
+            another host may serve it, ``not run``, ``unknown`` or ``broken``; empty for none.
+        text: Description of the failure.
+        retry_after_ms: When the caller may try again if it has not run, 0 if not stated.
+    """
+
+    status: int = 0
+    headers: list[HeaderField] = []
+    data: bytes = b""
+    ended: bool = False
+    failure: str = ""
+    text: str = ""
+    retry_after_ms: int = 0
+
+
+class RelayEnd(msgspec.Struct):
+    """Tell the relaying host that no more is wanted: the answer is whole or its caller has left."""
+
+    relay: int = 0
+
+
 # The position gives each message its type number on the wire: append only.
 MESSAGES: tuple[type[msgspec.Struct], ...] = (
     Hello,
@@ -771,4 +867,10 @@
     JoinReply,
     PermitRequest,
     PermitReply,
+    RelayHostsRequest,
+    RelayHostsReply,
+    RelayRequest,
+    RelayRead,
+    RelayReply,
+    RelayEnd,
 )
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -5,17 +5,33 @@
 and renewed reports wait for the request's wait time to pass.
 """
 
+import collections
+import random
 import secrets
 
 import curio
 import msgspec
 
-from ebonywheel import crashstate, directory, kernel, messages, replica, state, statedlimits
+from ebonywheel import (
+    crashstate,
+    directory,
+    kernel,
+    link,
+    messages,
+    replica,
+    state,
+    statedlimits,
+)
 
 MAX_WAIT_MS = 2000
 # Work in flight reported longer ago is ignored, as its host is gone or partitioned: watches are
 # renewed far more often.
 USES_MAX_AGE_S = 3.0
+# A host that has said that it can relay requests is not named any more after this time. Watches are
+# renewed every 0.5 s at least.
+RELAY_HOST_MAX_AGE_S = 1.5
+# Hosts of one data centre that are named to a host that looks for one.
+MAX_RELAY_HOSTS = 8
 PRUNE_INTERVAL_S = 5.0
 EPOCH_BITS = 48
 
@@ -33,6 +49,7 @@
         told: Sums over the other hosts that it was told of, by server.
         told_number: Number of the reply that told it of them.
         limits_told_at: When it was told of servers' limits, monotonic seconds.
+        relay_host: The host as one that may relay requests, None while it may not.
     """
 
     received_at: float
@@ -40,6 +57,7 @@
     told: dict[str, _Sums] = {}
     told_number: int = 0
     limits_told_at: float = 0.0
+    relay_host: messages.RelayHost | None = None
 
 
 class WatchServer:
@@ -102,11 +120,14 @@
         async with self.changed:
             await self.changed.notify_all()
 
-    async def watch(self, request: messages.WatchRequest) -> messages.WatchReply:
+    async def watch(
+        self, request: messages.WatchRequest, peer: link.PeerInfo | None = None
+    ) -> messages.WatchReply:
         """Answer one watch request, after a wait when nothing has changed."""
         now = self.core.clock.monotonic()
         if request.uses_wanted or request.uses_reported:
             self._record_uses(request, now)
+            self.uses[request.host].relay_host = _relay_host(request, peer)
         if request.epoch == self.epoch and not self._has_newer_state(request):
             await self._wait(request)
         return self._reply(request)
@@ -120,6 +141,21 @@
             known.received_at = now
             known.uses = request.uses
 
+    def relay_hosts(self, asking_host: str) -> messages.RelayHostsReply:
+        """Return other entry hosts that reach the backend servers, some of each data centre."""
+        now = self.core.clock.monotonic()
+        by_data_centre: dict[str, list[messages.RelayHost]] = collections.defaultdict(list)
+        for name, host_uses in self.uses.items():
+            recent = now - host_uses.received_at < RELAY_HOST_MAX_AGE_S
+            if host_uses.relay_host is not None and recent and name != asking_host:
+                by_data_centre[host_uses.relay_host.data_centre].append(host_uses.relay_host)
+        drawn = [
+            host
+            for hosts in by_data_centre.values()
+            for host in random.sample(hosts, min(MAX_RELAY_HOSTS, len(hosts)))
+        ]
+        return messages.RelayHostsReply(drawn)
+
     async def _wait(self, request: messages.WatchRequest) -> None:
         initial_count = self.wake_count
         async with curio.ignore_after(min(request.wait_ms, MAX_WAIT_MS) / 1000):
@@ -249,6 +285,14 @@
             self.uses = self._recent_uses()
 
 
+def _relay_host(
+    request: messages.WatchRequest, peer: link.PeerInfo | None
+) -> messages.RelayHost | None:
+    if peer is None or not peer.link or not request.may_relay:
+        return None
+    return messages.RelayHost(peer.host, peer.data_centre, peer.link)
+
+
 def _sum_uses(asking_host: str, recent_uses: dict[str, HostUses]) -> dict[str, _Sums]:
     """Return the sums over all hosts but the asking one, by server."""
     sums: dict[str, _Sums] = {}
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -6,6 +6,7 @@
   host @1 :Text;
   dataCentre @2 :Text;
   nonce @3 :Data;
+  link @4 :Text;
 }
 
 struct Challenge {
@@ -347,6 +348,7 @@
   suspectsWanted @13 :Bool;
   suspectsIndex @14 :UInt64;
   limits @15 :List(ServerLimit);
+  mayRelay @16 :Bool;
 }
 
 struct WatchReply {
@@ -402,3 +404,52 @@
   granted @0 :Bool;
   waitMs @1 :UInt64;
 }
+
+struct RelayHostsRequest {
+}
+
+struct RelayHost {
+  host @0 :Text;
+  dataCentre @1 :Text;
+  link @2 :Text;
+}
+
+struct RelayHostsReply {
+  hosts @0 :List(RelayHost);
+}
+
+struct HeaderField {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct RelayRequest {
+  relay @0 :UInt64;
+  method @1 :Text;
+  path @2 :Text;
+  rawQuery @3 :Text;
+  headers @4 :List(HeaderField);
+  body @5 :Data;
+  elapsedMs @6 :UInt64;
+  sentTo @7 :List(Text);
+  routingIndex @8 :UInt64;
+}
+
+struct RelayRead {
+  relay @0 :UInt64;
+  position @1 :UInt64;
+}
+
+struct RelayReply {
+  status @0 :UInt64;
+  headers @1 :List(HeaderField);
+  data @2 :Data;
+  ended @3 :Bool;
+  failure @4 :Text;
+  text @5 :Text;
+  retryAfterMs @6 :UInt64;
+}
+
+struct RelayEnd {
+  relay @0 :UInt64;
+}
--- a/tests/partitionedhost.py
+++ b/tests/partitionedhost.py
@@ -8,6 +8,7 @@
 import runpy
 import sys
 import time
+import weakref
 
 import curio
 
@@ -61,23 +62,19 @@
     socket_class = curio.io.Socket
     connect, recv = socket_class.connect, socket_class.recv
     send, sendall = socket_class.send, socket_class.sendall
-    server_sockets = set()
-
-    def leads_to_server(sock):
-        return sock.fileno() in server_sockets
+    server_sockets = weakref.WeakSet()
 
     async def patched_connect(self, address):
-        server_sockets.discard(self.fileno())
         if address[0] != SERVERS_IP:
             return await connect(self, address)
         await partition.wait("hang", "reset")
         if partition.mode() == "refuse":
             raise ConnectionRefusedError("refused by the partition")
         await connect(self, address)
-        server_sockets.add(self.fileno())
+        server_sockets.add(self)
 
     async def patched_recv(self, maxsize, flags=0):
-        while leads_to_server(self):
+        while self in server_sockets:
             if partition.mode() == "reset":
                 raise ConnectionResetError("reset by the partition")
             await partition.wait("hang")
@@ -91,13 +88,13 @@
         partition.held.append((sock, bytes(data)))
 
     async def patched_sendall(self, data, flags=0):
-        if leads_to_server(self) and partition.mode() == "hang":
+        if self in server_sockets and partition.mode() == "hang":
             await hold(self, data)
             return
         await sendall(self, data, flags)
 
     async def patched_send(self, data, flags=0):
-        if leads_to_server(self) and partition.mode() == "hang":
+        if self in server_sockets and partition.mode() == "hang":
             await hold(self, data)
             return len(data)
         return await send(self, data, flags)
--- a/tests/test_platform_partition.py
+++ b/tests/test_platform_partition.py
@@ -88,12 +88,14 @@
     """Callers' first tries and whether they were served, by entry host.
 
     Attributes:
+        numbers: Numbers of the attempts, over all instances.
         refused: Attempts that were answered as not run.
     """
 
+    numbers = itertools.count(1)
+
     def __init__(self, system):
         self.system = system
-        self.numbers = itertools.count(1)
         self.served = collections.Counter()
         self.failed = collections.Counter()
         self.refused = set()
@@ -116,7 +118,7 @@
 
     def send(self, host, number):
         """Send one request, whose answer must be its own and whole to count as served."""
-        attempt = f"partition-{id(self)}-{number}"
+        attempt = f"partition-{number}"
         path, headers = (("/book/", {}), ("/look/", {}), ("/plan/", PLAN_HEADERS))[
             number // ENTRY_HOSTS % 3
         ]
@@ -237,6 +239,13 @@
 def _serves_directly(system):
     """Send to the hosts that were cut off and return whether no other host took part."""
     tries = FirstTries(system)
+    first = f"partition-{next(tries.numbers)}"
+    system.request("POST", "/book/0", b"x", {"X-Attempt-Id": first}, system.entries[CUT_HOSTS[0]])
     tries.send_for(1.0, CUT_HOSTS)
     tries.join()
-    return not tries.failed
+    relayed_by = {
+        entry["request"]: entry.get("relayed_by")
+        for host in CUT_HOSTS
+        for entry in system.entries[host].events("request")
+    }
+    return not tries.failed and relayed_by[first] == ""
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -65,7 +65,7 @@
 
     monkeypatch.setattr(streaming, "STALL_TIMEOUT_S", STALL_S)
     core = types.SimpleNamespace(clock=clock.SystemClock())
-    sender = types.SimpleNamespace(view=None)
+    sender = types.SimpleNamespace(view=None, record_heard=lambda reply: None)
     forwarder = streaming.StreamForwarder(core, sender, None, CrashReporter(), None)
     reply = types.SimpleNamespace(
         record=messages.DirectoryRecord("s", address="10.0.0.1:80"),
