--- a/tests/partitionedhost.py
+++ b/tests/partitionedhost.py
@@ -14,8 +14,8 @@
 
 SERVERS_IP = "127.0.0.1"
 # No cut; connections fall silent and new ones hang; connections are reset and new ones hang;
-# connections live on and new ones are refused.
-MODES = ("", "hang", "reset", "refuse")
+# connections live on and new ones are refused; connections are reset and new ones refused.
+MODES = ("", "hang", "reset", "refuse", "reset and refuse")
 POLL_S = 0.02
 
 
@@ -68,14 +68,14 @@
         if address[0] != SERVERS_IP:
             return await connect(self, address)
         await partition.wait("hang", "reset")
-        if partition.mode() == "refuse":
+        if partition.mode() in ("refuse", "reset and refuse"):
             raise ConnectionRefusedError("refused by the partition")
         await connect(self, address)
         server_sockets.add(self)
 
     async def patched_recv(self, maxsize, flags=0):
         while self in server_sockets:
-            if partition.mode() == "reset":
+            if partition.mode() in ("reset", "reset and refuse"):
                 raise ConnectionResetError("reset by the partition")
             await partition.wait("hang")
             async with curio.ignore_after(POLL_S):
--- a/tests/test_platform_partition.py
+++ b/tests/test_platform_partition.py
@@ -194,7 +194,7 @@
 
 # Guards against hosts that are cut off from all servers and serve nothing, as none of them asks
 # another host to serve their callers.
-@pytest.mark.parametrize("mode", ["hang", "reset", "refuse"])
+@pytest.mark.parametrize("mode", ["hang", "reset", "refuse", "reset and refuse"])
 def test_hosts_without_a_way_to_the_servers_serve_their_callers(system, servers, cut, mode):
     before = FirstTries(system)
     before.send_for(2.0)
@@ -214,6 +214,21 @@
     platformsystem.wait_for(lambda: _serves_directly(system), "the direct way to be used again")
 
 
+# Guards against sound servers that are taken for crashed, and requests that are blamed for it, as a
+# host that is cut off finds its connections reset and new ones refused.
+def test_a_host_without_a_way_reports_no_crash(system, servers, cut):
+    tries = FirstTries(system)
+    for _ in range(3):
+        tries.send_for(1.0)
+        cut("reset and refuse")
+        tries.send_for(2.0)
+        cut("")
+        tries.send_for(1.0)
+    tries.join()
+    crashes = [entry for node in system.entries for entry in node.events("server_crashed")]
+    assert not crashes
+
+
 # Guards against a host that starts anew while it is cut off, and control hosts that do, after
 # which nobody knows who can serve its callers.
 def test_hosts_without_a_way_serve_their_callers_after_restarts(system, servers, cut):
