Log which requests a crash report names, and which fingerprints a success clears

The lines of a crash named no request, so its report could not be matched with the request that was sent again; what one more crash would quarantine was not logged, nor what a success contradicts.

--- a/src/ebonywheel/gateway/crashes.py
+++ b/src/ebonywheel/gateway/crashes.py
@@ -36,11 +36,13 @@
     Attributes:
         broke_at: When the first of them did, monotonic seconds.
         requests: Requests that may have crashed it.
+        attempts: Ids of their attempts.
     """
 
     record: messages.DirectoryRecord
     broke_at: float
     requests: list[commands.InFlightRequest] = []
+    attempts: list[str] = []
 
 
 class CrashReporter:
@@ -79,6 +81,11 @@
                 fingerprints=contradicted,
                 age_ms=int((now - began_at) * MS_PER_S),
             )
+            self.core.log.info(
+                "suspicion_contradicted",
+                request=context.request.attempt,
+                fingerprints=" ".join(fingerprint.hex() for fingerprint in contradicted),
+            )
             await self.core.spawn(self._report_success(command))
 
     async def record_progress(self, context: inflight.RequestContext) -> None:
@@ -116,6 +123,7 @@
                     list(context.fingerprints()), self._has_just_begun(context)
                 )
             )
+            broken.attempts.append(context.request.attempt)
 
     def _has_just_begun(self, context: inflight.RequestContext) -> bool:
         if not context.status:
@@ -139,6 +147,8 @@
             server=broken.record.server,
             requests=len(broken.requests),
             at_beginning=sum(request.began for request in broken.requests),
+            attempts=" ".join(broken.attempts),
+            fingerprints=_whole_fingerprints(broken.requests),
         )
         if broken.requests:
             await self._report(broken)
@@ -187,3 +197,8 @@
         outcome = commands.decode_outcome(reply.outcome)
         self.core.log.info("report_taken", kind=type(command).__name__, outcome=outcome)
         return True
+
+
+def _whole_fingerprints(requests: list[commands.InFlightRequest]) -> str:
+    """Return the most specific fingerprint of each request, as hexadecimal text."""
+    return " ".join(request.fingerprints[-1].hex() for request in requests)
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -19,6 +19,7 @@
 # host that has just started has not heard of all of them yet; going by its number would raise each
 # host's share of the limits.
 ENTRY_HOSTS_HELD_S = 5.0
+MAX_LOGGED_SUSPECTS = 16
 _NO_USE = messages.ServerUse()
 
 
@@ -142,11 +143,13 @@
         now = self.core.clock.monotonic()
         if self.quarantine.update(reply.suspects_index, reply.suspects, now):
             refused = [item.fingerprint.hex() for item in reply.suspects if item.refused_ms]
+            suspected = [item.fingerprint.hex() for item in reply.suspects if not item.refused_ms]
             self.core.log.info(
                 "suspects_changed",
                 index=reply.suspects_index,
                 suspects=len(reply.suspects),
                 refused=" ".join(refused),
+                suspected=" ".join(suspected[-MAX_LOGGED_SUSPECTS:]),
             )
 
     def _record_entry_hosts(self, count: int) -> None:
