--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -21,6 +21,8 @@
 ENTRY_HOSTS = 3
 CRASHING_PART, SOUND_PART = "bad0", "cafe"
 MAX_TRIES = 12
+# Servers enough that some are left while one request crashes others.
+LARGE_FLEET = 8
 REPORT_INTERVAL_S = 1.0
 CRASHING_BODY = b"crash"
 ROUTES = [
@@ -37,10 +39,12 @@
         arrivals: Times at which such requests reached a server, monotonic seconds.
     """
 
+    # One number for each server of all fleets: `announce` looks for the name in the logs.
+    numbers = itertools.count(1)
+
     def __init__(self, system, service, size):
         self.system = system
         self.service = service
-        self.numbers = itertools.count(1)
         self.servers = []
         self.arrivals = []
         self.closed = threading.Event()
@@ -88,9 +92,9 @@
         """Return the number of servers that have crashed."""
         return sum(server.crashed for server in self.servers)
 
-    def replace_crashed(self):
+    def replace_crashed(self, size=ENTRY_HOSTS):
         """Start a server for each one that has crashed and was not replaced yet."""
-        while len(self.servers) - self.crash_count() < ENTRY_HOSTS:
+        while len(self.servers) - self.crash_count() < size:
             self.start_server()
 
     def close(self):
@@ -141,11 +145,11 @@
 
 @pytest.fixture
 def start_fleet(system):
-    """Return a function that starts one server of a service in each data centre."""
+    """Return a function that starts servers of a service, one in each data centre by default."""
     with contextlib.ExitStack() as exit_stack:
 
-        def start(service):
-            fleet = Fleet(system, service, ENTRY_HOSTS)
+        def start(service, size=ENTRY_HOSTS):
+            fleet = Fleet(system, service, size)
             exit_stack.callback(fleet.close)
             return fleet
 
@@ -200,6 +204,26 @@
     assert system.request(method, path, CRASHING_BODY).status == 503
 
 
+# Guards against a request that crashes one server after the other within milliseconds: an attempt
+# is sent to the next server at once, and its caller tries again at once at another host.
+def test_a_request_that_crashes_servers_in_quick_succession_stops_reaching_them(
+    system, start_fleet
+):
+    fleet = start_fleet("book", LARGE_FLEET)
+    while fleet.crash_count() < CRASHES_BY_ONE_REQUEST:
+        system.request("GET", "/look/2", CRASHING_BODY, node=next(system.entry_turns))
+    fleet.replace_crashed(LARGE_FLEET)
+    time.sleep(STABLE_WINDOW_S)
+    arrivals_before = len(fleet.arrivals)
+    for _ in range(MAX_TRIES):
+        system.request("GET", "/look/2", CRASHING_BODY, node=next(system.entry_turns))
+    assert len(fleet.arrivals) - arrivals_before <= MAX_LATER_ARRIVALS
+    fleet.replace_crashed()
+    for node in system.entries:
+        assert system.request("GET", "/look/2", b"another", node=node).status == 200
+        assert system.request("GET", "/look/2", CRASHING_BODY, node=node).status == 503
+
+
 # Guards against requests that are blamed for answers that a living server breaks off.
 def test_a_server_that_breaks_off_answers_but_lives_has_not_crashed(system, start_fleet):
     fleet = start_fleet("plan")
