Report no crash of a server that only this host cannot reach

What callers saw: requests that were in flight at sound servers were blamed for crashes that had not happened. Change: a refused connection counts as a crash if another server accepts one, or if the server reports no more.

--- a/src/ebonywheel/gateway/crashes.py
+++ b/src/ebonywheel/gateway/crashes.py
@@ -1,20 +1,28 @@
 """Reports of crashed backend servers, with the requests that may have crashed them.
 
-When an answer breaks off, the server is asked for a new connection. If it refuses one, it has
-crashed. The control hosts then get the requests that were in flight there from this host, without
-those whose answers had gone on for a while. They also get requests that succeed though they share a
-fingerprint with such a request.
+When an answer breaks off, the server is asked for a new connection. If it refuses one while another
+server accepts one, it has crashed; if no other accepts one, either, it has crashed if it does not
+report any more. The control hosts then get the requests that were in flight there from this host,
+without those whose answers had gone on for a while. They also get requests that succeed though they
+share a fingerprint with such a request.
 """
 
+import random
+
 import curio
 import msgspec
 
 from ebonywheel import commands, directory, exceptions, kernel, messages, watcher
-from ebonywheel.gateway import inflight, sender
+from ebonywheel.gateway import balance, inflight, sender
 
 # Requests at one server that break off within this time are reported together.
 GATHER_S = 0.05
 PROBE_TIMEOUT_S = 0.5
+# Other servers that are asked for a connection, one after the other.
+MAX_OTHERS_PROBED = 2
+# Servers report every 1.2 s, and reports take up to half a second to arrive here.
+REPORT_WAIT_S = 2.0
+REPORT_POLL_S = 0.1
 # A server that accepted a connection within this time is not asked again.
 ALIVE_S = 1.0
 # An answer that breaks off this soon after its first part had just begun.
@@ -165,8 +173,35 @@
             return True
         if not self.view.remains_in_service(record):
             return False
+        refused_at = self.core.clock.monotonic()
         error = await self.pool.probe(record, PROBE_TIMEOUT_S)
-        return error is not None and isinstance(error.__cause__, ConnectionRefusedError)
+        if error is None or not isinstance(error.__cause__, ConnectionRefusedError):
+            return False
+        return await self._reaches_others(record) or not await self._reports(record, refused_at)
+
+    async def _reaches_others(self, record: messages.DirectoryRecord) -> bool:
+        """Return whether another server accepts a connection, so that this host is not cut off."""
+        others = [
+            entry.record
+            for entry in self.view.directory.live()
+            if entry.record.server != record.server
+            and not self.view.state_of(entry.record).unreachable
+            and self.view.directory.age_s(entry.record.server) < balance.MAX_REPORT_AGE_S
+        ]
+        for other in random.sample(others, min(MAX_OTHERS_PROBED, len(others))):
+            if await self.pool.probe(other, PROBE_TIMEOUT_S) is None:
+                return True
+        return False
+
+    async def _reports(self, record: messages.DirectoryRecord, since: float) -> bool:
+        """Return whether a server reports within `REPORT_WAIT_S` that it runs."""
+        waited_s = 0.0
+        while record.server in self.view.directory.entries and waited_s < REPORT_WAIT_S:
+            await curio.sleep(REPORT_POLL_S)
+            waited_s = self.core.clock.monotonic() - since
+            if self.view.directory.age_s(record.server) < waited_s:
+                return self.view.remains_in_service(record)
+        return False
 
     async def _report(self, broken: BrokenServer) -> None:
         while True:
