Have a host that counts as cut off try servers that it has not tried

Cause: a host that could not reach three servers in a row tried none directly until one of these was reached, also none that started later. Where the three had crashed, that was never: each request went through another host, and one whose answer broke off got 502. Change: the servers known at the start of the cut count as unreachable and are probed at different times; the others are tried.

--- a/src/ebonywheel/gateway/reach.py
+++ b/src/ebonywheel/gateway/reach.py
@@ -113,7 +113,13 @@
         ]
 
     def _begin_cut(self) -> None:
+        """Take all servers known so far for unreachable; probe them at different times."""
+        now = self.core.clock.monotonic()
         self.view.cut_off = True
+        for state in self.view.states.values():
+            if not state.unreachable:
+                state.unreachable = True
+                state.backoff_until = now + random.uniform(0.0, balance.MAX_BACKOFF_S)
         self.core.metrics.count("cut_off")
         self.core.log.warning("cut_off_from_servers", failed=len(self.failed))
 
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -249,8 +249,7 @@
 
     def is_out_of_reach(self, candidate: balance.Candidate) -> bool:
         """Return whether this host cannot reach a server though it runs."""
-        runs = candidate.age_s < balance.MAX_REPORT_AGE_S
-        return runs and (self.cut_off or candidate.state.unreachable)
+        return candidate.state.unreachable and candidate.age_s < balance.MAX_REPORT_AGE_S
 
     def remains_in_service(self, record: messages.DirectoryRecord) -> bool:
         """Return whether a server's incarnation is in service and not shutting down."""
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -182,3 +182,17 @@
     host.pool.reachable.clear()
     host.connect("s0")
     assert host.view.cut_off
+
+
+def test_a_server_that_starts_during_a_cut_is_tried(host):
+    host.clock.advance(reach.HEARD_S + 0.1)
+    host.pool.reachable.clear()
+    host.connect("s0")
+    assert host.view.cut_off
+    host.records["new"] = messages.DirectoryRecord("new", 1, service="book")
+    host.report()
+    requirements = balance.Requirements(
+        types.SimpleNamespace(name="book", engine=None, cold_per_s=0.0)
+    )
+    chosen = host.view.choose(requirements)
+    assert chosen.record.server == "new" and not host.view.is_out_of_reach(chosen)
