--- a/src/ebonywheel/gateway/crashes.py
+++ b/src/ebonywheel/gateway/crashes.py
@@ -185,10 +185,11 @@
             entry.record
             for entry in self.view.directory.live()
             if entry.record.server != record.server
-            and not self.view.state_of(entry.record).unreachable
             and self.view.directory.age_s(entry.record.server) < balance.MAX_REPORT_AGE_S
         ]
-        for other in random.sample(others, min(MAX_OTHERS_PROBED, len(others))):
+        random.shuffle(others)
+        others.sort(key=lambda other: self.view.state_of(other).unreachable)
+        for other in others[:MAX_OTHERS_PROBED]:
             if await self.pool.probe(other, PROBE_TIMEOUT_S) is None:
                 return True
         return False
