Decide on a crash before the request under which it happened is sent again

What callers of all others saw: one lookup, sent again and again, took a service's servers down together, wave after wave. Cause: a request was sent to the next server within milliseconds of the crash of the one before, by its attempt and by its caller's next one, while the control hosts need some 100 ms to decide, and count crashes within 100 ms of each other once, as servers that end together have another cause. So a burst of crashes by one request counted as one. Class: evidence is gathered more slowly than what it is meant to stop repeats it.

Change: while a crash is being decided on, requests equal to those in flight there wait on this host, at most 0.6 s; after a crash for 150 ms at least, and up to 100 ms at random, so that an innocent one does not travel along. The answer to the report says at once what is quarantined. It holds for repeats, first tries, moved runs that go on at their copy, and requests served for other hosts, as all ask the reporter before they are sent. Nothing is new in the log or on the links: an older control host counts the same way, and an older entry host only repeats faster.

Not covered: equal requests that reach servers from several hosts within 100 ms still count once.

--- a/src/ebonywheel/gateway/crashes.py
+++ b/src/ebonywheel/gateway/crashes.py
@@ -10,9 +10,8 @@
 import random
 
 import curio
-import msgspec
 
-from ebonywheel import commands, directory, exceptions, kernel, messages, watcher
+from ebonywheel import commands, crashstate, directory, exceptions, kernel, messages, watcher
 from ebonywheel.gateway import balance, inflight, sender
 
 # Requests at one server that break off within this time are reported together.
@@ -23,6 +22,13 @@
 # Servers report every 1.2 s, and reports take up to half a second to arrive here.
 REPORT_WAIT_S = 2.0
 REPORT_POLL_S = 0.1
+# A request under which a server has crashed is not sent again before this time has passed, and a
+# random one of up to `PAUSE_SPREAD_S`: faster crashes may be taken for one, and requests that were
+# in flight at the same server should not meet again at the next.
+CRASH_PAUSE_S = crashstate.COMMON_CAUSE_MS / 1000 + 0.05
+PAUSE_SPREAD_S = 0.1
+# Longest wait for the control hosts to decide on a crash.
+MAX_VERDICT_WAIT_S = 0.6
 # A server that accepted a connection within this time is not asked again.
 ALIVE_S = 1.0
 # An answer that breaks off this soon after its first part had just begun.
@@ -38,19 +44,30 @@
 MS_PER_S = 1000
 
 
-class BrokenServer(msgspec.Struct):
+class BrokenServer:
     """A server at which answers broke off.
 
     Attributes:
         broke_at: When the first of them did, monotonic seconds.
         requests: Requests that may have crashed it.
         attempts: Ids of their attempts.
+        crashed: Whether it has crashed, as far as known.
+        decided: Set once the control hosts have taken the report, or none is due.
     """
 
-    record: messages.DirectoryRecord
-    broke_at: float
-    requests: list[commands.InFlightRequest] = []
-    attempts: list[str] = []
+    __slots__ = ("record", "broke_at", "requests", "attempts", "crashed", "decided")
+
+    def __init__(self, record: messages.DirectoryRecord, broke_at: float):
+        self.record = record
+        self.broke_at = broke_at
+        self.requests: list[commands.InFlightRequest] = []
+        self.attempts: list[str] = []
+        self.crashed = False
+        self.decided = curio.Event()
+
+    def concerns(self, whole_request: bytes) -> bool:
+        """Return whether a request with this most specific fingerprint may have crashed it."""
+        return any(request.fingerprints[-1] == whole_request for request in self.requests)
 
 
 class CrashReporter:
@@ -58,6 +75,7 @@
 
     Attributes:
         broken: Servers that are being checked, by id and start of the process.
+        undecided: These, and those whose report no control host has taken yet.
         alive_until: Until when servers count as alive, monotonic seconds.
     """
 
@@ -72,8 +90,39 @@
         self.view = request_sender.view
         self.watcher = control_watcher
         self.broken: dict[directory.IncarnationKey, BrokenServer] = {}
+        self.undecided: set[BrokenServer] = set()
         self.alive_until: dict[directory.IncarnationKey, float] = {}
 
+    async def admit(self, context: inflight.RequestContext) -> bool:
+        """Return whether a request may be sent to a server.
+
+        If an equal one may have crashed a server just now, wait for what the control hosts decide.
+        """
+        if self.undecided:
+            await self._wait_for_verdict(context.fingerprints()[-1])
+        return not self.view.quarantined_s(context)
+
+    async def _wait_for_verdict(self, whole_request: bytes) -> None:
+        while (broken := self._find_undecided(whole_request)) is not None:
+            async with curio.ignore_after(MAX_VERDICT_WAIT_S - self._elapsed_s(broken)):
+                await broken.decided.wait()
+                if broken.crashed:
+                    pause_s = CRASH_PAUSE_S + random.uniform(0.0, PAUSE_SPREAD_S)
+                    await curio.sleep(max(0.0, pause_s - self._elapsed_s(broken)))
+
+    def _find_undecided(self, whole_request: bytes) -> BrokenServer | None:
+        return next(
+            (
+                broken
+                for broken in self.undecided
+                if broken.concerns(whole_request) and self._elapsed_s(broken) < MAX_VERDICT_WAIT_S
+            ),
+            None,
+        )
+
+    def _elapsed_s(self, broken: BrokenServer) -> float:
+        return self.core.clock.monotonic() - broken.broke_at
+
     async def record_success(self, context: inflight.RequestContext) -> None:
         """Record a request whose answer is complete, or has gone on for a while."""
         context.success_recorded = True
@@ -124,7 +173,8 @@
             if len(self.broken) >= MAX_PENDING_SERVERS:
                 return
             broken = self.broken[key] = BrokenServer(record, now)
-            await self.core.spawn(self._check(key, broken))
+            self.undecided.add(broken)
+            await self.core.spawn(self._check_and_report(key, broken))
         if not self._has_survived(context) and len(broken.requests) < MAX_REQUESTS_PER_SERVER:
             broken.requests.append(
                 commands.InFlightRequest(
@@ -139,14 +189,26 @@
         began_at = context.first_event_at
         return not began_at or self.core.clock.monotonic() - began_at < BEGINNING_S
 
+    async def _check_and_report(self, key: directory.IncarnationKey, broken: BrokenServer) -> None:
+        try:
+            await self._check(key, broken)
+            if broken.crashed and broken.requests:
+                await self._report(broken)
+        finally:
+            await self._decide(broken)
+
+    async def _decide(self, broken: BrokenServer) -> None:
+        self.undecided.discard(broken)
+        await broken.decided.set()
+
     async def _check(self, key: directory.IncarnationKey, broken: BrokenServer) -> None:
-        """Report a server that has crashed, once the requests at it have broken off."""
+        """Find out whether a server has crashed, once the requests at it have broken off."""
         await curio.sleep(GATHER_S)
         try:
-            crashed = await self._has_crashed(broken.record)
+            broken.crashed = await self._has_crashed(broken.record)
         finally:
             del self.broken[key]
-        if not crashed:
+        if not broken.crashed:
             self._record_alive(key)
             return
         self.core.metrics.count("server_crashes", service=broken.record.service)
@@ -158,8 +220,6 @@
             attempts=" ".join(broken.attempts),
             fingerprints=_whole_fingerprints(broken.requests),
         )
-        if broken.requests:
-            await self._report(broken)
 
     def _record_alive(self, key: directory.IncarnationKey) -> None:
         now = self.core.clock.monotonic()
@@ -206,7 +266,7 @@
 
     async def _report(self, broken: BrokenServer) -> None:
         while True:
-            age_s = self.core.clock.monotonic() - broken.broke_at
+            age_s = self._elapsed_s(broken)
             command = commands.ReportServerCrash(
                 actor=self.core.host.name,
                 server=broken.record.server,
@@ -214,25 +274,30 @@
                 age_ms=int(age_s * MS_PER_S),
                 requests=broken.requests,
             )
-            if await self._submit(command) or age_s > MAX_REPORT_AGE_S:
+            outcome = await self._submit(command)
+            if isinstance(outcome, commands.CrashRecorded):
+                now = self.core.clock.monotonic()
+                self.view.quarantine.refuse(outcome.quarantined, broken.broke_at, now)
+            if outcome is not None or age_s > MAX_REPORT_AGE_S:
                 return
             await curio.sleep(RETRY_S)
 
     async def _report_success(self, command: commands.ReportSuccess) -> None:
-        if not await self._submit(command):
+        if await self._submit(command) is None:
             # The next success is reported instead.
             self.view.quarantine.contradicted.difference_update(command.fingerprints)
 
-    async def _submit(self, command: commands.Command) -> bool:
+    async def _submit(self, command: commands.Command) -> commands.AnyOutcome | None:
+        """Submit a report; return its outcome, None if no control host has taken it."""
         message = commands.submit_message(command)
         try:
             reply = await self.watcher.call(message, SUBMIT_TIMEOUT_S)
         except exceptions.LinkError as error:
             self.core.log.warning("report_not_taken", kind=type(command).__name__, error=error)
-            return False
+            return None
         outcome = commands.decode_outcome(reply.outcome)
         self.core.log.info("report_taken", kind=type(command).__name__, outcome=outcome)
-        return True
+        return outcome
 
 
 def _whole_fingerprints(requests: list[commands.InFlightRequest]) -> str:
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -62,7 +62,7 @@
         """
         last_answer: BufferedAnswer | None = None
         refused_count = 0
-        while True:
+        while await self.crashes.admit(context):
             candidate = self._choose_server(context)
             if candidate is None:
                 break
@@ -108,9 +108,6 @@
         if self._remaining_s(context) <= 0:
             context.reason = context.reason or "deadline passed"
             return None
-        if self.view.quarantined_s(context):
-            # It was quarantined since the last attempt.
-            return None
         requirements = balance.Requirements(
             context.service, regions=context.regions(), excluded=context.excluded_servers()
         )
--- a/src/ebonywheel/gateway/quarantine.py
+++ b/src/ebonywheel/gateway/quarantine.py
@@ -9,6 +9,8 @@
 from ebonywheel.gateway import dialect
 
 MS_PER_S = 1000
+# What a control host has said in answer to a report holds this long, unless all are told later.
+REFUSED_BY_REPORT_S = 2.0
 
 
 def request_fingerprints(
@@ -52,14 +54,17 @@
     Attributes:
         index: Log index of their last change; never decreases.
         suspects: Suspect fingerprints, quarantined ones among them.
+        refused_by_report: Fingerprints that a report of this host has had quarantined, of which
+            the control hosts may not have told all hosts yet.
         contradicted: Those of which this host has reported a success.
     """
 
-    __slots__ = ("index", "suspects", "contradicted")
+    __slots__ = ("index", "suspects", "refused_by_report", "contradicted")
 
     def __init__(self):
         self.index = 0
         self.suspects: dict[bytes, Suspect] = {}
+        self.refused_by_report: dict[bytes, Suspect] = {}
         self.contradicted: set[bytes] = set()
 
     def update(self, index: int, suspects: list[messages.SuspectFingerprint], now: float) -> bool:
@@ -77,12 +82,27 @@
         self.contradicted.clear()
         return True
 
+    def refuse(self, quarantined: list[bytes], crashed_at: float, now: float) -> None:
+        """Refuse requests with fingerprints that the answer to a report says are quarantined."""
+        self.refused_by_report = {
+            fingerprint: suspect
+            for fingerprint, suspect in self.refused_by_report.items()
+            if suspect.refused_until > now
+        }
+        for fingerprint in quarantined:
+            self.refused_by_report[fingerprint] = Suspect(crashed_at, now + REFUSED_BY_REPORT_S)
+
+    def is_empty(self) -> bool:
+        """Return whether no request is suspected or refused."""
+        return not (self.suspects or self.refused_by_report)
+
     def remaining_s(self, of_request: tuple[bytes, ...], now: float) -> float:
         """Return how long a request with these fingerprints is refused, 0 if it is not."""
         refused_until = (
-            self.suspects[fingerprint].refused_until
+            suspects[fingerprint].refused_until
+            for suspects in (self.suspects, self.refused_by_report)
             for fingerprint in of_request
-            if fingerprint in self.suspects
+            if fingerprint in suspects
         )
         return max(0.0, max(refused_until, default=now) - now)
 
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -111,7 +111,7 @@
 
     async def _start_run(self, context: inflight.RequestContext) -> sender.Reply:
         tokens = expected_memory_tokens(context.request.prompt)
-        while len(context.tried) < MAX_SERVERS_TRIED:
+        while len(context.tried) < MAX_SERVERS_TRIED and await self.crashes.admit(context):
             candidate = self._choose_server(context, tokens)
             if candidate is None:
                 break
@@ -283,6 +283,8 @@
         copy = run.copy
         if copy is None or not self.view.remains_in_service(copy.record):
             raise error
+        if not await self.crashes.admit(run.context):
+            raise error
         resume = dialect.Resume(copy.source, copy.handle, run.splitter.last_id)
         run.replace_copy(None)
         reply = await self._send(run.context, copy.record, resume)
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -243,7 +243,7 @@
 
     def quarantined_s(self, context: inflight.RequestContext) -> float:
         """Return how long a request is refused as it crashes servers, 0 if it is not."""
-        if not self.quarantine.suspects:
+        if self.quarantine.is_empty():
             return 0.0
         return self.quarantine.remaining_s(context.fingerprints(), self.core.clock.monotonic())
 
