Do not take a server's own failure for proof that a request crashes nothing

Cause: every answer that was no refusal counted as a success of its request, a 5xx too, which a server may give before it runs the request. A success clears all older crashes and ends a quarantine. What callers saw: a lookup that half of the servers fail and half crash on was never quarantined. Test: test_failures_of_servers_do_not_clear_a_request_that_crashes_others, failed before (15 later arrivals, allowed 3). That one is not traced; it is looked for by repeated runs.

--- a/src/ebonywheel/gateway/crashes.py
+++ b/src/ebonywheel/gateway/crashes.py
@@ -124,7 +124,10 @@
         return self.core.clock.monotonic() - broken.broke_at
 
     async def record_success(self, context: inflight.RequestContext) -> None:
-        """Record a request whose answer is complete, or has gone on for a while."""
+        """Record a request whose answer is complete, or has gone on for a while.
+
+        A server's own failure is no success, as it may have failed before it ran the request.
+        """
         context.success_recorded = True
         quarantine = self.view.quarantine
         if not quarantine.suspects:
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -92,10 +92,12 @@
                 if refused_count < MAX_REFUSALS and self.budgets.take_retry(context.service.name):
                     continue
                 break
-            await self.crashes.record_success(context)
             last_answer = buffered
             context.elsewhere = False
-            if buffered.head.status < sender.STATUS_SERVER_ERROR or not self._take_retry(context):
+            if buffered.head.status < sender.STATUS_SERVER_ERROR:
+                await self.crashes.record_success(context)
+                break
+            if not self._take_retry(context):
                 break
         if last_answer is None and context.may_have_run:
             raise refusals.outcome_unknown_error(context)
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -217,11 +217,11 @@
         except BaseException:
             await self.sender.abandon(reply)
             raise
-        self.view.state_of(reply.record).record_answer(
-            reply.head.status >= sender.STATUS_SERVER_ERROR
-        )
+        server_failed = reply.head.status >= sender.STATUS_SERVER_ERROR
+        self.view.state_of(reply.record).record_answer(server_failed)
         await self.sender.finish(reply)
-        await self.crashes.record_success(context)
+        if not server_failed:
+            await self.crashes.record_success(context)
         headers = [*reply.head.headers, ("content-length", str(len(body)))]
         await exchange.respond_raw(reply.head.status, headers, body)
 
--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -37,6 +37,8 @@
 
     Attributes:
         arrivals: Times at which such requests reached a server, monotonic seconds.
+        fails_every_other: Whether every other one of those that are not generations is answered
+            with a failure and crashes nothing.
     """
 
     # One number for each server of all fleets: `announce` looks for the name in the logs.
@@ -47,6 +49,7 @@
         self.service = service
         self.servers = []
         self.arrivals = []
+        self.fails_every_other = False
         self.closed = threading.Event()
         for _ in range(size):
             self.start_server()
@@ -74,7 +77,10 @@
         """Answer, or crash: a generation when its answer begins, another request before."""
         if received.body == CRASHING_BODY:
             self.arrivals.append(time.monotonic())
-            handler.server.owner.crash()
+            if self.fails_every_other and len(self.arrivals) % 2 == 0:
+                handler.answer(500, b"", {"X-Response-Stamp": "stamp"})
+            else:
+                handler.server.owner.crash()
             return
         if "x-prompt-prefix" not in received.headers:
             platformserver.answer_plainly(handler, received)
@@ -224,6 +230,21 @@
         assert system.request("GET", "/look/2", CRASHING_BODY, node=node).status == 503
 
 
+# Guards against a request that goes on crashing servers because some of them fail it before they
+# run it, and their failure counts as a success that clears it.
+def test_failures_of_servers_do_not_clear_a_request_that_crashes_others(system, start_fleet):
+    fleet = start_fleet("book", LARGE_FLEET)
+    fleet.fails_every_other = True
+    while fleet.crash_count() < CRASHES_BY_ONE_REQUEST:
+        system.request("GET", "/look/3", CRASHING_BODY, node=next(system.entry_turns))
+    fleet.replace_crashed(LARGE_FLEET)
+    time.sleep(STABLE_WINDOW_S)
+    arrivals_before = len(fleet.arrivals)
+    for _ in range(MAX_TRIES):
+        system.request("GET", "/look/3", CRASHING_BODY, node=next(system.entry_turns))
+    assert len(fleet.arrivals) - arrivals_before <= MAX_LATER_ARRIVALS
+
+
 # Guards against requests that are blamed for answers that a living server breaks off.
 def test_a_server_that_breaks_off_answers_but_lives_has_not_crashed(system, start_fleet):
     fleet = start_fleet("plan")
