--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -67,13 +67,14 @@
         Raises:
             UpstreamError: The server cannot be reached.
         """
-        host, port = settings.split_address(self.address)
         try:
+            host, port = settings.split_address(self.address)
             async with curio.timeout_after(timeout_s):
                 self.sock = await curio.open_connection(host, port)
         except curio.TaskTimeout as error:
             raise self._timeout_error("no connection in time", "connect") from error
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # A port that is out of range raises an OverflowError, an odd host name a ValueError.
             raise self._error(str(error), "connect") from error
         sockets.set_tcp_options(self.sock, self.keep_alive)
 
--- a/src/ebonywheel/settings.py
+++ b/src/ebonywheel/settings.py
@@ -161,6 +161,12 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Split ``ip:port`` into its two parts."""
+    """Split ``ip:port`` into its two parts.
+
+    Raises:
+        ValueError: There is no port, or it is not a decimal number.
+    """
     ip, _, port = address.rpartition(":")
+    if not (port.isascii() and port.isdecimal()):
+        raise ValueError(f"address {address!r} has no port")
     return ip, int(port)
