--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -16,6 +16,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PROGRAM = ROOT / "platform" / "run.py"
 PARTITIONED_HOST = ROOT / "tests" / "partitionedhost.py"
+FULL_DISK_HOST = ROOT / "tests" / "fulldiskhost.py"
 FRONT_PORT, READY_PORT, CONTROL_PORT, FIRST_INTERNAL_PORT = 18740, 18749, 18748, 17200
 ZONES = {"puget-a": "puget", "yakima-a": "yakima", "willamette-a": "willamette"}
 WAIT_S = cluster.WAIT_S
@@ -89,6 +90,18 @@
         self.process = None
         self.log = self.folder / "log"
         self.partition_file = None
+        self.full_file = None
+
+    def make_fillable(self):
+        """Let later processes of this host run so that `fill_disk` can fill their disk."""
+        self.full_file = self.folder / "full"
+
+    def fill_disk(self, full=True):
+        """Leave no room on this host's disk, or make room again."""
+        if full:
+            self.full_file.touch()
+        else:
+            self.full_file.unlink(missing_ok=True)
 
     def make_partitionable(self):
         """Let later processes of this host run so that `partition` can cut them off."""
@@ -141,6 +154,8 @@
         launcher = []
         if self.partition_file is not None:
             launcher = [str(PARTITIONED_HOST), str(self.partition_file)]
+        elif self.full_file is not None:
+            launcher = [str(FULL_DISK_HOST), str(self.full_file)]
         command = [sys.executable, *launcher, str(PROGRAM), self.role]
         return subprocess.Popen(command, env=environment, **output)
 
@@ -155,26 +170,31 @@
 
 
 class System:
-    """Three control hosts and some entry hosts.
+    """Some control hosts, the first three of which form the cluster, and some entry hosts.
 
     Attributes:
         entry_turns: The entry hosts in turn, without end.
     """
 
-    def __init__(self, folder, entries=1, partitionable=False):
+    def __init__(self, folder, entries=1, partitionable=False, controls=3, fillable=False):
         zones = list(ZONES)
         prefix = loopback_prefix()
         self.folder = folder
-        self.controls = [Node(folder, "control", n + 1, zones[n], prefix) for n in range(3)]
+        self.controls = [
+            Node(folder, "control", n + 1, zones[n % len(zones)], prefix) for n in range(controls)
+        ]
         self.entries = [
             Node(folder, "entry", n + 1, zones[n % len(zones)], prefix) for n in range(entries)
         ]
         self.entry_turns = itertools.cycle(self.entries)
-        self.seeds = [f"{node.ip}:{CONTROL_PORT}" for node in self.controls]
+        self.seeds = [f"{node.ip}:{CONTROL_PORT}" for node in self.controls[:3]]
         self.attempts = itertools.count(1)
         if partitionable:
             for node in self.entries:
                 node.make_partitionable()
+        if fillable:
+            for node in self.controls:
+                node.make_fillable()
         for node in self.controls + self.entries:
             node.write_settings(self.seeds, True)
             node.start()
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -492,6 +492,31 @@
 
         run(tmp_path, body)
 
+    # Guards against hosts that refuse or leave unanswered all changes after their disks were full,
+    # one after the other, though all have room again.
+    @pytest.mark.parametrize(("count", "seed"), [(3, 1), (3, 2), (5, 3), (5, 4)])
+    def test_changes_are_accepted_after_disks_were_full_in_turn(self, tmp_path, count, seed):
+        async def body(cluster):
+            source = random.Random(seed)
+            clients = [await curio.spawn(cluster.client(source), daemon=True) for _ in range(3)]
+            for node in source.sample(cluster.nodes, count) + source.sample(cluster.nodes, count):
+                if source.random() < 0.5:
+                    node = cluster.leader() or node
+                cluster.disk.full_folders = {node.folder}
+                await curio.sleep(cluster.timeout_s * source.uniform(1, 12))
+                cluster.disk.full_folders = set()
+                if source.random() < 0.5:
+                    await curio.sleep(cluster.timeout_s * source.uniform(0, 4))
+            started_at = time.monotonic()
+            await propose_at_leader(cluster)
+            assert time.monotonic() - started_at < 10 * cluster.timeout_s
+            for client in clients:
+                await client.cancel()
+            assert all(node.core.failure is None for node in cluster.nodes)
+            await cluster.verify()
+
+        run(tmp_path, body, count=count)
+
     def test_snapshot_without_room_is_taken_later(self, tmp_path):
         async def body(cluster):
             follower, _ = followers(cluster)
