Send suspect requests one at a time over all hosts

Change: a request that one more crash would have quarantined needs a permit of the leader, two a second over all hosts, and waits for it up to 1 s. So the control hosts have decided on one crash before the next request is sent. Innocent ones are cleared by the first success. Without a leader nothing can be decided, and they are sent as before.

--- a/src/ebonywheel/gateway/crashes.py
+++ b/src/ebonywheel/gateway/crashes.py
@@ -12,7 +12,7 @@
 import curio
 
 from ebonywheel import commands, crashstate, directory, exceptions, kernel, messages, watcher
-from ebonywheel.gateway import balance, inflight, sender
+from ebonywheel.gateway import balance, inflight, permitclient, sender
 
 # Requests at one server that break off within this time are reported together.
 GATHER_S = 0.05
@@ -75,6 +75,7 @@
 
     Attributes:
         broken: Servers that are being checked, by id and start of the process.
+        permits: Asks for permits to send suspect requests.
         undecided: These, and those whose report no control host has taken yet.
         alive_until: Until when servers count as alive, monotonic seconds.
     """
@@ -84,11 +85,13 @@
         core: kernel.Kernel,
         request_sender: sender.Sender,
         control_watcher: watcher.Watcher,
+        permits: permitclient.PermitClient,
     ):
         self.core = core
         self.pool = request_sender.pool
         self.view = request_sender.view
         self.watcher = control_watcher
+        self.permits = permits
         self.broken: dict[directory.IncarnationKey, BrokenServer] = {}
         self.undecided: set[BrokenServer] = set()
         self.alive_until: dict[directory.IncarnationKey, float] = {}
@@ -97,9 +100,17 @@
         """Return whether a request may be sent to a server.
 
         If an equal one may have crashed a server just now, wait for what the control hosts decide.
+        One that is suspect waits for a permit.
         """
-        if self.undecided:
-            await self._wait_for_verdict(context.fingerprints()[-1])
+        quarantine = self.view.quarantine
+        if not self.undecided and quarantine.is_empty():
+            return True
+        whole_request = context.fingerprints()[-1]
+        await self._wait_for_verdict(whole_request)
+        if quarantine.is_suspect(whole_request):
+            context.reason = context.reason or "suspected: such requests may crash servers"
+            if not await self.permits.acquire_trial(whole_request):
+                return False
         return not self.view.quarantined_s(context)
 
     async def _wait_for_verdict(self, whole_request: bytes) -> None:
--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -57,8 +57,8 @@
         self.budgets = budgets
         self.sender = sender.Sender(core, entry_view, wire_dialect)
         self.watcher = watcher.Watcher(core, entry_view)
-        self.crashes = crashes.CrashReporter(core, self.sender, self.watcher)
         permits = permitclient.PermitClient(core, entry_view, self.watcher)
+        self.crashes = crashes.CrashReporter(core, self.sender, self.watcher, permits)
         parts = (core, self.sender, budgets, self.crashes, permits)
         self.plain = plain.PlainForwarder(*parts)
         self.streams = streaming.StreamForwarder(*parts)
--- a/src/ebonywheel/gateway/permitclient.py
+++ b/src/ebonywheel/gateway/permitclient.py
@@ -1,4 +1,8 @@
-"""Asking for permits to send requests to servers that have stated a limit."""
+"""Asking for permits to send requests to servers that have stated a limit, and suspect requests.
+
+A suspect request would be quarantined if one more server crashed under it. All hosts together send
+one at a time, so that the control hosts can decide on each before the next.
+"""
 
 import curio
 
@@ -14,6 +18,13 @@
 # Requests per second that a server gets if it states less: its answers tell when the limit changes.
 MIN_LIMIT_PER_S = 0.05
 MS_PER_S = 1000
+# Suspect requests that all hosts together send in a second, of those with one fingerprint. A crash
+# is decided on within a few tenths of a second.
+TRIALS_PER_S = 2.0
+# Longest wait for a permit to send a suspect request.
+MAX_TRIAL_WAIT_S = 1.0
+# Begins the names of fingerprints where servers' ids stand otherwise.
+TRIAL_PREFIX = "trial:"
 
 
 class PermitClient:
@@ -40,7 +51,7 @@
         if state.limit_per_s is None:
             return True
         per_s = max(MIN_LIMIT_PER_S, state.limit_per_s)
-        wait_s = await self._request_permit(record, per_s)
+        wait_s = await self._request_permit(record.server, record.born_ms, per_s)
         if wait_s is None:
             wait_s = self._take_own_part(state, per_s)
         else:
@@ -52,18 +63,30 @@
         state.denied_until = self.core.clock.monotonic() + wait_s
         return False
 
-    async def _request_permit(self, record: messages.DirectoryRecord, per_s: float) -> float | None:
+    async def acquire_trial(self, fingerprint: bytes) -> bool:
+        """Wait until a suspect request may be sent; return False if that takes too long.
+
+        Without a leader no crash can be decided on, and requests are sent as if not suspect.
+        """
+        name = TRIAL_PREFIX + fingerprint.hex()
+        async with curio.ignore_after(MAX_TRIAL_WAIT_S):
+            while wait_s := await self._request_permit(name, 0, TRIALS_PER_S):
+                await curio.sleep(max(MIN_WAIT_S, wait_s))
+            return True
+        return False
+
+    async def _request_permit(self, server: str, born_ms: int, per_s: float) -> float | None:
         """Return how long to wait for a permit, 0 if it is granted, None if no leader answers."""
         asked_at = self.core.clock.monotonic()
         if asked_at < self.leaderless_until:
             return None
-        request = messages.PermitRequest(record.server, record.born_ms, per_s)
+        request = messages.PermitRequest(server, born_ms, per_s)
         try:
             async with curio.timeout_after(permits.TIMEOUT_S):
                 reply = await self.watcher.call(request, permits.TIMEOUT_S)
         except (exceptions.LinkError, curio.TaskTimeout) as error:
             self.leaderless_until = self.core.clock.monotonic() + RETRY_S
-            self.core.log.warning("permit_unanswered", server=record.server, error=error)
+            self.core.log.warning("permit_unanswered", server=server, error=error)
             return None
         late = self.core.clock.monotonic() - asked_at > VALID_S
         if reply.granted and late:
--- a/src/ebonywheel/gateway/quarantine.py
+++ b/src/ebonywheel/gateway/quarantine.py
@@ -96,6 +96,11 @@
         """Return whether no request is suspected or refused."""
         return not (self.suspects or self.refused_by_report)
 
+    def is_suspect(self, fingerprint: bytes) -> bool:
+        """Return whether one more crash would have a fingerprint quarantined."""
+        suspect = self.suspects.get(fingerprint)
+        return suspect is not None and suspect.refused_until < suspect.crashed_at
+
     def remaining_s(self, of_request: tuple[bytes, ...], now: float) -> float:
         """Return how long a request with these fingerprints is refused, 0 if it is not."""
         refused_until = (
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -66,7 +66,7 @@
         self.view = view.EntryView(self.core, lambda content: None, {}, 1)
         self.view.remains_in_service = lambda record: True
         sender = types.SimpleNamespace(view=self.view, pool=self)
-        self.reporter = crashes.CrashReporter(self.core, sender, self)
+        self.reporter = crashes.CrashReporter(self.core, sender, self, None)
 
     async def spawn(self, coro):
         self.tasks.append(await curio.spawn(coro))
