Keep away from servers that say in an answer that they leave or want a pause, and spare brittle ones

An answer with Server-Leaving takes its server out of the choice for new work of every path at once, for its incarnation; a 503 with Retry-After does so for that long, and callers that find no server are told when the first one wants requests again. Where a service's servers say that they are brittle, a request is sent only where a slot is free even if other hosts send, too (equal parts of the slots, or reported loads where hosts outnumber slots), and a rejection keeps the host away for as long as keeps all hosts within half of the rejections that the server bears. Hosts that choose a server all ask balance.choose: streams, plain requests, repeats, destinations of moves, relayed requests.

Nothing of it is sent between hosts. Not covered: a host learns of a notice only by its own answers.

--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -78,6 +78,8 @@
         denied_until: Until when it is not chosen, as the limit left no room; monotonic seconds.
         own_part_at: When this host may send a request next without the leader, monotonic seconds;
             0 while the leader grants permits.
+        leaving: True once it has said in an answer that it leaves.
+        paused_until: Until when it wants no requests from this host, monotonic seconds.
     """
 
     requests: int = 0
@@ -97,6 +99,8 @@
     limit_per_s: float | None = None
     denied_until: float = 0.0
     own_part_at: float = 0.0
+    leaving: bool = False
+    paused_until: float = 0.0
 
     def is_denied(self, now: float) -> bool:
         """Return whether its limit leaves no room for a request now."""
@@ -150,6 +154,7 @@
         max_unread: Most unread prompt tokens at the server, including the request's own.
         data_centre: The only data centre to select from; empty for all.
         long_running: True when the request is expected to outlast a server's shutdown notice.
+        without_wait: True when the server must be able to run the request at once.
     """
 
     service: routes.Service
@@ -161,6 +166,7 @@
     max_unread: float = float("inf")
     data_centre: str = ""
     long_running: bool = False
+    without_wait: bool = False
 
 
 def load_with_request(candidate: Candidate, requirements: Requirements) -> float:
@@ -267,7 +273,12 @@
 def _is_eligible(
     candidate: Candidate, requirements: Requirements, now: float, entry_hosts: int
 ) -> bool:
-    if candidate.record.server in requirements.excluded or candidate.state.is_denied(now):
+    state = candidate.state
+    if candidate.record.server in requirements.excluded or state.is_denied(now):
+        return False
+    if state.leaving or state.paused_until > now:
+        return False
+    if requirements.without_wait and not _has_free_slot(candidate, entry_hosts):
         return False
     if requirements.data_centre and candidate.record.data_centre != requirements.data_centre:
         return False
@@ -283,6 +294,17 @@
     )
 
 
+def _has_free_slot(candidate: Candidate, entry_hosts: int) -> bool:
+    """Return whether a server has a free slot, even if other hosts send to it now.
+
+    With at least one slot for each host, each host uses its part only.
+    """
+    state, slots = candidate.state, max(1, candidate.record.slots)
+    if entry_hosts <= slots:
+        return state.requests < slots // max(1, entry_hosts)
+    return state.requests + state.other_requests < slots
+
+
 def _has_cold_capacity(
     state: ServerState, service: routes.Service, now: float, entry_hosts: int
 ) -> bool:
--- a/src/ebonywheel/gateway/dialect.py
+++ b/src/ebonywheel/gateway/dialect.py
@@ -100,6 +100,11 @@
         headers: Headers to forward.
         limit_per_s: Requests per second that the server takes from all hosts together, None when it
             states no limit.
+        leaving: True when the server is about to leave and wants no new requests.
+        pause_s: How long the server, which has no room, wants no requests from this host; None when
+            not stated.
+        rejections_per_s: The server fails if it has to reject more requests a second than this for
+            want of room; None when not stated.
     """
 
     status: int
@@ -109,6 +114,9 @@
     keep_alive_s: float | None
     headers: http.Headers
     limit_per_s: float | None = None
+    leaving: bool = False
+    pause_s: float | None = None
+    rejections_per_s: float | None = None
 
 
 class EngineRun(msgspec.Struct, frozen=True):
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -102,7 +102,7 @@
         if last_answer is None and context.may_have_run:
             raise refusals.outcome_unknown_error(context)
         if last_answer is None:
-            raise refusals.not_run_error(context)
+            raise refusals.not_run_error(context, refusals.retry_after_s(self.view, context))
         context.status = last_answer.head.status
         await _respond(exchange, last_answer)
 
--- a/src/ebonywheel/gateway/refusals.py
+++ b/src/ebonywheel/gateway/refusals.py
@@ -28,6 +28,11 @@
     )
 
 
+def retry_after_s(entry_view: view.EntryView, context: inflight.RequestContext) -> float:
+    """Return when a request that found no server may find one."""
+    return entry_view.retry_after_s(context.service.name) or RETRY_AFTER_S
+
+
 def quarantined_error(
     context: inflight.RequestContext, remaining_s: float
 ) -> exceptions.NotRunError:
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -134,7 +134,7 @@
             await self._discard_answer(reply)
             if not self.budgets.take_retry(context.service.name):
                 break
-        raise refusals.not_run_error(context)
+        raise refusals.not_run_error(context, refusals.retry_after_s(self.view, context))
 
     async def _send(
         self,
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -5,10 +5,11 @@
 import typing
 
 import curio
+import msgspec
 import result
 
 from ebonywheel import directory, exceptions, kernel, link, messages
-from ebonywheel.gateway import balance, inflight, limits, quarantine, routes
+from ebonywheel.gateway import balance, inflight, limits, notices, quarantine, routes
 
 TableDecoder = typing.Callable[[bytes], result.Result[routes.Table, exceptions.DocumentError]]
 FETCH_TIMEOUT_S = 2.0
@@ -48,6 +49,7 @@
         on_shutdown_notice: Called with the id of a server that shuts down or has left.
         quarantine: Fingerprints of requests that crash servers, or may do so.
         limits: Limits that servers stated.
+        notices: What else they said of themselves in answers.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         self.on_shutdown_notice: list[collections.abc.Callable[[str], typing.Awaitable[None]]] = []
         self.quarantine = quarantine.Quarantine()
         self.limits = limits.ServerLimits(core, self._state_for)
+        self.notices = notices.Notices(core)
         self.fetch_lock = curio.Lock()
 
     # -- watch -----------------------------------------------------------------------------
@@ -275,6 +278,8 @@
             requirements: What the request needs.
             location: Location that the server should be near; this host's by default.
         """
+        if self.notices.is_brittle(requirements.service.name):
+            requirements = msgspec.structs.replace(requirements, without_wait=True)
         return balance.choose(
             self.candidates(requirements.service.name),
             requirements,
@@ -291,10 +296,17 @@
         )
         return "servers are at their limits" if at_limit else text
 
+    def retry_after_s(self, service: str) -> float | None:
+        """Return when the first server of a service wants requests again; None if any wants now."""
+        now = self.core.clock.monotonic()
+        pauses = [candidate.state.paused_until - now for candidate in self.candidates(service)]
+        return min(pauses) if pauses and min(pauses) > 0 else None
+
     def prune(self) -> None:
         """Forget servers that have been silent for long."""
         self.directory.prune()
         self.limits.prune()
+        self.notices.prune()
         known = {
             (entry.record.server, entry.record.born_ms) for entry in self.directory.entries.values()
         }
--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -166,6 +166,7 @@
         dropped: Handles of the copies that were dropped.
         engine_calls: Method and name of each engine call.
         crashed: True once the server has crashed.
+        slots: Requests that it reports to run at once.
         script: Called with the handler and the request to answer it; tests replace it.
     """
 
@@ -179,6 +180,7 @@
         self.engine_calls = []
         self.script = answer_plainly
         self.crashed = False
+        self.slots = 24
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.runs = []
@@ -195,7 +197,7 @@
             "address": self.address,
             "zone": self.zone,
             "version": "v1",
-            "slots": 24,
+            "slots": self.slots,
             "state": state,
             "cold-remaining-ms": 0,
             "sequence": self.sequence,
