Refuse a message of a newer build alone, and answer with an error what cannot be encoded

Cause: a message type that a build does not know ended the link with all else that it carries: an entry host that asked an older control host for hosts that relay lost its watch each time. And an answer that did not fit its fields failed its task, so the asker waited for nothing. Change: such a request is answered with an error of its own, a one-way message is dropped, both are logged; the link goes on. Tests: TestUnknownMessages, both seen to fail before in the form of FrameError and a time-out.

--- a/src/ebonywheel/codec.py
+++ b/src/ebonywheel/codec.py
@@ -129,11 +129,16 @@
     """Return the frame of a message.
 
     Raises:
-        FrameError: The body is larger than `MAX_BODY_BYTES`.
+        FrameError: The body is larger than `MAX_BODY_BYTES`, or a value does not fit its field.
     """
     codec = _struct_codec(type(message))
     builder = codec.schema.new_message()
-    codec.fill(message, builder)
+    try:
+        codec.fill(message, builder)
+    except (OverflowError, UnicodeEncodeError, capnp.KjException) as error:
+        raise exceptions.FrameError(
+            f"cannot encode {type(message).__name__}: {str(error).splitlines()[0]}", "encode frame"
+        ) from error
     body = builder.to_bytes()
     if len(body) > MAX_BODY_BYTES:
         raise exceptions.FrameError(
@@ -147,6 +152,7 @@
     """Decode and check a frame's header.
 
     Raises:
+        UnknownMessageError: A newer build may know the type of the message.
         FrameError: The version, flag, type or length is invalid.
     """
     header = Header(*HEADER.unpack(data))
@@ -158,10 +164,15 @@
         raise exceptions.FrameError(
             f"frame of {header.length} bytes is over {MAX_BODY_BYTES}", "decode frame"
         )
-    if header.type_number not in _codecs_by_number:
-        raise exceptions.FrameError(f"unknown message type {header.type_number}", "decode frame")
     if header.flag not in (FLAG_REQUEST, FLAG_REPLY, FLAG_ONE_WAY):
         raise exceptions.FrameError(f"unknown frame flag {header.flag}", "decode frame")
+    if header.type_number not in _codecs_by_number:
+        raise exceptions.UnknownMessageError(
+            f"unknown message type {header.type_number}",
+            header.length,
+            header.exchange,
+            header.flag == FLAG_REQUEST,
+        )
     return header
 
 
--- a/src/ebonywheel/exceptions.py
+++ b/src/ebonywheel/exceptions.py
@@ -47,6 +47,24 @@
     code = "frame"
 
 
+class UnknownMessageError(FrameError):
+    """A frame holds a message that this build does not know.
+
+    Attributes:
+        length: Length of its body in bytes.
+        exchange: Number of the exchange that it belongs to.
+        wants_answer: Whether the sender waits for an answer.
+    """
+
+    code = "unknown_message"
+
+    def __init__(self, text: str, length: int, exchange: int, wants_answer: bool):
+        super().__init__(text, "decode frame")
+        self.length = length
+        self.exchange = exchange
+        self.wants_answer = wants_answer
+
+
 class HandshakeError(LinkError):
     """A peer did not prove that it has the shared secret."""
 
--- a/src/ebonywheel/frames.py
+++ b/src/ebonywheel/frames.py
@@ -63,10 +63,16 @@
         """Read one whole frame.
 
         Raises:
+            UnknownMessageError: This build does not know the message; further frames can be read.
             FrameError: The frame is malformed.
             LinkError: The connection failed or was closed.
         """
-        return await self._read_body(codec.decode_header(await self._read_bytes(codec.HEADER.size)))
+        try:
+            header = codec.decode_header(await self._read_bytes(codec.HEADER.size))
+        except exceptions.UnknownMessageError as error:
+            await self._read_bytes(error.length)
+            raise
+        return await self._read_body(header)
 
     async def read_handshake(self, expected: type[msgspec.Struct]) -> msgspec.Struct:
         """Read a small message of the expected class from a peer that is not authenticated yet.
--- a/src/ebonywheel/link.py
+++ b/src/ebonywheel/link.py
@@ -251,14 +251,26 @@
             try:
                 while True:
                     async with curio.timeout_after(IDLE_TIMEOUT_S):
-                        header, message = await stream.read()
-                    await self._dispatch(stream, peer, header, message)
+                        await self._serve_message(stream, peer)
             except exceptions.FrameError as error:
                 self.core.metrics.count("link_bad_frames")
                 self.core.log.warning("bad_frame", error=error.text, peer=peer)
             except (curio.TaskTimeout, exceptions.LinkError):
                 self.core.metrics.count("link_closed")
 
+    async def _serve_message(self, stream: frames.FrameStream, peer: PeerInfo) -> None:
+        """Read a message and start to answer it; refuse one that this build does not know."""
+        try:
+            header, message = await stream.read()
+        except exceptions.UnknownMessageError as error:
+            self.core.metrics.count("link_failures", code=error.code)
+            self.core.log.warning("unknown_message", error=error.text, peer=peer)
+            if error.wants_answer:
+                failure = messages.Failure(error.code, error.text, error.step, self.core.host.name)
+                await stream.write(codec.encode(failure, error.exchange, codec.FLAG_REPLY))
+            return
+        await self._dispatch(stream, peer, header, message)
+
     async def _dispatch(
         self,
         stream: frames.FrameStream,
@@ -277,7 +289,13 @@
         self, stream: frames.FrameStream, peer: PeerInfo, exchange: int, message: msgspec.Struct
     ) -> None:
         answer = await self._handle(peer, message)
-        await stream.write(codec.encode(answer, exchange, codec.FLAG_REPLY))
+        try:
+            frame = codec.encode(answer, exchange, codec.FLAG_REPLY)
+        except exceptions.FrameError as error:
+            self.core.log.error("answer_not_encoded", peer=peer, error=error)
+            failure = messages.Failure(error.code, error.text, error.step, self.core.host.name)
+            frame = codec.encode(failure, exchange, codec.FLAG_REPLY)
+        await stream.write(frame)
 
     async def _handle(self, peer: PeerInfo, message: msgspec.Struct) -> msgspec.Struct:
         try:
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -73,6 +73,42 @@
         run(scenario)
 
 
+class TestUnknownMessages:
+    # Guards against a message of a newer build that ends the link, with all else that it carries.
+    def test_a_message_of_a_newer_build_fails_alone(self, monkeypatch):
+        async def scenario(core):
+            await start_server(core)
+            client_core, connection = make_link(core)
+            async with client_core:
+                slow = await curio.spawn(connection.call(messages.Query("slow"), 2.0))
+                await curio.sleep(0.05)
+                stream = connection.stream
+                with monkeypatch.context() as newer:
+                    newer.setitem(codec._type_numbers, messages.QueryReply, 60_000)
+                    with pytest.raises(exceptions.RemoteError) as raised:
+                        await connection.call(messages.QueryReply(1, b"x" * 100_000), 2.0)
+                assert raised.value.remote_code == "unknown_message"
+                assert (await slow.join()).content == b"slow"
+                assert (await connection.call(QUERY, 2.0)).content == b"status"
+                assert connection.stream is stream
+
+        run(scenario)
+
+    # Guards against answers that are never sent, as one value does not fit its field.
+    def test_an_answer_that_cannot_be_encoded_is_an_error(self):
+        async def answer(message, peer):
+            return messages.WatchReply(records=[messages.DirectoryRecord("s", 2**64)])
+
+        async def scenario(core):
+            await link.LinkServer(core, answer).start()
+            client_core, connection = make_link(core)
+            async with client_core:
+                with pytest.raises(exceptions.RemoteError):
+                    await connection.call(QUERY, 2.0)
+
+        run(scenario)
+
+
 class TestConnect:
     def test_connecting_to_an_unresponsive_host_times_out_early(self):
         """A SYN that a host lost in a power failure is resent by the kernel only after 1 s.
