--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -91,6 +91,7 @@
         self.log = self.folder / "log"
         self.partition_file = None
         self.full_file = None
+        self.program = PROGRAM
 
     def make_fillable(self):
         """Let later processes of this host run so that `fill_disk` can fill their disk."""
@@ -150,13 +151,18 @@
         self.process = self._spawn(stdout=subprocess.PIPE)
 
     def _spawn(self, **output):
-        environment = {**os.environ, "EBONYWHEEL_BOOT": str(self.folder / "boot.toml")}
+        root = self.program.parent.parent
+        environment = {
+            **os.environ,
+            "EBONYWHEEL_BOOT": str(self.folder / "boot.toml"),
+            "PYTHONPATH": f"{root / 'src'}:{root / 'platform'}",
+        }
         launcher = []
         if self.partition_file is not None:
             launcher = [str(PARTITIONED_HOST), str(self.partition_file)]
         elif self.full_file is not None:
             launcher = [str(FULL_DISK_HOST), str(self.full_file)]
-        command = [sys.executable, *launcher, str(PROGRAM), self.role]
+        command = [sys.executable, *launcher, str(self.program), self.role]
         return subprocess.Popen(command, env=environment, **output)
 
     def stop(self, signal_number=signal.SIGTERM):
@@ -176,7 +182,15 @@
         entry_turns: The entry hosts in turn, without end.
     """
 
-    def __init__(self, folder, entries=1, partitionable=False, controls=3, fillable=False):
+    def __init__(
+        self,
+        folder,
+        entries=1,
+        partitionable=False,
+        controls=3,
+        fillable=False,
+        program=PROGRAM,
+    ):
         zones = list(ZONES)
         prefix = loopback_prefix()
         self.folder = folder
@@ -196,6 +210,7 @@
             for node in self.controls:
                 node.make_fillable()
         for node in self.controls + self.entries:
+            node.program = program
             node.write_settings(self.seeds, True)
             node.start()
 
