Take no refusal without a name on a reused connection for the answer to a request

What callers saw: 503, so 'not run', for a booking or a plan that its server was running. Cause: an answer that names no request counted as that of the latest one, as long as the server had named none before. Change: on a connection that was used before, a refusal without a name says nothing; the request counts as one that may have run.

--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -116,6 +116,11 @@
             head = self.dialect.decode_answer(await connection.response(timeout_s))
             if head.attempt == attempt or not (head.attempt or connection.names_requests):
                 connection.names_requests = bool(head.attempt)
+                if head.not_run and not head.attempt and connection.reused:
+                    # It may be a copy of an earlier refusal, while this request runs.
+                    raise exceptions.UpstreamError(
+                        "refusal that names no request", "wait", connection.address, True
+                    )
                 return head
             self.core.metrics.count("stray_answers")
             await connection.skip_response(timeout_s)
