--- a/tests/test_platform_faulty_answers.py
+++ b/tests/test_platform_faulty_answers.py
@@ -47,17 +47,18 @@
 @pytest.mark.parametrize("path", ["/book/", "/plan/"])
 def test_a_repeated_refusal_is_no_answer_to_the_next_request(system, servers, path, named):
     server = servers.start("plan" if path == "/plan/" else "book")
-    refusals = []
+    # By connection, of which each has a handler of its own.
+    refusals = {}
     ran = []
 
     def answer(handler, received):
         attempt = received.headers["x-attempt-id"]
-        if not refusals:
+        if handler not in refusals:
             name = f"X-Attempt-Id: {attempt}\r\n".encode() if named else b""
-            refusals.append(REFUSAL % name)
-            handler.wfile.write(refusals[0])
+            refusals[handler] = REFUSAL % name
+            handler.wfile.write(refusals[handler])
             return
-        handler.wfile.write(refusals[0])
+        handler.wfile.write(refusals[handler])
         handler.wfile.flush()
         ran.append(attempt)
         time.sleep(0.05)
@@ -65,7 +66,7 @@
 
     server.script = answer
     headers = PLAN_HEADERS if path == "/plan/" else {}
-    for number in range(3):
+    for number in range(4):
         attempt = f"{path}{named}{number}"
         answer = system.request(
             "POST", f"{path}{number}", b"x", {**headers, "X-Attempt-Id": attempt}
@@ -73,7 +74,7 @@
         assert not (answer.status == 503 and attempt in ran)
         if answer.status == 200:
             assert answer.content == attempt.encode()
-    assert len(ran) == len(set(ran))
+    assert ran and len(ran) == len(set(ran))
 
 
 # Guards against an answer whose head is cut off and that reaches its caller as whole.
