Take crashed servers for a cut no more, and keep them out after one

What callers saw: refusals after three refused connections. Change: a host counts as cut off only if no server has been heard for a second, and after a cut all servers are probed within half a second, so that those that have crashed stay out. Tests: both new ones in test_reach failed before; test_platform_partition, test_platform_crashes and test_relays pass.

--- a/src/ebonywheel/gateway/reach.py
+++ b/src/ebonywheel/gateway/reach.py
@@ -2,7 +2,7 @@
 
 Servers that run, and report, may be out of reach of single hosts. A server counts as unreachable
 from a failed connection until a new one can be opened. A host counts as cut off when several
-servers in a row could not be reached and none has sent anything since.
+servers in a row could not be reached and none has sent anything for a while.
 """
 
 import random
@@ -24,6 +24,8 @@
 # Other servers that are probed after one could not be reached, unless any was heard this recently.
 PROBED_OTHERS = 3
 HEARD_S = 1.0
+# At the end of a cut all servers are probed within this time.
+PROBE_SPREAD_S = 0.5
 
 
 class Reach:
@@ -92,10 +94,12 @@
         self.failed.add((record.server, record.born_ms))
         if self.view.cut_off:
             return
+        if now - self.heard_at <= HEARD_S:
+            return
         others = self._fresh_servers()
         if len(self.failed) >= min(CUT_OFF_FAILURES, len(others)):
             self._begin_cut()
-        elif now - self.heard_at > HEARD_S:
+        else:
             untried = [other for other in others if _key(other) not in self.failed]
             for other in random.sample(untried, min(PROBED_OTHERS, len(untried))):
                 await self._start_probe(other)
@@ -124,11 +128,12 @@
         self.core.log.warning("cut_off_from_servers", failed=len(self.failed))
 
     def _end_cut(self) -> None:
-        """Take all servers for reachable again, as the host was what could not reach them."""
+        """Probe all servers soon; those that have crashed meanwhile stay unreachable."""
+        now = self.core.clock.monotonic()
         self.view.cut_off = False
         for state in self.view.states.values():
-            state.unreachable = False
-            state.backoff_until = 0.0
+            if state.unreachable:
+                state.backoff_until = now + random.uniform(0.0, PROBE_SPREAD_S)
         self.core.log.info("servers_reached_again")
 
     async def _start_probe(self, record: messages.DirectoryRecord) -> None:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -129,6 +129,29 @@
     assert not host.view.cut_off and not host.unreachable()
 
 
+# Guards against hosts that count as cut off, again and again, while several servers have crashed.
+def test_crashed_servers_beside_sound_ones_are_no_cut(host):
+    host.connect("s5")
+    for name in SERVERS[:4]:
+        host.pool.reachable.discard(name)
+        host.connect(name)
+    assert not host.view.cut_off and host.unreachable() == set(SERVERS[:4])
+
+
+# Guards against crashed servers that get requests again as soon as a cut has ended.
+def test_servers_that_cannot_be_reached_after_a_cut_stay_unreachable(host):
+    host.clock.advance(reach.HEARD_S + 0.1)
+    host.pool.reachable.clear()
+    host.connect("s0")
+    assert host.view.cut_off
+    host.pool.reachable.update(SERVERS[2:])
+    for _ in range(2):
+        host.clock.advance(balance.MAX_BACKOFF_S)
+        host.report()
+        host.run(host.reach.check)
+        assert not host.view.cut_off and host.unreachable() == set(SERVERS[:2])
+
+
 def test_servers_that_do_not_report_are_not_probed(host):
     host.pool.reachable.clear()
     host.connect("s0")
