--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,9 +11,10 @@
 KINDS = {"book": ("POST", "/book/1"), "look": ("GET", "/look/1"), "plan": ("POST", "/plan/1")}
 PLAN_HEADERS = {"X-Token-Counts": "300,120", "X-Model-Name": "m"}
 DEADLINE_MS = 4000
-# Share of the generations that crash their servers unless they are refused, and how long these have
-# the same part.
+# Share of the generations, and of the lookups, that crash their servers unless refused, and for
+# how long these have the same part, or path.
 CRASHING_SHARE = 0.2
+CRASHING_LOOKUPS_SHARE = 0.1
 CRASHING_PART_S = 40.0
 READ_BYTES = 65536
 # Time that an accepted withdrawal of a key may take to be in force, with hosts that were paused.
@@ -106,6 +107,8 @@
         }
         if kind == "plan":
             headers |= {**PLAN_HEADERS, "X-Prompt-Prefix": self.prompt_prefix()}
+        if kind == "look" and not self.world.calm:
+            path = self.lookup_path(path)
         connection = self.connect(node)
         withdrawn = key == "key-2" and self.world.keys.is_withdrawn(time.monotonic())
         connection.request(method, path, b"", headers)
@@ -122,6 +125,12 @@
         if answer.will_close:
             self.drop(node)
 
+    def lookup_path(self, path):
+        """Return the path of a lookup, now and then one that crashes servers."""
+        if self.draws.random() >= CRASHING_LOOKUPS_SHARE:
+            return path
+        return f"{servers.CRASHING_LOOKUPS}{int(self.ledger.now() / CRASHING_PART_S)}"
+
     def prompt_prefix(self):
         """Return the parts of a prompt; one of them crashes servers in some prompts."""
         part = "cafe"
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -34,7 +34,8 @@
         runs: Servers that ran each request, in order.
         hosts: Name of the entry host that each request was sent to.
         disturbances: Which hosts are in touch.
-        crashing: Requests that crash servers.
+        crashing: Generations that crash servers, by a part that they share.
+        crashing_lookups: Lookups that do, by path.
         outcomes: Number of requests by kind and outcome.
         breaches: Broken promises.
     """
@@ -47,7 +48,8 @@
         self.refused = {}
         self.hosts = {}
         self.disturbances = sums.Disturbances()
-        self.crashing = sums.CrashingRequests()
+        self.crashing = sums.CrashingRequests(sums.CRASHES_UNDER_PART)
+        self.crashing_lookups = sums.CrashingRequests(sums.CRASHES_UNDER_LOOKUP)
         self.outcomes = collections.Counter()
         self.breaches = []
 
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -16,6 +16,8 @@
 MODES = ("pass", "delay", "reset", "silent", "one way")
 # Start of the ids of parts under which servers crash.
 CRASHING_PART = "bad"
+# The same of the paths of lookups.
+CRASHING_LOOKUPS = "/look/bad"
 
 
 class Proxy:
@@ -119,21 +121,23 @@
         self.proxy.close()
         super().crash()
 
-    def crash_under(self, handler, request, part):
-        """Crash as the answer to a request begins."""
+    def crash_under(self, request, crashing, cause):
+        """Crash under a request, which must not come once enough servers have crashed."""
         if self.ledger.is_in_touch(request):
-            count = self.ledger.crashing.count(part)
+            count = crashing.count(cause)
             if count > sums.MAX_LATER_ARRIVALS:
                 detail = f"{count} came after the bound, at {self.name}"
                 host = self.ledger.hosts[request]
                 self.ledger.breach("requests that crash servers stop", request, host, detail)
-        self.ledger.crashing.record_crash(part)
-        handler.start_stream()
+        crashing.record_crash(cause)
         self.crash()
 
     def answer_once(self, handler, received):
         request = received.headers["x-attempt-id"]
         self.check_drained(received, 8.0)
+        if received.path.startswith(CRASHING_LOOKUPS):
+            self.crash_under(request, self.ledger.crashing_lookups, received.path)
+            return
         stated = self.check_limit(request)
         fate = self.random.random()
         if fate < 0.04:
@@ -162,7 +166,8 @@
         self.ledger.ran(request, self.name, once=True)
         part = received.headers["x-prompt-prefix"].split(",")[1]
         if part.startswith(CRASHING_PART):
-            self.crash_under(handler, request, part)
+            handler.start_stream()
+            self.crash_under(request, self.ledger.crashing, part)
             return
         fate = self.random.random()
         handler.start_stream(headers=stated)
--- a/tests/soak/sums.py
+++ b/tests/soak/sums.py
@@ -9,7 +9,8 @@
 WINDOW_S = 4.0
 # A host keeps to a limit this long after it relayed an answer with it.
 TOLD_S = 0.5
-CRASHES_BEFORE_BOUND = 5
+# Crashes after which the promise holds: under generations with a common part, or one lookup.
+CRASHES_UNDER_PART, CRASHES_UNDER_LOOKUP = 5, 3
 MAX_LATER_ARRIVALS = 3
 
 
@@ -71,23 +72,28 @@
 
 
 class CrashingRequests:
-    """Servers that crashed under requests with a part, and such requests that came later."""
+    """Servers that crashed under requests with a common cause, and such requests that came later.
 
-    def __init__(self):
+    Attributes:
+        bound: Number of crashes after which the promise holds.
+        crash_times: Times of the crashes by cause, monotonic seconds.
+    """
+
+    def __init__(self, bound):
+        self.bound = bound
         self.lock = threading.Lock()
         self.crash_times = collections.defaultdict(list)
         self.later_arrivals = collections.Counter()
 
-    def count(self, part):
+    def count(self, cause):
         """Count a request from a host in touch; return how many came after the bound."""
         with self.lock:
-            crashes = self.crash_times[part][:CRASHES_BEFORE_BOUND]
-            if len(crashes) == CRASHES_BEFORE_BOUND:
-                if time.monotonic() - crashes[-1] > STABLE_WINDOW_S:
-                    self.later_arrivals[part] += 1
-            return self.later_arrivals[part]
+            crashes = self.crash_times[cause][: self.bound]
+            if len(crashes) == self.bound and time.monotonic() - crashes[-1] > STABLE_WINDOW_S:
+                self.later_arrivals[cause] += 1
+            return self.later_arrivals[cause]
 
-    def record_crash(self, part):
+    def record_crash(self, cause):
         """Record that a server crashed."""
         with self.lock:
-            self.crash_times[part].append(time.monotonic())
+            self.crash_times[cause].append(time.monotonic())
