Bound the crashes that a host reports at a time; leave leaving servers out of Retry-After

Found on reading the change once more: servers whose report no control host takes were counted only while they were checked, and one leaving server made callers of a paused service be told the default time.

--- a/src/ebonywheel/gateway/crashes.py
+++ b/src/ebonywheel/gateway/crashes.py
@@ -74,8 +74,8 @@
     """Reports crashes, and successes that contradict a suspicion.
 
     Attributes:
-        broken: Servers that are being checked, by id and start of the process.
         permits: Asks for permits to send suspect requests.
+        broken: Servers that are being checked, by id and start of the process.
         undecided: These, and those whose report no control host has taken yet.
         alive_until: Until when servers count as alive, monotonic seconds.
     """
@@ -97,10 +97,10 @@
         self.alive_until: dict[directory.IncarnationKey, float] = {}
 
     async def admit(self, context: inflight.RequestContext) -> bool:
-        """Return whether a request may be sent to a server.
+        """Return whether a request may be sent to a server, after a wait where that is open.
 
-        If an equal one may have crashed a server just now, wait for what the control hosts decide.
-        One that is suspect waits for a permit.
+        If an equal one may have crashed a server just now, it waits until the control hosts have
+        decided; if it is suspect, it waits for a permit.
         """
         quarantine = self.view.quarantine
         if not self.undecided and quarantine.is_empty():
@@ -184,7 +184,7 @@
             return
         broken = self.broken.get(key)
         if broken is None:
-            if len(self.broken) >= MAX_PENDING_SERVERS:
+            if len(self.undecided) >= MAX_PENDING_SERVERS:
                 return
             broken = self.broken[key] = BrokenServer(record, now)
             self.undecided.add(broken)
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -299,7 +299,11 @@
     def retry_after_s(self, service: str) -> float | None:
         """Return when the first server of a service wants requests again; None if any wants now."""
         now = self.core.clock.monotonic()
-        pauses = [candidate.state.paused_until - now for candidate in self.candidates(service)]
+        pauses = [
+            candidate.state.paused_until - now
+            for candidate in self.candidates(service)
+            if not candidate.state.leaving
+        ]
         return min(pauses) if pauses and min(pauses) > 0 else None
 
     def prune(self) -> None:
