--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -508,7 +508,7 @@
                 if source.random() < 0.5:
                     await curio.sleep(cluster.timeout_s * source.uniform(0, 4))
             started_at = time.monotonic()
-            await propose_at_leader(cluster)
+            await propose_at_leader(cluster, host="after")
             assert time.monotonic() - started_at < 10 * cluster.timeout_s
             for client in clients:
                 await client.cancel()
