--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -23,6 +23,8 @@
 MAX_TRIES = 12
 # Servers enough that some are left while one request crashes others.
 LARGE_FLEET = 8
+ENDING_TOGETHER = 3
+SLOW_ANSWER_S = 0.3
 REPORT_INTERVAL_S = 1.0
 CRASHING_BODY = b"crash"
 ROUTES = [
@@ -245,6 +247,37 @@
     assert len(fleet.arrivals) - arrivals_before <= MAX_LATER_ARRIVALS
 
 
+# Guards against innocent requests that are refused as equal ones were in flight at servers that
+# ended together for another reason.
+def test_equal_requests_in_flight_when_servers_end_together_are_served(system, start_fleet):
+    fleet = start_fleet("book", LARGE_FLEET)
+
+    def answer_slowly(handler, received):
+        time.sleep(SLOW_ANSWER_S)
+        handler.answer(200, b"the answer", {"X-Response-Stamp": "stamp"})
+
+    for server in fleet.servers:
+        server.script = answer_slowly
+    statuses = []
+
+    def send():
+        node = next(system.entry_turns)
+        statuses.append(system.request("GET", "/look/popular", node=node).status)
+
+    threads = [threading.Thread(target=send) for _ in range(4 * LARGE_FLEET)]
+    for thread in threads:
+        thread.start()
+    time.sleep(SLOW_ANSWER_S / 2)
+    for server in fleet.servers[:ENDING_TOGETHER]:
+        server.crash()
+    for thread in threads:
+        thread.join()
+    assert statuses.count(200) == len(statuses)
+    fleet.replace_crashed(LARGE_FLEET)
+    for node in system.entries:
+        assert system.request("GET", "/look/popular", node=node).status == 200
+
+
 # Guards against requests that are blamed for answers that a living server breaks off.
 def test_a_server_that_breaks_off_answers_but_lives_has_not_crashed(system, start_fleet):
     fleet = start_fleet("plan")
