--- a/tests/test_platform_upgrade.py
+++ b/tests/test_platform_upgrade.py
@@ -8,6 +8,7 @@
 import tarfile
 import threading
 import time
+import tomllib
 import warnings
 
 import pytest
@@ -15,8 +16,9 @@
 import platformserver
 import platformsystem
 
-# The build that runs when the replacement begins: that of deploy/system.toml.
-EARLIER_BUILD = "69595213c33ef55b7ab996afb5955bc2e5c67384"
+# The build that runs when the replacement begins.
+DEPLOYMENT = tomllib.loads((platformsystem.ROOT / "deploy" / "system.toml").read_text())
+EARLIER_BUILD = DEPLOYMENT["production"]
 ENTRY_HOSTS = 3
 REQUESTS_PER_S = 20.0
 REPORT_INTERVAL_S = 0.5
