Test equal requests that crash servers at the same moment; red, listed

The crashes count as one, and as long as the next ones come together, too, nothing is quarantined.

Six requests at once over three hosts, eight servers, 0.3 s until a server crashes; one stable window later the same three times.

--- a/tests/test_platform_crashes.py
+++ b/tests/test_platform_crashes.py
@@ -24,6 +24,8 @@
 # Servers enough that some are left while one request crashes others.
 LARGE_FLEET = 8
 ENDING_TOGETHER = 3
+# Equal requests that are sent at the same moment, over all entry hosts.
+BURST = 2 * ENTRY_HOSTS
 SLOW_ANSWER_S = 0.3
 REPORT_INTERVAL_S = 1.0
 CRASHING_BODY = b"crash"
@@ -41,6 +43,7 @@
         arrivals: Times at which such requests reached a server, monotonic seconds.
         fails_every_other: Whether every other one of those that are not generations is answered
             with a failure and crashes nothing.
+        runs_s: How long a server runs one of those before it crashes, seconds.
     """
 
     # One number for each server of all fleets: `announce` looks for the name in the logs.
@@ -52,6 +55,7 @@
         self.servers = []
         self.arrivals = []
         self.fails_every_other = False
+        self.runs_s = 0.0
         self.closed = threading.Event()
         for _ in range(size):
             self.start_server()
@@ -82,6 +86,7 @@
             if self.fails_every_other and len(self.arrivals) % 2 == 0:
                 handler.answer(500, b"", {"X-Response-Stamp": "stamp"})
             else:
+                time.sleep(self.runs_s)
                 handler.server.owner.crash()
             return
         if "x-prompt-prefix" not in received.headers:
@@ -247,6 +252,39 @@
     assert len(fleet.arrivals) - arrivals_before <= MAX_LATER_ARRIVALS
 
 
+# Guards against equal requests that reach several servers at the same moment through several hosts
+# and crash them: the crashes are too close together to be told apart.
+def test_equal_requests_that_crash_servers_at_the_same_moment_stop_reaching_them(
+    system, start_fleet
+):
+    fleet = start_fleet("book", LARGE_FLEET)
+    fleet.runs_s = SLOW_ANSWER_S
+    while fleet.crash_count() < CRASHES_BY_ONE_REQUEST:
+        _send_together(system, "/book/4")
+    fleet.replace_crashed(LARGE_FLEET)
+    time.sleep(STABLE_WINDOW_S)
+    arrivals_before = len(fleet.arrivals)
+    for _ in range(3):
+        _send_together(system, "/book/4")
+        fleet.replace_crashed(LARGE_FLEET)
+    assert len(fleet.arrivals) - arrivals_before <= MAX_LATER_ARRIVALS
+
+
+def _send_together(system, path):
+    """Send equal requests that crash servers through all entry hosts at once."""
+
+    def send(node):
+        system.request("POST", path, CRASHING_BODY, node=node)
+
+    threads = [
+        threading.Thread(target=send, args=(next(system.entry_turns),)) for _ in range(BURST)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
 # Guards against innocent requests that are refused as equal ones were in flight at servers that
 # ended together for another reason.
 def test_equal_requests_in_flight_when_servers_end_together_are_served(system, start_fleet):
