Send equal requests one at a time after they crashed three servers

What callers would have seen: requests with one cause take down the servers of a service again and again, with everybody's work on them, though the promise allows three arrivals later than one stable window after the third crash.

Cause: crashes within 100 ms of each other count as one, so that servers which end together for another reason do not get innocent requests quarantined. Equal requests that reach several servers at the same moment through several hosts crash them within that time, and again the next time they come together.

Change: a whole request under which three servers have crashed, however close together, is suspect. What quarantines is unchanged: suspects are derived by each control host from the evidence in the log and told to the entry hosts as before, which need a permit of the leader for each. Nothing new in the log or between hosts; an entry host of an earlier build sends as before, an earlier control host names fewer suspects.

So that innocent requests do not wait for it: a host takes its own success for an answer, evidence that clears a suspect wakes the watches, and a waiting request looks again before it asks for a permit.

--- a/src/ebonywheel/crashstate.py
+++ b/src/ebonywheel/crashstate.py
@@ -33,14 +33,17 @@
         depth: Its highest position among the fingerprints of a request; higher is more specific.
         crash_times: Replicated times of the crashes, milliseconds.
         beginning_times: The same for requests whose answers had just begun.
+        whole_request_crashes: Numbers of the crashes, however close together, in which it stood
+            for a whole request.
     """
 
-    __slots__ = ("depth", "crash_times", "beginning_times")
+    __slots__ = ("depth", "crash_times", "beginning_times", "whole_request_crashes")
 
     def __init__(self):
         self.depth = 0
         self.crash_times: set[int] = set()
         self.beginning_times: set[int] = set()
+        self.whole_request_crashes: set[int] = set()
 
     def suffices(self, further_crashes: int = 0) -> bool:
         """Return whether the fingerprint is to be quarantined, after some further crashes."""
@@ -49,6 +52,14 @@
             or _count_separate(self.beginning_times) + further_crashes >= MIN_CRASHES_AT_BEGINNING
         )
 
+    def is_suspect(self) -> bool:
+        """Return whether requests with the fingerprint are to be sent one at a time.
+
+        Equal requests that crash servers at the same moment count as one crash, and would do so
+        each time if they were sent together again.
+        """
+        return self.suffices(further_crashes=1) or len(self.whole_request_crashes) >= MIN_CRASHES
+
 
 @registry.plugins.register("command", "ReportServerCrash")
 class ReportServerCrashHandler:
@@ -102,7 +113,7 @@
 
 
 def find_suspects(quarantine: statedata.QuarantineState) -> dict[bytes, int]:
-    """Return the fingerprints that one more crash would quarantine.
+    """Return the fingerprints that are not quarantined but may crash servers.
 
     Returns:
         The replicated time of the latest crash, in milliseconds, by fingerprint.
@@ -110,7 +121,7 @@
     suspects = {
         fingerprint: max(evidence.crash_times)
         for fingerprint, evidence in _gather_evidence(quarantine).items()
-        if evidence.suffices(further_crashes=1)
+        if evidence.is_suspect()
     }
     latest = sorted(suspects, key=suspects.get)[-MAX_SUSPECTS:]
     return {fingerprint: suspects[fingerprint] for fingerprint in latest}
@@ -185,7 +196,7 @@
 
 def _gather_evidence(quarantine: statedata.QuarantineState) -> dict[bytes, Evidence]:
     found: dict[bytes, Evidence] = collections.defaultdict(Evidence)
-    for crash in quarantine.crashes.values():
+    for number, crash in enumerate(quarantine.crashes.values()):
         if _is_explained(crash, quarantine.entries):
             continue
         for request in _suspected_requests(crash):
@@ -195,6 +206,8 @@
                 evidence = found[fingerprint]
                 evidence.depth = max(evidence.depth, depth)
                 evidence.crash_times.add(crash.at_ms)
+                if fingerprint == request.fingerprints[-1]:
+                    evidence.whole_request_crashes.add(number)
                 if request.began:
                     evidence.beginning_times.add(crash.at_ms)
     return found
--- a/src/ebonywheel/gateway/permitclient.py
+++ b/src/ebonywheel/gateway/permitclient.py
@@ -66,11 +66,15 @@
     async def acquire_trial(self, fingerprint: bytes) -> bool:
         """Wait until a suspect request may be sent; return False if that takes too long.
 
-        Without a leader no crash can be decided on, and requests are sent as if not suspect.
+        It may when another one has succeeded meanwhile. Without a leader no crash can be decided
+        on, and requests are sent as if not suspect.
         """
         name = TRIAL_PREFIX + fingerprint.hex()
         async with curio.ignore_after(MAX_TRIAL_WAIT_S):
-            while wait_s := await self._request_permit(name, 0, TRIALS_PER_S):
+            while self.view.quarantine.is_suspect(fingerprint):
+                wait_s = await self._request_permit(name, 0, TRIALS_PER_S)
+                if not wait_s:
+                    break
                 await curio.sleep(max(MIN_WAIT_S, wait_s))
             return True
         return False
--- a/src/ebonywheel/gateway/quarantine.py
+++ b/src/ebonywheel/gateway/quarantine.py
@@ -97,9 +97,11 @@
         return not (self.suspects or self.refused_by_report)
 
     def is_suspect(self, fingerprint: bytes) -> bool:
-        """Return whether one more crash would have a fingerprint quarantined."""
+        """Return whether requests with a fingerprint may crash servers, but are not refused."""
         suspect = self.suspects.get(fingerprint)
-        return suspect is not None and suspect.refused_until < suspect.crashed_at
+        if suspect is None or fingerprint in self.contradicted:
+            return False
+        return suspect.refused_until < suspect.crashed_at
 
     def remaining_s(self, of_request: tuple[bytes, ...], now: float) -> float:
         """Return how long a request with these fingerprints is refused, 0 if it is not."""
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -70,8 +70,9 @@
         epoch: Random id of this process's positions, which start anew after a restart.
         wake_count: Number of times that waiting watches were woken.
         state_version: Log indexes of the last changes of the state that watches are woken for.
-        suspects: Fingerprints that one more crash would quarantine, with the time of the last one.
+        suspects: Fingerprints that may crash servers, with the time of the last crash.
         suspects_index: Log index of the evidence from which they were derived.
+        cleared_index: Log index of the last evidence that cleared one of them.
         changed: Notified each time that they are woken.
     """
 
@@ -84,9 +85,10 @@
         self.limits = statedlimits.StatedLimits(core.clock)
         self.epoch = secrets.randbits(EPOCH_BITS) + 1
         self.wake_count = 0
-        self.state_version = self._state_version()
         self.suspects: dict[bytes, int] = {}
         self.suspects_index = 0
+        self.cleared_index = 0
+        self.state_version = self._state_version()
         self.changed = curio.Condition()
 
     async def start(self) -> None:
@@ -172,7 +174,7 @@
         )
 
     def _has_newer_quarantine(self, request: messages.WatchRequest) -> bool:
-        index = self.state_machine.data.quarantine.entries_index
+        index = max(self.state_machine.data.quarantine.entries_index, self.cleared_index)
         return request.suspects_wanted and index > request.suspects_index
 
     def _reply(self, request: messages.WatchRequest) -> messages.WatchReply:
@@ -212,15 +214,23 @@
             )
             for fingerprint, entry in data.quarantine.entries.items()
         ]
-        if self.suspects_index != data.quarantine.index:
-            self.suspects_index = data.quarantine.index
-            self.suspects = crashstate.find_suspects(data.quarantine)
+        self._update_suspects()
         suspects += [
             messages.SuspectFingerprint(fingerprint, max(0, now_ms - crashed_ms))
             for fingerprint, crashed_ms in self.suspects.items()
         ]
         return suspects
 
+    def _update_suspects(self) -> None:
+        quarantine = self.state_machine.data.quarantine
+        if self.suspects_index == quarantine.index:
+            return
+        suspects = crashstate.find_suspects(quarantine)
+        if not self.suspects.keys() <= suspects.keys():
+            self.cleared_index = quarantine.index
+        self.suspects = suspects
+        self.suspects_index = quarantine.index
+
     def routing(self) -> messages.RoutingReply:
         """Return the routing content in force here."""
         current = self.state_machine.data.routing
@@ -273,9 +283,15 @@
             self.state_version = version
             await self.wake()
 
-    def _state_version(self) -> tuple[int, int, int]:
+    def _state_version(self) -> tuple[int, int, int, int]:
+        self._update_suspects()
         data = self.state_machine.data
-        return (data.routing.index, data.routing.out_index, data.quarantine.entries_index)
+        return (
+            data.routing.index,
+            data.routing.out_index,
+            data.quarantine.entries_index,
+            self.cleared_index,
+        )
 
     async def _prune(self) -> None:
         while True:
--- a/tests/test_crashstate.py
+++ b/tests/test_crashstate.py
@@ -92,6 +92,16 @@
         evidence.crash("s2", "again", began=False, after_ms=5)
         assert evidence.crash("s3", "again", began=False, after_ms=5) == []
 
+    # Guards against equal requests that are sent together again after crashing servers together.
+    def test_equal_requests_at_servers_that_end_together_are_sent_one_at_a_time(self, evidence):
+        evidence.crash("s1", "a again", began=False)
+        evidence.crash("s2", "a again", began=False, after_ms=0)
+        assert evidence.suspects() == set()
+        evidence.crash("s3", "a again", "a other", began=False, after_ms=0)
+        assert evidence.suspects() == {"again"}
+        evidence.succeed("again")
+        assert evidence.suspects() == set()
+
     # Guards against a request that crashes servers as fast as hosts send it again.
     def test_a_request_that_is_sent_again_after_the_pause_is_quarantined(self, evidence):
         pause_ms = int(crashes.CRASH_PAUSE_S * 1000)
--- a/tests/test_permitclient.py
+++ b/tests/test_permitclient.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ebonywheel import clock, exceptions, messages
-from ebonywheel.gateway import balance, permitclient
+from ebonywheel.gateway import balance, permitclient, quarantine
 
 RECORD = messages.DirectoryRecord("s", 1, service="book", address="10.0.0.1:80")
 ENTRY_HOSTS = 4
@@ -42,7 +42,12 @@
         self.clock = clock.ManualClock(100.0)
         self.leader = Leader(self.clock)
         self.state = balance.ServerState(limit_per_s=2.0)
-        view = types.SimpleNamespace(state_of=lambda record: self.state, entry_hosts=ENTRY_HOSTS)
+        self.quarantine = quarantine.Quarantine()
+        view = types.SimpleNamespace(
+            state_of=lambda record: self.state,
+            entry_hosts=ENTRY_HOSTS,
+            quarantine=self.quarantine,
+        )
         quiet = types.SimpleNamespace(
             count=lambda *arguments, **labels: None, warning=lambda *arguments, **fields: None
         )
@@ -103,3 +108,35 @@
     parts.state.limit_per_s = 0.0
     assert parts.acquire()
     assert parts.leader.asked[0].per_s == permitclient.MIN_LIMIT_PER_S
+
+
+class TestSuspects:
+    FINGERPRINT = b"again"
+
+    @pytest.fixture
+    def denied(self, parts):
+        """Return parts with a suspect whose permit is denied."""
+        parts.quarantine.update(1, [messages.SuspectFingerprint(self.FINGERPRINT)], 100.0)
+        parts.leader.reply = messages.PermitReply(False, 50)
+        return parts
+
+    def test_without_a_permit_a_suspect_request_is_not_sent(self, denied, monkeypatch):
+        monkeypatch.setattr(permitclient, "MAX_TRIAL_WAIT_S", 0.2)
+        assert not curio.run(denied.client.acquire_trial, self.FINGERPRINT)
+        assert denied.leader.asked
+
+    # Guards against innocent requests that wait for their turn after an equal one has succeeded.
+    def test_a_success_of_this_host_ends_the_wait(self, denied):
+        assert curio.run(self.acquire_while, denied, denied.quarantine.take_contradicted)
+
+    def test_a_success_of_another_host_ends_the_wait(self, denied):
+        assert curio.run(
+            self.acquire_while, denied, lambda *_: denied.quarantine.update(2, [], 101.0)
+        )
+
+    async def acquire_while(self, parts, clear):
+        waiting = await curio.spawn(parts.client.acquire_trial, self.FINGERPRINT)
+        await curio.sleep(0.1)
+        assert not waiting.terminated
+        clear((self.FINGERPRINT,), 101.0)
+        return await waiting.join()
--- a/tests/test_watchserver.py
+++ b/tests/test_watchserver.py
@@ -5,7 +5,7 @@
 import curio
 import pytest
 
-from ebonywheel import clock, directory, messages, statedata, watcher, watchserver
+from ebonywheel import clock, commands, directory, messages, statedata, watcher, watchserver
 from ebonywheel.gateway import view
 
 REGIONS = {"puget-a": "puget", "puget-b": "puget", "yakima-a": "yakima"}
@@ -178,6 +178,22 @@
         curio.run(server.leave, "s")
         assert (server.wake_count > count) == (not draining)
 
+    # Guards against innocent requests that wait to be sent one at a time after one has succeeded.
+    def test_evidence_that_clears_a_suspect_wakes_and_more_evidence_does_not(self, server):
+        quarantine = server.state_machine.data.quarantine
+        request = commands.InFlightRequest([b"again"], False)
+        counts = [server.wake_count]
+        for index in (1, 2, 3):
+            quarantine.crashes[f"s{index}/1"] = statedata.ServerCrash(1000, [request])
+            quarantine.index = index
+            curio.run(server._wake_after_applied)
+        counts.append(server.wake_count)
+        quarantine.succeeded_ms[b"again"] = 2000
+        quarantine.index = 4
+        curio.run(server._wake_after_applied)
+        counts.append(server.wake_count)
+        assert counts == [0, 0, 1]
+
 
 class TestNumberOfEntryHosts:
     def test_a_control_host_that_has_just_started_does_not_lower_it(
