Bound the leaves that are kept of servers that no host has heard of

A leave that overtakes its server's first report is kept for 5 s. Each call with another id added one, without end: a writer of odd entries could fill a control host's memory. Now the latest 4096 are kept.

The test failed before (4106 kept) and passes.

--- a/src/ebonywheel/directory.py
+++ b/src/ebonywheel/directory.py
@@ -14,6 +14,7 @@
 FORGET_S = 60.0
 # How long a leave that arrives before its server's first record is kept: two report periods.
 EARLY_LEAVE_S = 5.0
+MAX_EARLY_LEAVES = 4096
 # Id and start time of a server, in Unix milliseconds: it may start anew under the same id.
 IncarnationKey = tuple[str, int]
 
@@ -66,7 +67,7 @@
         """Mark the known incarnation of a server as gone; return whether that is a change."""
         previous = self.entries.get(server)
         if previous is None:
-            self.early_leaves[server] = self.clock.monotonic() + EARLY_LEAVE_S
+            self._keep_early_leave(server)
             return False
         if previous.record.gone:
             return False
@@ -127,6 +128,12 @@
             if kept_until > now
         }
 
+    def _keep_early_leave(self, server: str) -> None:
+        self.early_leaves.pop(server, None)
+        self.early_leaves[server] = self.clock.monotonic() + EARLY_LEAVE_S
+        if len(self.early_leaves) > MAX_EARLY_LEAVES:
+            del self.early_leaves[next(iter(self.early_leaves))]
+
     def _store(
         self, record: messages.DirectoryRecord, received_at: float, direct: bool, changed: bool
     ) -> None:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -55,6 +55,15 @@
         servers.observe(record(3))
         assert list(servers.live()) == []
 
+    # Guards against memory that grows with each leave of a server that nobody has heard of.
+    def test_leaves_of_unknown_servers_are_bounded_and_the_latest_are_kept(self, manual_clock):
+        servers = directory.Directory(manual_clock)
+        for number in range(directory.MAX_EARLY_LEAVES + 10):
+            servers.leave(f"s{number}")
+        assert len(servers.early_leaves) == directory.MAX_EARLY_LEAVES
+        servers.observe(record(1, server=f"s{directory.MAX_EARLY_LEAVES + 9}"))
+        assert list(servers.live()) == []
+
     def test_a_renewal_is_not_a_change(self, manual_clock):
         servers = directory.Directory(manual_clock)
         assert servers.observe(record(1))
