--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -311,9 +311,10 @@
         self.system = system
         self.started = []
 
-    def start(self, service="book", zone="puget-a", address=None):
-        """Start and announce a server, at another address if one is given."""
-        server = platformserver.PlatformServer(f"i-{next(self.numbers)}", service, zone)
+    def start(self, service="book", zone="puget-a", address=None, name=None):
+        """Start and announce a server, at another address or with a name of its own if given."""
+        name = name or f"i-{next(self.numbers)}"
+        server = platformserver.PlatformServer(name, service, zone)
         server.address = address or server.address
         self.started.append(server)
         self.system.announce(server)
--- a/tests/test_platform_values.py
+++ b/tests/test_platform_values.py
@@ -97,6 +97,23 @@
     servers.leave()
 
 
+# Guards against names in the paths of calls that would be kept, logged and passed on at any length.
+@pytest.mark.parametrize("name", ["", "x" * 256, "x" * 10_000, "a%00b", "%ED%A0%80%0A"])
+def test_calls_with_names_that_no_host_can_use_are_refused(system, name):
+    for method, path in (
+        ("DELETE", "/api/instances/"),
+        ("POST", "/api/evacuations/"),
+        ("DELETE", "/api/evacuations/"),
+    ):
+        assert system.call_control(method, path + name)[0] == 400
+
+
+def test_the_longest_name_that_is_accepted_is_known_to_all_hosts(system):
+    servers = platformsystem.AnnouncedServers(system)
+    servers.start(name="x" * 255)
+    servers.leave()
+
+
 # Guards against numbers of callers and operators that do not fit into messages between hosts.
 def test_hosts_follow_beside_odd_numbers_of_callers_and_operators(system):
     servers = platformsystem.AnnouncedServers(system)
