Stop applying at a command of a newer build instead of ending

Change: an entry that cannot be decoded stops what follows from it. The host logs entry_unreadable, hands leadership over if it has it, and from then on neither leads nor applies, but goes on to store entries and to vote, so that the newer hosts keep their quorum. Its files stay as they are; a newer build on the same disk applies the rest. The time of the last entry, which a new leader reads, is decoded whatever its type.

Nothing that this build writes is new, so builds that run already see no difference. It helps from the next landing on, when this build is the older one.

--- a/src/ebonywheel/commands.py
+++ b/src/ebonywheel/commands.py
@@ -419,8 +419,16 @@
     | CrashRecorded
 )
 
+
+class _CommandTime(msgspec.Struct):
+    """The replicated time of an encoded command, without its type and other fields."""
+
+    at_ms: int = 0
+
+
 _command_decoder = msgspec.msgpack.Decoder(AnyCommand)
 _outcome_decoder = msgspec.msgpack.Decoder(AnyOutcome)
+_time_decoder = msgspec.msgpack.Decoder(_CommandTime)
 
 
 def encode(value: Command | Outcome) -> bytes:
@@ -437,6 +445,11 @@
     return _command_decoder.decode(data)
 
 
+def decode_time(data: bytes) -> int:
+    """Decode the replicated time of a command of any build, in milliseconds."""
+    return _time_decoder.decode(data).at_ms
+
+
 def decode_outcome(data: bytes) -> AnyOutcome:
     """Decode an outcome.
 
--- a/src/ebonywheel/elections.py
+++ b/src/ebonywheel/elections.py
@@ -87,7 +87,9 @@
             await self._campaign(transfer=False)
 
     async def _may_campaign(self) -> bool:
-        """Return whether this host may vote and could store entries as a leader."""
+        """Return whether this host may vote, and could store and apply entries as a leader."""
+        if self.replica.unreadable_index:
+            return False
         return self.may_vote() and await self.store.has_room()
 
     async def _campaign(self, transfer: bool) -> None:
@@ -289,7 +291,8 @@
 
     async def handle_timeout_now(self, request: messages.TimeoutNow) -> messages.Ack:
         """Start an election at once, as the leader has given up its lease."""
-        if request.term == self.store.vote.term and self._is_voter() and self._is_follower():
+        may_lead = self._is_voter() and not self.replica.unreadable_index
+        if request.term == self.store.vote.term and may_lead and self._is_follower():
             await self.replica.core.spawn(self._campaign_for_transfer(request.term), essential=True)
         return messages.Ack()
 
--- a/src/ebonywheel/exceptions.py
+++ b/src/ebonywheel/exceptions.py
@@ -181,6 +181,12 @@
     code = "corrupt_log"
 
 
+class UnreadableEntryError(StorageError):
+    """A log entry is intact but holds a command that this build does not know."""
+
+    code = "unreadable_entry"
+
+
 class NotLeaderError(EbonywheelError):
     """This control host cannot decide now, for example because it is not the leader.
 
--- a/src/ebonywheel/proposals.py
+++ b/src/ebonywheel/proposals.py
@@ -152,7 +152,7 @@
 
     def _last_entry_at_ms(self) -> int:
         entry = self.store.last_entry()
-        return 0 if entry is None else commands.decode(entry.data).at_ms
+        return 0 if entry is None else commands.decode_time(entry.data)
 
 
 def _check_member_fields(command: commands.AddMember) -> None:
--- a/src/ebonywheel/replica.py
+++ b/src/ebonywheel/replica.py
@@ -50,6 +50,8 @@
         commit_index: Highest log index that is known to be committed.
         changed: Notified when the role, the log or the commit index changes.
         on_applied: Callbacks to await after each batch of applied entries.
+        unreadable_index: Index of the committed entry that this build cannot read, 0 for none; no
+            entry is applied from there on, and this host does not lead.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         self.links: dict[str, link.Link] = {}
         self.changed = curio.Condition()
         self.on_applied: list[typing.Callable[[], typing.Awaitable[None]]] = []
+        self.unreadable_index = 0
         self.membership = membership.Membership(store, state_machine)
         self.elections = elections.Elections(self)
         self.replication = replication.Replication(self)
@@ -103,6 +106,7 @@
         gauge("leader", lambda: float(self.has_lease()))
         gauge("commit_index", lambda: self.commit_index)
         gauge("applied_index", lambda: self.state_machine.applied)
+        gauge("unreadable_index", lambda: self.unreadable_index)
         gauge("log_bytes", lambda: self.store.log.size)
         gauge("snapshot_bytes", lambda: self.store.snapshot_bytes)
 
@@ -308,6 +312,8 @@
 
     def _can_apply(self) -> bool:
         """Return whether the next entry is committed and no snapshot has replaced it in the log."""
+        if self.unreadable_index:
+            return False
         return self.store.base.index <= self.state_machine.applied < self.commit_index
 
     async def _apply_batch(self) -> None:
@@ -315,10 +321,24 @@
             if not self._can_apply():
                 return
             entry = self.store.entry(self.state_machine.applied + 1)
-            outcome = self.state_machine.apply(entry)
+            try:
+                outcome = self.state_machine.apply(entry)
+            except exceptions.UnreadableEntryError as error:
+                await self._stop_applying(entry.index, error)
+                return
             await self.proposals.resolve(entry, outcome)
         await curio.sleep(0)
 
+    async def _stop_applying(self, index: int, error: exceptions.UnreadableEntryError) -> None:
+        """Stop at an entry of a newer build until this host is replaced by one.
+
+        It goes on to store entries and to vote, so that the newer hosts keep their quorum.
+        """
+        self.unreadable_index = index
+        self.core.metrics.count("unreadable_entries")
+        self.core.log.error("entry_unreadable", index=index, error=error)
+        await self.elections.transfer()
+
     def _snapshot_due(self) -> bool:
         if self.store.log.size > MAX_LOG_BYTES:
             return True
--- a/src/ebonywheel/state.py
+++ b/src/ebonywheel/state.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ebonywheel import commands, configuration, messages, registry, statedata
+from ebonywheel import commands, configuration, exceptions, messages, registry, statedata
 
 OPERATION_RETENTION_MS = 7 * 86_400_000
 # Kept whatever their age, so that a jump of the wall clock does not drop recent operations.
@@ -53,8 +53,16 @@
             self.handlers[command_type] = registry.plugins.find("command", command_type.__name__)()
 
     def apply(self, entry: messages.LogEntry) -> commands.Outcome:
-        """Apply one committed log entry and return its outcome."""
-        command = commands.decode(entry.data)
+        """Apply one committed log entry and return its outcome.
+
+        Raises:
+            UnreadableEntryError: Its command is of a newer build; nothing was changed.
+        """
+        try:
+            command = commands.decode(entry.data)
+        except msgspec.MsgspecError as error:
+            text = f"entry {entry.index} of term {entry.term}: {error}"
+            raise exceptions.UnreadableEntryError(text, "apply entry") from error
         self.applied = entry.index
         self.applied_term = entry.term
         self.data.at_ms = max(self.data.at_ms, command.at_ms)
--- a/tests/replicas.py
+++ b/tests/replicas.py
@@ -96,6 +96,7 @@
         self.clock = AdjustableClock(1000.0 * number)
         self.core = None
         self.store = None
+        self.state_type = state.State
         self.state_machine = None
         self.replica = None
         self.thawed = curio.Event()
@@ -119,7 +120,7 @@
         self.core = kernel.Kernel("control", host, b"", self.clock)
         await self.core.__aenter__()
         self.core.exit_stack.callback(self.store.close)
-        self.state_machine = state.State(commands.Limits())
+        self.state_machine = self.state_type(commands.Limits())
         self.replica = replica.Replica(
             self.core,
             self.store,
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -20,6 +20,7 @@
     membership,
     messages,
     replication,
+    state,
     storage,
 )
 from replicas import (
@@ -93,10 +94,89 @@
     return [node for node in cluster.nodes if not node.leads()]
 
 
+class NewerState(state.State):
+    """The state machine of a build that knows one more command."""
+
+    COMMAND = msgspec.msgpack.encode({"type": "OfANewerBuild", "at_ms": 1, "field": [1]})
+
+    def apply(self, entry):
+        if entry.data != self.COMMAND:
+            return super().apply(entry)
+        self.applied, self.applied_term = entry.index, entry.term
+        return commands.Accepted(index=entry.index)
+
+
+async def replace_by_newer(cluster, *nodes):
+    """Restart nodes with a newer build."""
+    for node in nodes:
+        if node.running:
+            await node.kill(power_cut=False)
+        node.state_type = NewerState
+        await node.start()
+    await cluster.wait_leader()
+
+
+async def append_newer_command(leader):
+    leader.replica.proposals._append(NewerState.COMMAND)
+    await leader.replica.notify()
+    return leader.store.last_index()
+
+
 def vote_request(source, target, term, **fields):
     return messages.VoteRequest(term, source.member, 1 << 40, term, target=target.member, **fields)
 
 
+class TestNewerBuilds:
+    # Guards against hosts that end, or go on with another state, at a command of a newer build.
+    def test_hosts_stop_applying_at_a_command_that_they_do_not_know(self, tmp_path):
+        async def body(cluster):
+            newer, *older = cluster.nodes
+            await replace_by_newer(cluster, newer)
+            while (leader := await cluster.wait_leader()) is not newer:
+                await leader.replica.elections.transfer()
+            await propose(newer)
+            index = await append_newer_command(newer)
+            for _ in range(3):
+                await propose(newer)
+            for node in older:
+                await cluster.wait_until(lambda node=node: node.replica.unreadable_index, "a stop")
+                assert node.replica.unreadable_index == index
+                assert node.state_machine.applied == index - 1
+                assert node.core.failure is None
+            await newer.kill(power_cut=False)
+            await curio.sleep(10 * ELECTION_TIMEOUT_S)
+            assert cluster.leader() is None
+            assert all(node.core.failure is None for node in older)
+
+            # Their logs are whole: a newer build reads all of them.
+            await replace_by_newer(cluster, *older)
+            _, outcome = await propose_at_leader(cluster)
+            assert isinstance(outcome, commands.Accepted)
+            for node in older:
+                await cluster.wait_until(
+                    lambda node=node: node.state_machine.applied == node.store.last_index(),
+                    "all entries applied",
+                )
+
+        run(tmp_path, body)
+
+    # Guards against a leader of an earlier build that holds its lease and applies nothing.
+    def test_a_leader_that_cannot_apply_hands_over_to_a_newer_build(self, tmp_path):
+        async def body(cluster):
+            older, newer, _ = cluster.nodes
+            await replace_by_newer(cluster, *cluster.nodes[1:])
+            while (leader := await cluster.wait_leader()) is not older:
+                await leader.replica.elections.transfer()
+            await append_newer_command(older)
+            await cluster.wait_leader(cluster.nodes[1:])
+            _, outcome = await propose_at_leader(cluster)
+            assert isinstance(outcome, commands.Accepted)
+            assert older.core.failure is None
+            assert not older.leads()
+
+        run(tmp_path, body)
+
+
 class TestElection:
     def test_voter_that_hears_a_leader_grants_no_vote(self, tmp_path):
         async def body(cluster):
