Send to brittle servers at a pace that all hosts share

What callers see otherwise: the servers of a service fall over one after the other, and what they ran with them, though they run 30 in 100 of what they can.

Cause: a host with fewer slots than hosts goes by what the others had in flight up to 0.2 s ago. Many hosts see the same free slots and send together; the pause after a rejection holds for one host only, and each of 195 hosts has its own first rejection to make.

Change: while a service is brittle, a request to one of its servers needs a permit of the leader, as one to a server with a stated limit does. The pace is 0.6 of the slots in the time that one answer takes, measured by each host from its own answers, and the burst 0.4 of the slots; together they are the slots. A lower stated limit is kept. Without a leader each host uses an equal part, as for limits.

`burst` is a new last field of PermitRequest.

--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -103,8 +103,8 @@
     paused_until: float = 0.0
 
     def is_denied(self, now: float) -> bool:
-        """Return whether its limit leaves no room for a request now."""
-        return self.limit_per_s is not None and now < self.denied_until
+        """Return whether its limit, or its pace, leaves no room for a request now."""
+        return now < self.denied_until
 
     def silent_s(self, now: float) -> float:
         """Return how long it has sent nothing while a request waits, 0 when none does."""
--- a/src/ebonywheel/gateway/notices.py
+++ b/src/ebonywheel/gateway/notices.py
@@ -14,6 +14,10 @@
 BRITTLE_S = 5.0
 # Share of the rejections that brittle servers bear which the hosts together use.
 USABLE_REJECTIONS_SHARE = 0.5
+# Share of a brittle server's slots that the hosts together use.
+USABLE_SLOTS_SHARE = 0.6
+# Weight of the latest answer in the time that answers of a service take.
+ANSWER_TIME_SMOOTHING = 0.1
 # Longest time for which a host leaves a brittle server alone after a rejection.
 MAX_REJECTION_PAUSE_S = 10.0
 # A longer pause than this is taken for a mistake.
@@ -32,16 +36,31 @@
     until: float
 
 
+class Pace(msgspec.Struct, frozen=True):
+    """How fast all hosts together send to a server whose slots they must not exceed.
+
+    Attributes:
+        per_s: Requests a second.
+        burst: Requests at once after a pause.
+    """
+
+    per_s: float
+    burst: float
+
+
 class Notices:
     """Takes notices from answers over into the states of servers.
 
     Attributes:
         brittle: Brittleness by service name.
+        answer_s: Smoothed time from sending a request to the end of its answer, in seconds, by
+            service name.
     """
 
     def __init__(self, core: kernel.Kernel):
         self.core = core
         self.brittle: dict[str, Brittleness] = {}
+        self.answer_s: dict[str, float] = {}
 
     def observe_answer(
         self,
@@ -66,6 +85,23 @@
         if head.not_run and self.is_brittle(record.service):
             self._pause(state, now + self._rejection_pause_s(record.service, entry_hosts))
 
+    def record_answer_time(self, service: str, seconds: float) -> None:
+        """Record how long a whole answer took that was no rejection."""
+        previous = self.answer_s.get(service, seconds)
+        self.answer_s[service] = previous + ANSWER_TIME_SMOOTHING * (seconds - previous)
+
+    def pace_of(self, record: messages.DirectoryRecord) -> Pace | None:
+        """Return how fast to send to a server; None unless it is brittle and answers were seen.
+
+        Within the time that one answer takes, the pace and the burst together send no more than
+        the server has slots, so that it rejects little however many hosts send.
+        """
+        answer_s = self.answer_s.get(record.service, 0.0)
+        if not answer_s or not self.is_brittle(record.service):
+            return None
+        slots = max(1, record.slots)
+        return Pace(USABLE_SLOTS_SHARE * slots / answer_s, (1.0 - USABLE_SLOTS_SHARE) * slots)
+
     def _pause(self, state: balance.ServerState, until: float) -> None:
         state.paused_until = max(state.paused_until, until)
 
--- a/src/ebonywheel/gateway/permitclient.py
+++ b/src/ebonywheel/gateway/permitclient.py
@@ -1,4 +1,4 @@
-"""Asking for permits to send requests to servers that have stated a limit, and suspect requests.
+"""Asking for permits to send requests to limited or brittle servers, and suspect requests.
 
 A suspect request would be quarantined if one more server crashed under it. All hosts together send
 one at a time, so that the control hosts can decide on each before the next.
@@ -48,12 +48,12 @@
         If not, the server's state tells until when it is not to be chosen.
         """
         state = self.view.state_of(record)
-        if state.limit_per_s is None:
+        request = self._permit_request(record, state)
+        if request is None:
             return True
-        per_s = max(MIN_LIMIT_PER_S, state.limit_per_s)
-        wait_s = await self._request_permit(record.server, record.born_ms, per_s)
+        wait_s = await self._request_permit(request)
         if wait_s is None:
-            wait_s = self._take_own_part(state, per_s)
+            wait_s = self._take_own_part(state, request.per_s)
         else:
             state.own_part_at = 0.0
         if not wait_s:
@@ -63,34 +63,47 @@
         state.denied_until = self.core.clock.monotonic() + wait_s
         return False
 
+    def _permit_request(
+        self, record: messages.DirectoryRecord, state: balance.ServerState
+    ) -> messages.PermitRequest | None:
+        """Return what to ask for, None when the server needs no permit."""
+        pace = self.view.notices.pace_of(record)
+        if state.limit_per_s is None and pace is None:
+            return None
+        request = messages.PermitRequest(record.server, record.born_ms)
+        if pace is not None:
+            request.per_s, request.burst = pace.per_s, pace.burst
+        if state.limit_per_s is not None and (pace is None or state.limit_per_s < pace.per_s):
+            request.per_s = max(MIN_LIMIT_PER_S, state.limit_per_s)
+        return request
+
     async def acquire_trial(self, fingerprint: bytes) -> bool:
         """Wait until a suspect request may be sent; return False if that takes too long.
 
         It may when another one has succeeded meanwhile. Without a leader no crash can be decided
         on, and requests are sent as if not suspect.
         """
-        name = TRIAL_PREFIX + fingerprint.hex()
+        request = messages.PermitRequest(TRIAL_PREFIX + fingerprint.hex(), 0, TRIALS_PER_S)
         async with curio.ignore_after(MAX_TRIAL_WAIT_S):
             while self.view.quarantine.is_suspect(fingerprint):
-                wait_s = await self._request_permit(name, 0, TRIALS_PER_S)
+                wait_s = await self._request_permit(request)
                 if not wait_s:
                     break
                 await curio.sleep(max(MIN_WAIT_S, wait_s))
             return True
         return False
 
-    async def _request_permit(self, server: str, born_ms: int, per_s: float) -> float | None:
+    async def _request_permit(self, request: messages.PermitRequest) -> float | None:
         """Return how long to wait for a permit, 0 if it is granted, None if no leader answers."""
         asked_at = self.core.clock.monotonic()
         if asked_at < self.leaderless_until:
             return None
-        request = messages.PermitRequest(server, born_ms, per_s)
         try:
             async with curio.timeout_after(permits.TIMEOUT_S):
                 reply = await self.watcher.call(request, permits.TIMEOUT_S)
         except (exceptions.LinkError, curio.TaskTimeout) as error:
             self.leaderless_until = self.core.clock.monotonic() + RETRY_S
-            self.core.log.warning("permit_unanswered", server=server, error=error)
+            self.core.log.warning("permit_unanswered", server=request.server, error=error)
             return None
         late = self.core.clock.monotonic() - asked_at > VALID_S
         if reply.granted and late:
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -23,12 +23,14 @@
 
     Attributes:
         reservation: Counts the request as load of the server until released.
+        sent_at: When the request was sent, monotonic seconds.
     """
 
     record: messages.DirectoryRecord
     connection: httpclient.ClientConnection
     head: dialect.AnswerHead
     reservation: inflight.Reservation
+    sent_at: float = 0.0
 
 
 class Sender:
@@ -107,7 +109,7 @@
         self.reach.heard(state)
         self.view.limits.observe_answer(record, head.limit_per_s)
         self.view.notices.observe_answer(record, state, head, self.view.entry_hosts)
-        return Reply(record, connection, head, reservation)
+        return Reply(record, connection, head, reservation, sent_at)
 
     async def _read_matching_head(
         self, connection: httpclient.ClientConnection, attempt: str, timeout_s: float
@@ -166,6 +168,9 @@
     async def finish(self, reply: Reply) -> None:
         """Return the connection to the pool after the whole answer has been read."""
         reply.reservation.release()
+        if reply.head.status < STATUS_SERVER_ERROR:
+            elapsed_s = self.core.clock.monotonic() - reply.sent_at
+            self.view.notices.record_answer_time(reply.record.service, elapsed_s)
         await self.pool.release(reply.record, reply.connection, reply.head.keep_alive_s)
 
     async def abandon(self, reply: Reply) -> None:
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -715,12 +715,15 @@
 
     Attributes:
         born_ms: When the server's process started, Unix milliseconds.
-        per_s: The limit as last stated, in requests per second.
+        per_s: The limit, in requests per second.
+        burst: Permits that may be granted at once after a pause, 0 for as many as the leader
+            grants by default. Builds up to 6959521 do not know it.
     """
 
     server: str = ""
     born_ms: int = 0
     per_s: float = 0.0
+    burst: float = 0.0
 
 
 class PermitReply(msgspec.Struct):
--- a/src/ebonywheel/permits.py
+++ b/src/ebonywheel/permits.py
@@ -59,7 +59,7 @@
         self.buckets[key] = bucket
         if not request.per_s > 0:
             return messages.PermitReply(False, int(FORGET_S * MS_PER_S))
-        burst = max(MIN_BURST, BURST_S * request.per_s)
+        burst = max(MIN_BURST, request.burst or BURST_S * request.per_s)
         earned = (now - bucket.updated_at) * request.per_s
         bucket.tokens = min(burst, bucket.tokens + earned)
         bucket.updated_at = now
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -398,6 +398,7 @@
   server @0 :Text;
   bornMs @1 :UInt64;
   perS @2 :Float64;
+  burst @3 :Float64;
 }
 
 struct PermitReply {
--- a/tests/test_permitclient.py
+++ b/tests/test_permitclient.py
@@ -3,10 +3,11 @@
 import types
 
 import curio
+import msgspec
 import pytest
 
 from ebonywheel import clock, exceptions, messages
-from ebonywheel.gateway import balance, permitclient, quarantine
+from ebonywheel.gateway import balance, dialect, notices, permitclient, quarantine
 
 RECORD = messages.DirectoryRecord("s", 1, service="book", address="10.0.0.1:80")
 ENTRY_HOSTS = 4
@@ -43,15 +44,17 @@
         self.leader = Leader(self.clock)
         self.state = balance.ServerState(limit_per_s=2.0)
         self.quarantine = quarantine.Quarantine()
+        quiet = types.SimpleNamespace(
+            count=lambda *arguments, **labels: None, warning=lambda *arguments, **fields: None
+        )
+        core = types.SimpleNamespace(clock=self.clock, metrics=quiet, log=quiet)
+        self.notices = notices.Notices(core)
         view = types.SimpleNamespace(
+            notices=self.notices,
             state_of=lambda record: self.state,
             entry_hosts=ENTRY_HOSTS,
             quarantine=self.quarantine,
         )
-        quiet = types.SimpleNamespace(
-            count=lambda *arguments, **labels: None, warning=lambda *arguments, **fields: None
-        )
-        core = types.SimpleNamespace(clock=self.clock, metrics=quiet, log=quiet)
         self.client = permitclient.PermitClient(core, view, self.leader)
 
     def acquire(self):
@@ -110,6 +113,46 @@
     assert parts.leader.asked[0].per_s == permitclient.MIN_LIMIT_PER_S
 
 
+class TestBrittleServers:
+    ANSWER_S = 0.1
+    SLOTS = 6
+
+    @pytest.fixture
+    def brittle(self, parts):
+        """Return parts whose server says that it is brittle and states no limit."""
+        parts.state.limit_per_s = None
+        head = dialect.AnswerHead(200, "", False, None, None, [], rejections_per_s=5.0)
+        parts.notices.observe_answer(RECORD, parts.state, head, ENTRY_HOSTS)
+        return parts
+
+    def request(self, parts):
+        record = msgspec.structs.replace(RECORD, slots=self.SLOTS)
+        assert curio.run(parts.client.acquire, record)
+        return parts.leader.asked[-1]
+
+    def test_no_permit_is_needed_before_an_answer_has_shown_how_long_they_take(self, brittle):
+        assert brittle.acquire()
+        assert not brittle.leader.asked
+
+    def test_all_hosts_together_fill_no_more_than_the_slots_during_one_answer(self, brittle):
+        brittle.notices.record_answer_time("book", self.ANSWER_S)
+        request = self.request(brittle)
+        assert request.burst + request.per_s * self.ANSWER_S == pytest.approx(self.SLOTS)
+
+    def test_a_lower_stated_limit_is_kept(self, brittle):
+        brittle.notices.record_answer_time("book", self.ANSWER_S)
+        brittle.state.limit_per_s = 2.0
+        assert self.request(brittle).per_s == 2.0
+        brittle.state.limit_per_s = 1000.0
+        assert self.request(brittle).per_s < 1000.0
+
+    def test_it_ends_when_no_answer_says_so_any_more(self, brittle):
+        brittle.notices.record_answer_time("book", self.ANSWER_S)
+        brittle.clock.advance(notices.BRITTLE_S + 0.1)
+        assert brittle.acquire()
+        assert not brittle.leader.asked
+
+
 class TestSuspects:
     FINGERPRINT = b"again"
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -37,6 +37,14 @@
     assert grant_repeatedly(granting, 4.0, 0.02) <= 2
 
 
+def test_a_stated_burst_replaces_that_of_the_leader():
+    granting = make_permits()
+    request = messages.PermitRequest("s", 1, 40.0, burst=3.0)
+    granting.grant(request)
+    granting.clock.advance(30.0)
+    assert sum(granting.grant(request).granted for _ in range(20)) == 3
+
+
 def test_the_wait_is_until_a_permit_can_be_granted():
     granting = make_permits()
     reply = granting.grant(messages.PermitRequest("s", 1, 2.0))
