Have the soak's proxies hold bytes back in a silence instead of losing them

The proxy dropped what it read while it was silent and passed on what came later on the same connection, which TCP never does.

Shown without ebonywheel: a server that sends the numbers 1 to 30 through a proxy that is silent for 0.6 s; the reader got 1 to 6 and 19 to 30. Now the bytes wait, as lost packets are sent again: it gets all 30. The check stays as it is; a silence that ends is now also seen as a pause, which no soak had.

--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -12,6 +12,7 @@
 EVENTS = 30
 EVENT_INTERVAL_S = 0.05
 READ_BYTES = 65536
+SILENCE_POLL_S = 0.02
 REPORT_INTERVAL_S = 0.4
 MODES = ("pass", "delay", "reset", "silent", "one way")
 # Start of the ids of parts under which servers crash.
@@ -58,16 +59,21 @@
             while data := source.recv(READ_BYTES):
                 if self.mode == "delay":
                     time.sleep(0.2)
-                elif self.mode == "reset":
+                # As packets that are lost are sent again, a connection passes all bytes or none.
+                while self.is_silent(forward):
+                    time.sleep(SILENCE_POLL_S)
+                if self.mode == "reset":
                     break
-                elif self.mode == "silent" or (self.mode == "one way" and not forward):
-                    continue
                 sink.sendall(data)
         except OSError:
             pass
         for end in (source, sink):
             end_at_once(end)
 
+    def is_silent(self, forward):
+        """Return whether one direction passes nothing now; `forward` is the one to the server."""
+        return self.mode == "silent" or (self.mode == "one way" and not forward)
+
     def close(self):
         end_at_once(self.listener)
 
