--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,6 +16,9 @@
 CRASHING_SHARE = 0.2
 CRASHING_LOOKUPS_SHARE = 0.1
 CRASHING_PART_S = 40.0
+# All callers that are free send such a lookup at the same moment, so often.
+BURST_INTERVAL_S = 5.0
+MAX_BURST_WAIT_S = 0.3
 READ_BYTES = 65536
 # Time that an accepted withdrawal of a key may take to be in force, with hosts that were paused.
 WITHDRAWN_MARGIN_S = 8.0
@@ -61,8 +64,11 @@
         while not self.world.stopping.is_set():
             node = self.random.choice(self.world.system.entries)
             kind = self.random.choice(list(KINDS))
+            path = None
+            if self.wait_for_burst():
+                kind, path = "look", self.crashing_path()
             try:
-                self.call(node, kind)
+                self.call(node, kind, path)
             except (OSError, http.client.HTTPException) as error:
                 self.drop(node)
                 self.ledger.count(kind, "broken")
@@ -71,6 +77,14 @@
         for connection in self.connections.values():
             connection.close()
 
+    def wait_for_burst(self):
+        """Wait for the next burst if it is near; return whether it is."""
+        wait_s = BURST_INTERVAL_S - self.ledger.now() % BURST_INTERVAL_S
+        if self.world.calm or wait_s > MAX_BURST_WAIT_S:
+            return False
+        time.sleep(wait_s)
+        return True
+
     def check_planned_stop(self, node, kind, error):
         """Record a request that was cut, without any other fault, while its host was stopped."""
         if self.world.planned_stop is node and self.request_sent and not self.server_broke:
@@ -92,13 +106,14 @@
             self.connections[node.name] = connection
         return connection
 
-    def call(self, node, kind):
+    def call(self, node, kind, path=None):
+        """Send a request, with a path of its own if given, and check its answer."""
         self.sent += 1
         self.request_sent = self.server_broke = False
         request = f"c{self.number}-{self.sent}"
         self.ledger.hosts[request] = node.name
         key = self.random.choice(["key-1", "key-2"])
-        method, path = KINDS[kind]
+        method, usual_path = KINDS[kind]
         headers = {
             "Host": "a.example",
             "X-Attempt-Id": request,
@@ -107,8 +122,8 @@
         }
         if kind == "plan":
             headers |= {**PLAN_HEADERS, "X-Prompt-Prefix": self.prompt_prefix()}
-        if kind == "look" and not self.world.calm:
-            path = self.lookup_path(path)
+        if path is None:
+            path = self.lookup_path(usual_path) if kind == "look" else usual_path
         connection = self.connect(node)
         withdrawn = key == "key-2" and self.world.keys.is_withdrawn(time.monotonic())
         connection.request(method, path, b"", headers)
@@ -127,8 +142,12 @@
 
     def lookup_path(self, path):
         """Return the path of a lookup, now and then one that crashes servers."""
-        if self.draws.random() >= CRASHING_LOOKUPS_SHARE:
+        if self.world.calm or self.draws.random() >= CRASHING_LOOKUPS_SHARE:
             return path
+        return self.crashing_path()
+
+    def crashing_path(self):
+        """Return the path of the lookups that crash servers now."""
         return f"{servers.CRASHING_LOOKUPS}{int(self.ledger.now() / CRASHING_PART_S)}"
 
     def prompt_prefix(self):
