Try no unreachable servers while others take nothing just now

What callers see otherwise: refusals with "connection refused" after three tries, and an entry host that has others serve its callers though it is not cut off.

The fallback now holds only if no server that can be reached is withheld by its limit, a pause or its slots. Both cases of the new test failed before.

--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -205,6 +205,9 @@
 ) -> Candidate | None:
     """Return the cheapest of some random servers for a request, or None when none can take it.
 
+    A server that seems unreachable is chosen only if all do: not while others that can be reached
+    take no request just now.
+
     Args:
         candidates: Servers that are in service and not shutting down.
         requirements: What the request needs.
@@ -212,6 +215,7 @@
         now: Monotonic seconds.
         entry_hosts: Number of entry hosts that share the servers.
     """
+    candidates = list(candidates)
     eligible = [
         candidate
         for candidate in candidates
@@ -222,19 +226,15 @@
         for candidate in eligible
         if load_with_request(candidate, requirements) <= requirements.max_load
     ]
-    available = [
-        candidate
-        for candidate in with_room
-        if candidate.age_s < MAX_REPORT_AGE_S
-        and not candidate.state.unreachable
-        and candidate.state.backoff_until <= now
+    available = [candidate for candidate in with_room if _is_available(candidate, now)]
+    considered = available or [
+        candidate for candidate in with_room if not candidate.state.unreachable
     ]
-    # When every server looks unreachable, this host's view is more likely to be wrong.
-    considered = (
-        available
-        or [candidate for candidate in with_room if not candidate.state.unreachable]
-        or with_room
-    )
+    if not considered and not any(
+        _is_withheld(candidate, requirements, now, entry_hosts) for candidate in candidates
+    ):
+        # When every server looks unreachable, this host's view is more likely to be wrong.
+        considered = with_room
     if not considered:
         return None
     lowest_rate = min(candidate.state.failure_rate for candidate in considered)
@@ -274,15 +274,9 @@
     candidate: Candidate, requirements: Requirements, now: float, entry_hosts: int
 ) -> bool:
     state = candidate.state
-    if candidate.record.server in requirements.excluded or state.is_denied(now):
+    if candidate.record.server in requirements.excluded or not _is_allowed(candidate, requirements):
         return False
-    if state.leaving or state.paused_until > now:
-        return False
-    if requirements.without_wait and not _has_free_slot(candidate, entry_hosts):
-        return False
-    if requirements.data_centre and candidate.record.data_centre != requirements.data_centre:
-        return False
-    if requirements.regions and candidate.region not in requirements.regions:
+    if state.leaving or _takes_nothing_now(candidate, requirements, now, entry_hosts):
         return False
     if (
         candidate.state.unread + candidate.state.other_unread + requirements.unread
@@ -294,6 +288,42 @@
     )
 
 
+def _is_allowed(candidate: Candidate, requirements: Requirements) -> bool:
+    """Return whether a request may go to a server's data centre and region."""
+    if requirements.data_centre and candidate.record.data_centre != requirements.data_centre:
+        return False
+    return not requirements.regions or candidate.region in requirements.regions
+
+
+def _is_available(candidate: Candidate, now: float) -> bool:
+    """Return whether a server reports and can be reached, as far as known."""
+    state = candidate.state
+    return (
+        candidate.age_s < MAX_REPORT_AGE_S and not state.unreachable and state.backoff_until <= now
+    )
+
+
+def _takes_nothing_now(
+    candidate: Candidate, requirements: Requirements, now: float, entry_hosts: int
+) -> bool:
+    """Return whether a server's limit, its pause or its slots leave no room for a request now."""
+    state = candidate.state
+    full = requirements.without_wait and not _has_free_slot(candidate, entry_hosts)
+    return state.is_denied(now) or state.paused_until > now or full
+
+
+def _is_withheld(
+    candidate: Candidate, requirements: Requirements, now: float, entry_hosts: int
+) -> bool:
+    """Return whether a server could take a request, but not just now."""
+    return (
+        _is_available(candidate, now)
+        and not candidate.state.leaving
+        and _is_allowed(candidate, requirements)
+        and _takes_nothing_now(candidate, requirements, now, entry_hosts)
+    )
+
+
 def _has_free_slot(candidate: Candidate, entry_hosts: int) -> bool:
     """Return whether a server has a free slot, even if other hosts send to it now.
 
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -107,6 +107,21 @@
             backoffs.append(state.backoff_until)
         assert backoffs == [0.5, 1.0, 2.0, 4.0, 4.0, 4.0]
 
+    # Guards against hosts that try crashed servers while sound ones are at their limits.
+    @pytest.mark.parametrize(
+        "state", [{"limit_per_s": 0.2, "denied_until": 2.0}, {"paused_until": 2.0}]
+    )
+    def test_an_unreachable_server_is_not_tried_while_others_take_nothing_just_now(self, state):
+        crashed = candidate("crashed", age_s=20.0, unreachable=True)
+        assert choose([crashed, candidate("sound", **state)], now=1.0) is None
+        assert choose([crashed, candidate("sound", **state)], now=2.0) == "sound"
+        assert choose([crashed], now=1.0) == "crashed"
+
+    def test_it_is_tried_if_the_others_may_not_serve_the_request(self):
+        crashed = candidate("crashed", age_s=20.0, unreachable=True)
+        far = candidate("far", "yakima-a", paused_until=2.0)
+        assert choose([crashed, far], now=1.0, regions=frozenset({"puget"})) == "crashed"
+
     def test_a_cold_server_gets_at_most_this_hosts_share_of_its_rate(self):
         service = routes.Service("book", cold_per_s=40.0)
         cold = candidate("cold", slots=6, cold_until=10.0)
