Count no failures at servers that report no more towards a cut

A server that reports no more says nothing of this host's own way. Only failures at servers that report count now, as long as any does.

--- a/src/ebonywheel/gateway/reach.py
+++ b/src/ebonywheel/gateway/reach.py
@@ -97,7 +97,9 @@
         if now - self.heard_at <= HEARD_S:
             return
         others = self._fresh_servers()
-        if len(self.failed) >= min(CUT_OFF_FAILURES, len(others)):
+        # A crashed server reports no more; that it cannot be reached says nothing of this host.
+        failed = self.failed.intersection(map(_key, others)) if others else self.failed
+        if len(failed) >= min(CUT_OFF_FAILURES, len(others)):
             self._begin_cut()
         else:
             untried = [other for other in others if _key(other) not in self.failed]
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -129,6 +129,24 @@
     assert not host.view.cut_off and not host.unreachable()
 
 
+# Guards against hosts that count as cut off after they tried servers that crashed long ago.
+def test_servers_that_report_no_more_are_no_sign_of_a_cut(host):
+    host.connect("s5")
+    for name in SERVERS[:4]:
+        host.pool.reachable.discard(name)
+        host.records.pop(name)
+    host.clock.advance(balance.MAX_REPORT_AGE_S + reach.HEARD_S + 0.1)
+    host.report()
+    for server in SERVERS[:4]:
+        record = messages.DirectoryRecord(server, 1, service="book")
+        error = exceptions.UpstreamError("refused", "connect")
+        # One after the other, before a probe of a sound server has ended.
+        curio.run(host.reach.connect_failed, record, error)
+    assert not host.view.cut_off
+    for probe in host.tasks:
+        probe.close()
+
+
 # Guards against hosts that count as cut off, again and again, while several servers have crashed.
 def test_crashed_servers_beside_sound_ones_are_no_cut(host):
     host.connect("s5")
