--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -14,9 +14,9 @@
 import curio
 import pytest
 
-from ebonywheel import clock, commands, messages, registry, state, statedata, watchserver
+from ebonywheel import clock, commands, messages, permits, registry, state, statedata, watchserver
 from ebonywheel.exceptions import LinkError, UpstreamError
-from ebonywheel.gateway import crashes, dialect, inflight, routes, view
+from ebonywheel.gateway import crashes, dialect, inflight, permitclient, routes, view
 
 registry.load_plugins()
 ENTRY_HOSTS = 195
@@ -66,7 +66,8 @@
         self.view = view.EntryView(self.core, lambda content: None, {}, 1)
         self.view.remains_in_service = lambda record: True
         sender = types.SimpleNamespace(view=self.view, pool=self)
-        self.reporter = crashes.CrashReporter(self.core, sender, self, None)
+        permit_client = permitclient.PermitClient(self.core, self.view, self)
+        self.reporter = crashes.CrashReporter(self.core, sender, self, permit_client)
 
     async def spawn(self, coro):
         self.tasks.append(await curio.spawn(coro))
@@ -81,6 +82,8 @@
     async def call(self, message, timeout_s):
         if self.cut:
             raise LinkError("no control host is connected")
+        if isinstance(message, messages.PermitRequest):
+            return self.simulation.leader.grant(message)
         return messages.SubmitReply(0, commands.encode(self.simulation.apply(message.command)))
 
     async def hear(self):
@@ -127,6 +130,7 @@
         consensus = types.SimpleNamespace(members=[], on_applied=[], proposals=proposals)
         core = types.SimpleNamespace(clock=self.clock, log=Log())
         self.watch_server = watchserver.WatchServer(core, consensus, self.state_machine)
+        self.leader = permits.Permits(self.clock, lambda step: None)
         self.hosts = [Host(self, f"entry-{number}") for number in range(ENTRY_HOSTS)]
         for _ in range(ENGINES):
             self.start_engine()
@@ -259,11 +263,26 @@
             with contextlib.suppress(LinkError):
                 await host.join_tasks()
 
-    def later_arrivals(self):
+    async def send_together(self, request, hosts):
+        """Have hosts send equal requests that crash their servers before an answer begins."""
+        reached = set()
+        for host in hosts:
+            context = inflight.RequestContext(request, None, SERVICE, None, 0.0, 0.0, 0.0)
+            if host.view.quarantined_s(context) or not await host.reporter.admit(context):
+                continue
+            engine = self.rng.choice(sorted(self.engines))
+            self.engines[engine][id(context)] = (host, context)
+            self.arrival_times.append(self.clock.now)
+            reached.add(engine)
+        for engine in sorted(reached):
+            self.crash_times.append(self.clock.now)
+            await self.crash(engine)
+
+    def later_arrivals(self, crashes_before_bound=5):
         """Return how many crashing requests arrived after the bound."""
-        if len(self.crash_times) < 5:
+        if len(self.crash_times) < crashes_before_bound:
             return 0
-        bound = self.crash_times[4] + STABLE_WINDOW_S
+        bound = self.crash_times[crashes_before_bound - 1] + STABLE_WINDOW_S
         return sum(at > bound for at in self.arrival_times)
 
     def most_refused_share(self, since):
@@ -341,6 +360,31 @@
     curio.run(body)
 
 
+# Guards against equal lookups that many hosts send at the same moment, again and again: each
+# burst of crashes counts as one.
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("size", [4, ENTRY_HOSTS])
+def test_equal_lookups_at_the_same_moment_stop_at_all_hosts(seed, size, monkeypatch):
+    monkeypatch.setattr(permitclient, "MAX_TRIAL_WAIT_S", 0.01)
+    monkeypatch.setattr(permitclient, "MIN_WAIT_S", 1.0)
+    lookup = dialect.CallerRequest("a", "GET", "h", "/look/1", "/look/1", "k", None, [], b"", None)
+
+    async def body():
+        simulation = Simulation(seed, mixed_traffic())
+        for _ in range(8):
+            hosts = simulation.rng.sample(simulation.hosts, size)
+            await simulation.send_together(lookup, hosts)
+            await simulation.run(STABLE_WINDOW_S + 1.0)
+        assert simulation.crash_times
+        assert simulation.later_arrivals(crashes_before_bound=3) <= MAX_LATER_ARRIVALS
+        await simulation.restart_all()
+        await simulation.send_together(lookup, simulation.hosts)
+        assert simulation.later_arrivals(crashes_before_bound=3) <= MAX_LATER_ARRIVALS
+        assert simulation.most_refused_share(0.0) <= MAX_REFUSED_SHARE
+
+    curio.run(body)
+
+
 # Guards against innocent requests that are refused as they were in flight when engines crashed.
 @pytest.mark.parametrize("seed", range(3))
 def test_engines_that_crash_for_other_reasons_cause_no_refusals(seed):
