Measure no answer time from rejections

Found on reading: a rejection with 421 or 429 counted as an answer, took next to no time, and would have raised the pace at which brittle servers are sent to. The test failed before for 429 (503 was left out already) and passes.

--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -168,7 +168,7 @@
     async def finish(self, reply: Reply) -> None:
         """Return the connection to the pool after the whole answer has been read."""
         reply.reservation.release()
-        if reply.head.status < STATUS_SERVER_ERROR:
+        if reply.head.status < STATUS_SERVER_ERROR and not reply.head.not_run:
             elapsed_s = self.core.clock.monotonic() - reply.sent_at
             self.view.notices.record_answer_time(reply.record.service, elapsed_s)
         await self.pool.release(reply.record, reply.connection, reply.head.keep_alive_s)
