Test going back to the build in production

test_platform_upgrade replaces all hosts in turn and then puts the earlier build back, under the same traffic and with the same checks.

--- a/tests/test_platform_upgrade.py
+++ b/tests/test_platform_upgrade.py
@@ -35,7 +35,7 @@
     platformsystem.route("plan", "/plan/", "streaming", "plan"),
 ]
 PLAN_HEADERS = {"X-Token-Counts": "300,40", "X-Model-Name": "m"}
-ORDERS = ["control hosts first", "entry hosts first", "in turn"]
+ORDERS = ["control hosts first", "entry hosts first", "in turn", "in turn and back"]
 
 
 @pytest.fixture(scope="module")
@@ -147,19 +147,26 @@
             self.refused.add(attempt)
 
 
-def _replacement_order(system, order):
+def _replacements(system, order, earlier_program):
+    """Return hosts in the order of their replacement, and the program that each gets."""
     if order == "control hosts first":
-        return [*system.controls, *system.entries]
-    if order == "entry hosts first":
-        return [*system.entries, *system.controls]
-    return [node for pair in zip(system.controls, system.entries, strict=True) for node in pair]
-
-
-def _replace(system, callers, node):
-    """Stop a host and start it on this build, as its balancer sends callers elsewhere."""
+        nodes = [*system.controls, *system.entries]
+    elif order == "entry hosts first":
+        nodes = [*system.entries, *system.controls]
+    else:
+        pairs = zip(system.controls, system.entries, strict=True)
+        nodes = [node for pair in pairs for node in pair]
+    forward = [(node, platformsystem.PROGRAM) for node in nodes]
+    if order != "in turn and back":
+        return forward
+    return forward + [(node, earlier_program) for node in nodes]
+
+
+def _replace(system, callers, node, program):
+    """Stop a host and start it on another build, as its balancer sends callers elsewhere."""
     callers.ready = [entry for entry in system.entries if entry is not node]
     assert node.stop() == 0
-    node.program = platformsystem.PROGRAM
+    node.program = program
     node.start()
     if node in system.entries:
         platformsystem.wait_for(lambda: system.ready_status(node) == 200, node.name)
@@ -187,8 +194,8 @@
         callers.thread.start()
         versions = itertools.count(2)
         crash_path = f"/look/crash-{order.replace(' ', '-')}"
-        for node in _replacement_order(system, order):
-            _replace(system, callers, node)
+        for node, program in _replacements(system, order, earlier_program):
+            _replace(system, callers, node, program)
             _change(system, next(versions))
             servers.start("book")
             system.request("GET", crash_path, CRASHING_BODY, node=next(system.entry_turns))
