Do not exceed the burst of a stated limit at brittle servers

Found on reading: a brittle server that states a limit below its pace was asked for with the burst of the pace, 0.4 of its slots. With many slots that is more than the limit allows in a window. The new test fails without the change (a burst of 400) and passes. One name less alike in the module.

--- a/src/ebonywheel/gateway/permitclient.py
+++ b/src/ebonywheel/gateway/permitclient.py
@@ -1,7 +1,7 @@
 """Asking for permits to send requests to limited or brittle servers, and suspect requests.
 
-A suspect request would be quarantined if one more server crashed under it. All hosts together send
-one at a time, so that the control hosts can decide on each before the next.
+All hosts together send requests that may crash servers one at a time, so that the control hosts can
+decide on each before the next.
 """
 
 import curio
@@ -48,7 +48,7 @@
         If not, the server's state tells until when it is not to be chosen.
         """
         state = self.view.state_of(record)
-        request = self._permit_request(record, state)
+        request = self._make_request(record, state)
         if request is None:
             return True
         wait_s = await self._request_permit(request)
@@ -63,7 +63,7 @@
         state.denied_until = self.core.clock.monotonic() + wait_s
         return False
 
-    def _permit_request(
+    def _make_request(
         self, record: messages.DirectoryRecord, state: balance.ServerState
     ) -> messages.PermitRequest | None:
         """Return what to ask for, None when the server needs no permit."""
@@ -75,6 +75,7 @@
             request.per_s, request.burst = pace.per_s, pace.burst
         if state.limit_per_s is not None and (pace is None or state.limit_per_s < pace.per_s):
             request.per_s = max(MIN_LIMIT_PER_S, state.limit_per_s)
+            request.burst = min(request.burst, permits.default_burst(request.per_s))
         return request
 
     async def acquire_trial(self, fingerprint: bytes) -> bool:
--- a/src/ebonywheel/permits.py
+++ b/src/ebonywheel/permits.py
@@ -59,7 +59,7 @@
         self.buckets[key] = bucket
         if not request.per_s > 0:
             return messages.PermitReply(False, int(FORGET_S * MS_PER_S))
-        burst = max(MIN_BURST, request.burst or BURST_S * request.per_s)
+        burst = max(MIN_BURST, request.burst or default_burst(request.per_s))
         earned = (now - bucket.updated_at) * request.per_s
         bucket.tokens = min(burst, bucket.tokens + earned)
         bucket.updated_at = now
@@ -75,3 +75,8 @@
             if now - bucket.updated_at <= FORGET_S and len(self.buckets) < MAX_SERVERS:
                 return
             del self.buckets[key]
+
+
+def default_burst(per_s: float) -> float:
+    """Return the permits that may be granted at once at a rate unless a request asks for fewer."""
+    return max(MIN_BURST, BURST_S * per_s)
--- a/tests/test_permitclient.py
+++ b/tests/test_permitclient.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from ebonywheel import clock, exceptions, messages
+from ebonywheel import clock, exceptions, messages, permits
 from ebonywheel.gateway import balance, dialect, notices, permitclient, quarantine
 
 RECORD = messages.DirectoryRecord("s", 1, service="book", address="10.0.0.1:80")
@@ -146,6 +146,14 @@
         brittle.state.limit_per_s = 1000.0
         assert self.request(brittle).per_s < 1000.0
 
+    # Guards against bursts beyond a stated limit at servers with many slots.
+    def test_the_burst_does_not_exceed_that_of_a_lower_stated_limit(self, brittle):
+        brittle.notices.record_answer_time("book", self.ANSWER_S)
+        brittle.state.limit_per_s = 2.0
+        record = msgspec.structs.replace(RECORD, slots=1000)
+        assert curio.run(brittle.client.acquire, record)
+        assert brittle.leader.asked[-1].burst <= permits.default_burst(2.0)
+
     def test_it_ends_when_no_answer_says_so_any_more(self, brittle):
         brittle.notices.record_answer_time("book", self.ANSWER_S)
         brittle.clock.advance(notices.BRITTLE_S + 0.1)
