Log what a request got of its answer, and what a draining host waits for

A host that closes a connection without an answer logs a fault, but not whether the request had been passed on; a host that is killed at the end of its grace does not say what it waited for.

Change: the line on a request says where it was sent and whether its caller got the whole answer, a part or none, counted as answers_not_whole; from the end of accepting on, a draining host logs each second what it waits for. The planned end of a host moves to a module of its own.

--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -17,15 +17,12 @@
     relayserver,
     routes,
     sender,
+    shutdown,
     streaming,
     view,
 )
 
 HOUSEKEEPING_INTERVAL_S = 1.0
-DRAIN_POLL_INTERVAL_S = 0.05
-# A load balancer that probes every second removes a host after two failed probes. Requests that
-# arrive until then are still served.
-DRAIN_ACCEPT_S = 2.5
 # Retry-after time for a request that another host can serve at once.
 RETRY_ELSEWHERE_S = 0.1
 STATUS_NO_ROUTE = 404
@@ -37,11 +34,7 @@
 
 
 class Gateway:
-    """An entry host that forwards requests by the routing content.
-
-    Attributes:
-        draining_since: When this host began to drain, monotonic seconds; None before.
-    """
+    """An entry host that forwards requests by the routing content."""
 
     def __init__(
         self,
@@ -67,9 +60,9 @@
         self.streams.on_late_run.append(self.mover.start_late_move)
         self.relays = relays.Relays(core, entry_view, self.watcher)
         self.relay_server = relayserver.RelayServer(core, self)
-        self.draining_since: float | None = None
         self.http = http.Server(core, address, self.handle, DEFAULT_MAX_BODY_BYTES)
         self.http.limits.body_s = BODY_TIMEOUT_S
+        self.shutdown = shutdown.Shutdown(core, self.http, self.relay_server)
 
     async def start(self, seeds: list[str]) -> None:
         """Start watching the control hosts at these link addresses, and serving callers."""
@@ -86,20 +79,8 @@
 
     async def drain(self) -> None:
         """Wait until no new requests are accepted and all accepted ones are answered."""
-        self.draining_since = self.core.clock.monotonic()
         self.view.draining = True
-        while (
-            self._accepts_requests()
-            or self.http.active_exchanges
-            or self.http.lingering
-            or self.relay_server.relays
-        ):
-            await curio.sleep(DRAIN_POLL_INTERVAL_S)
-
-    def _accepts_requests(self) -> bool:
-        """Return whether a request that arrives now is still served."""
-        since = self.draining_since
-        return since is None or self.core.clock.monotonic() - since < DRAIN_ACCEPT_S
+        await self.shutdown.drain()
 
     # -- requests --------------------------------------------------------------------------
 
@@ -123,6 +104,7 @@
         try:
             request = self.dialect.decode_request(exchange.request)
             context = self._admit(request, started_at)
+            self.shutdown.requests[id(exchange)] = context
             self._check_quarantine(context)
             await self._forward(exchange, context)
         except exceptions.NotRunError as error:
@@ -148,6 +130,7 @@
             outcome = f"fault: {error!r}"
             raise
         finally:
+            self.shutdown.requests.pop(id(exchange), None)
             self._log_request(exchange, context, outcome, started_at)
 
     def _admit(self, request: dialect.CallerRequest, started_at: float) -> inflight.RequestContext:
@@ -187,10 +170,10 @@
         Raises:
             NotRunError: The request is refused.
         """
-        if self.draining_since is None:
+        if not self.shutdown.begun():
             return
         long_running = request.prompt is not None and streaming.is_long_running(request.prompt)
-        if long_running or not self._accepts_requests():
+        if long_running or not self.shutdown.accepts_requests():
             raise exceptions.NotRunError(
                 "this host ends", "route", request.attempt, 503, RETRY_ELSEWHERE_S
             )
@@ -298,15 +281,24 @@
         if context is None:
             request = self.dialect.attempt_id(exchange.request)
             path = exchange.request.path
-            self.core.log.info("request", request=request, path=path, outcome=outcome)
+            answer = _answer_state(exchange)
+            self.core.log.info(
+                "request", request=request, path=path, outcome=outcome, answer=answer
+            )
             return
         self.core.metrics.observe("request", took_s, route=context.route.kind)
+        answer = _answer_state(exchange)
+        if answer != "whole":
+            sent = "yes" if context.sent_to else "no"
+            self.core.metrics.count("answers_not_whole", answer=answer, sent=sent)
         self.core.log.info(
             "request",
             request=context.request.attempt,
             kind=context.route.kind,
             service=context.service.name,
             servers=" ".join(context.tried),
+            sent_to=" ".join(context.sent_to),
+            answer=answer,
             relayed_by=context.relayed_by,
             outcome=outcome,
             status=context.status,
@@ -336,6 +328,13 @@
         limits.idle_s = table_limits.idle_s
 
 
+def _answer_state(exchange: http.ResponseWriter) -> str:
+    """Return how much of its answer a request has got, for the log."""
+    if exchange.ended:
+        return "whole"
+    return "part" if exchange.started else "none"
+
+
 def _hash_fraction(attempt: str) -> float:
     """Return a hash of the attempt id as a number in [0, 1)."""
     return zlib.crc32(attempt.encode()) / 0x1_0000_0000
--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -81,9 +81,11 @@
 
     Attributes:
         started: True once the response has begun.
+        ended: True once all of it has been given.
     """
 
     started: bool
+    ended: bool
 
     async def start(self, status: int, headers: Headers) -> None:
         """Begin a response, which is chunked unless the headers give its length."""
@@ -103,12 +105,14 @@
 
     Attributes:
         started: True once a response has begun.
+        ended: True once all of it has been written to the socket.
     """
 
     def __init__(self, connection: "ServerConnection", request: Request):
         self.connection = connection
         self.request = request
         self.started = False
+        self.ended = False
 
     async def respond(
         self,
@@ -131,6 +135,7 @@
         if body and self._has_body(status):
             data += connection.encode_data(body)
         await connection.send(data + connection.encode_end())
+        self.ended = True
 
     def _has_body(self, status: int) -> bool:
         return self.request.method != "HEAD" and status not in STATUSES_WITHOUT_BODY
@@ -159,6 +164,7 @@
     async def end(self) -> None:
         """End the response."""
         await self.connection.send(self.connection.encode_end())
+        self.ended = True
 
     async def wait_hangup(self) -> None:
         """Wait until the caller closes the connection; keep the requests that it pipelined."""
