Send header values as the bytes that were received

What callers saw: a sound server answered with a byte above 0x7F in a header (which HTTP allows), and the caller's kept connection was closed without an answer, though the request had run. A request with such a header got 500.

Cause: values are held as Latin-1 text, one character for each byte, but were handed to h11 as text, which it encodes as ASCII.

Change: values are encoded as Latin-1 where they are handed to h11, once for the server side and once for the client side, so all paths are covered: plain, streamed, repeated, moved and relayed runs, and the product's own interface.

--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -33,12 +33,22 @@
 Headers = list[tuple[str, str]]
 
 
+def encode_fields(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return headers as they are sent; their values hold one character for each byte.
+
+    Raises:
+        UnicodeEncodeError: A name is not ASCII, or a value has characters beyond Latin-1.
+    """
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+
+
 class Request(msgspec.Struct):
     """A complete request as received.
 
     Attributes:
         peer: Address and port of the caller.
         raw_query: The query string as sent, without the question mark.
+        headers: Header values by lower-case name, with one character for each byte received.
         fields: All headers in order, with lower-case names.
     """
 
@@ -232,7 +242,7 @@
         """Encode the head of a response; while draining, announce that the connection closes."""
         if self.server.core.draining.is_set():
             headers = [*headers, ("connection", "close")]
-        return self.conn.send(h11.Response(status_code=status, headers=headers))
+        return self.conn.send(h11.Response(status_code=status, headers=encode_fields(headers)))
 
     def encode_data(self, data: bytes) -> bytes:
         """Encode a part of a response body."""
--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -93,7 +93,9 @@
         fields = [("content-length", str(len(body))), *headers]
         if all(name != "host" for name, _ in headers):
             fields.insert(0, ("host", self.address))
-        self.request_head = h11.Request(method=method, target=target, headers=fields)
+        self.request_head = h11.Request(
+            method=method, target=target, headers=http.encode_fields(fields)
+        )
         self.request_body = body
         data = self.conn.send(self.request_head)
         if body:
