Let signals that come again change nothing

What callers saw: a host that got SIGTERM twice, as platforms send it, closed every connection with a request at a server, without an answer.

Cause: any second SIGTERM or SIGINT ended the process at once.

Change: a host that drains goes on when SIGTERM, SIGHUP or a first SIGINT comes; only a second SIGINT, which comes from a terminal, ends it at once. SIGTERM and SIGHUP have no effect either while the process ends.

--- a/src/ebonywheel/signals.py
+++ b/src/ebonywheel/signals.py
@@ -1,21 +1,26 @@
-"""Signals: SIGTERM and SIGINT drain, a second one ends the process at once, SIGHUP reloads."""
+"""Signals: SIGTERM and SIGINT drain, a second SIGINT ends the process at once, SIGHUP reloads."""
 
 import os
 import signal
 import socket
+import typing
 
 import curio
 import curio.io
 
 from ebonywheel import kernel
 
-EXIT_SECOND_SIGNAL = 130
+EXIT_SECOND_INTERRUPT = 130
 DRAIN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 HANDLED_SIGNALS = (*DRAIN_SIGNALS, signal.SIGHUP)
 
 
 async def watch(core: kernel.Kernel) -> None:
-    """Drain at the first SIGTERM or SIGINT, exit at the second, and reload at SIGHUP."""
+    """Drain at SIGTERM or SIGINT, exit at the second SIGINT, and reload at SIGHUP.
+
+    Platforms repeat SIGTERM; a second SIGINT comes from a person at a terminal.
+    """
+    interrupted = False
     reader, writer = socket.socketpair()
     reader.setblocking(False)
     writer.setblocking(False)
@@ -23,23 +28,34 @@
     previous = signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
     core.exit_stack.callback(signal.set_wakeup_fd, previous)
     for number in HANDLED_SIGNALS:
-        core.exit_stack.callback(signal.signal, number, signal.signal(number, _ignore_signal))
+        before = signal.signal(number, _ignore_signal)
+        if number == signal.SIGINT:
+            # The other signals stay without effect while the process ends.
+            core.exit_stack.callback(signal.signal, number, before)
     async with curio.io.Socket(reader) as source:
         while True:
             for number in await source.recv(16):
                 if number == signal.SIGHUP:
                     await core.reload()
                 elif number in DRAIN_SIGNALS:
-                    await _drain_or_exit(core, signal.Signals(number))
+                    if number == signal.SIGINT and interrupted:
+                        _exit_at_once(core)
+                    interrupted = interrupted or number == signal.SIGINT
+                    await _drain(core, signal.Signals(number))
 
 
-async def _drain_or_exit(core: kernel.Kernel, received: signal.Signals) -> None:
+async def _drain(core: kernel.Kernel, received: signal.Signals) -> None:
     if core.draining.is_set():
-        core.log.warning("exit_at_once", signal=received.name)
-        os._exit(EXIT_SECOND_SIGNAL)
+        core.log.info("already_draining", signal=received.name)
+        return
     core.log.info("draining", signal=received.name)
     await core.draining.set()
 
 
+def _exit_at_once(core: kernel.Kernel) -> typing.NoReturn:
+    core.log.warning("exit_at_once")
+    os._exit(EXIT_SECOND_INTERRUPT)
+
+
 def _ignore_signal(number: int, frame: object) -> None:
     """Do nothing: `watch` reads the signal from the wake-up descriptor."""
