Accept no connections once a stopping host takes no requests

What callers saw: a host that was told to stop answered 503 to callers that came back until the platform killed it, with whatever it served then.

Cause: the drain waits until no exchange is active and no connection lingers; with connections still accepted, callers that heed no Connection: close keep one of the two above zero for ever.

Change: from the moment at which no more requests are taken, the listening socket is closed, and so are idle connections and those whose request has not been read. What is left only shrinks: each open connection has one answer at most, and lingers for a second at most.

--- a/src/ebonywheel/gateway/shutdown.py
+++ b/src/ebonywheel/gateway/shutdown.py
@@ -39,10 +39,16 @@
         return self.since is None or self._elapsed_s() < ACCEPT_S
 
     async def drain(self) -> None:
-        """Wait until no new requests are accepted and all accepted ones are answered."""
+        """Wait until no new requests are accepted and all accepted ones are answered.
+
+        Callers may come back all the time, so connections are no longer accepted either.
+        """
         self.since = self.core.clock.monotonic()
+        while self.accepts_requests():
+            await curio.sleep(POLL_INTERVAL_S)
+        await self.server.stop_accepting()
         log_at_s = ACCEPT_S
-        while self.accepts_requests() or self._waits():
+        while self._waits():
             if self._elapsed_s() >= log_at_s:
                 log_at_s += LOG_INTERVAL_S
                 self._log_waits()
--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -227,9 +227,10 @@
     Attributes:
         conn: HTTP/1.1 protocol state.
         pipelined_bytes: Number of bytes read ahead during the current exchange.
+        task: The task that serves it.
     """
 
-    def __init__(self, server: "Server", sock: curio.io.Socket, peer: str):
+    def __init__(self, server: "Server", sock: curio.io.Socket, peer: str, task: curio.Task):
         self.server = server
         self.sock = sock
         self.peer = peer
@@ -237,6 +238,7 @@
             h11.SERVER, max_incomplete_event_size=server.limits.header_bytes + HEAD_OVERHEAD_BYTES
         )
         self.pipelined_bytes = 0
+        self.task = task
 
     def encode_response(self, status: int, headers: Headers) -> bytes:
         """Encode the head of a response; while draining, announce that the connection closes."""
@@ -402,6 +404,8 @@
         active_exchanges: Number of exchanges that are being read, handled or answered.
         open_connections: Number of connections, lingering ones included.
         lingering: Number of connections that may still deliver their last response.
+        unread: Connections that are idle, or whose next request has not been read yet.
+        listener: The socket that accepts connections, None before `start`.
     """
 
     def __init__(
@@ -415,6 +419,8 @@
         self.active_exchanges = 0
         self.open_connections = 0
         self.lingering = 0
+        self.unread: set[ServerConnection] = set()
+        self.listener: curio.io.Socket | None = None
         self.accept_task: curio.Task | None = None
 
     async def start(self) -> None:
@@ -425,11 +431,18 @@
         """
         host, port = settings.split_address(self.address)
         try:
-            sock = curio.tcp_server_socket(host, port, backlog=ACCEPT_BACKLOG)
+            self.listener = curio.tcp_server_socket(host, port, backlog=ACCEPT_BACKLOG)
         except OSError as error:
             raise exceptions.SettingsError(str(error), "bind http", self.address) from error
-        self.core.exit_stack.push_async_callback(sock.close)
-        self.accept_task = await self.core.spawn(self._accept(sock), essential=True)
+        self.core.exit_stack.push_async_callback(self.listener.close)
+        self.accept_task = await self.core.spawn(self._accept(self.listener), essential=True)
+
+    async def stop_accepting(self) -> None:
+        """Accept no more connections, and close those that have no request to be answered."""
+        await self.accept_task.cancel()
+        await self.listener.close()
+        for connection in list(self.unread):
+            await connection.task.cancel(blocking=False)
 
     async def _accept(self, sock: curio.io.Socket) -> None:
         while True:
@@ -450,7 +463,7 @@
             await self.core.spawn(self._serve_connection(client, f"{address[0]}:{address[1]}"))
 
     async def _serve_connection(self, sock: curio.io.Socket, peer: str) -> None:
-        connection = ServerConnection(self, sock, peer)
+        connection = ServerConnection(self, sock, peer, await curio.current_task())
         try:
             async with sock:
                 while await self._serve_next(connection):
@@ -464,12 +477,15 @@
             self.open_connections -= 1
 
     async def _serve_next(self, connection: ServerConnection) -> bool:
+        self.unread.add(connection)
         try:
             if not await connection.wait_request():
                 return False
         except exceptions.HttpError:
             self.core.metrics.count("http_idle_closed")
             return False
+        finally:
+            self.unread.discard(connection)
         self.active_exchanges += 1
         try:
             return await self._serve_request(connection)
@@ -477,12 +493,15 @@
             self.active_exchanges -= 1
 
     async def _serve_request(self, connection: ServerConnection) -> bool:
+        self.unread.add(connection)
         try:
             request = await connection.read_request()
         except exceptions.HttpError as error:
             self.core.metrics.count("http_bad_requests", status=str(error.status))
             await _send_error(connection, error)
             return False
+        finally:
+            self.unread.discard(connection)
         if request is None:
             return False
         return await self._handle(connection, Exchange(connection, request))
