Answer every request in whose handling an unexpected error comes before the first byte

What callers saw: any error between a server's answer and the first byte to the caller ended as a closed connection, on a request that had run; headers above 0x7F were only one case of it. The same for a request that could not be encoded for its server, an OSError or a leaked time-out in a handler.

Cause: an answer counted as started before it was encoded, so no error was sent in its place; h11's own errors, OSError and curio's errors were passed over to the code that closes the connection.

Change: an answer counts as started when its first bytes are handed to the socket. An error before that is answered, with 502 by the gateway, which logs the request's id, and with 500 elsewhere; where h11 has given the exchange up, with a fixed 502. After the first byte the connection is closed inside the answer, as before.

--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -128,7 +128,7 @@
             raise
         except Exception as error:
             outcome = f"fault: {error!r}"
-            raise
+            await self._fail(exchange, error)
         finally:
             self.shutdown.requests.pop(id(exchange), None)
             self._log_request(exchange, context, outcome, started_at)
@@ -260,6 +260,14 @@
         body = http.ErrorBody(error.code, error.text, error.step, error.peer)
         await exchange.respond_json(error.status, body)
 
+    async def _fail(self, exchange: http.Exchange, error: Exception) -> None:
+        """Answer a request of which an unexpected error leaves open whether it ran."""
+        attempt = self.dialect.attempt_id(exchange.request)
+        self.core.log.error("request_failed", request=attempt, error=repr(error))
+        self.core.metrics.count("failures", status=str(refusals.STATUS_OUTCOME_UNKNOWN))
+        body = http.ErrorBody("internal", "internal error", "forward", attempt)
+        await exchange.fail(refusals.STATUS_OUTCOME_UNKNOWN, body)
+
     def _check_may_relay(self, exchange: relayserver.RelayedExchange) -> None:
         """Refuse to serve another host with older routing content, or on the way to the end.
 
--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -27,6 +27,8 @@
 ACCEPT_BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
 STATUSES_WITHOUT_BODY = (204, 304)
+# The answer when the protocol state is lost before the first byte of one.
+LAST_RESORT = b"HTTP/1.1 502 Bad Gateway\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 JSON = "application/json"
 EVENT_STREAM = "text/event-stream"
 
@@ -110,6 +112,25 @@
         """Give a complete response with exactly these headers, which must include its length."""
 
 
+class ErrorBody(msgspec.Struct):
+    """JSON body of every error response.
+
+    Attributes:
+        error: Code of the error.
+        text: What went wrong.
+        step: The step that failed.
+        peer: The other end, file or component concerned.
+        run: Whether the request ran: ``not run``, ``unknown`` or an empty string where this does
+            not apply.
+    """
+
+    error: str
+    text: str
+    step: str = ""
+    peer: str = ""
+    run: str = ""
+
+
 class Exchange:
     """One request and its response, on the server side.
 
@@ -139,12 +160,13 @@
 
     async def respond_raw(self, status: int, fields: Headers, body: bytes) -> None:
         """Send a complete response with exactly these headers, which must include its length."""
-        self.started = True
         connection = self.connection
         data = connection.encode_response(status, fields)
         if body and self._has_body(status):
             data += connection.encode_data(body)
-        await connection.send(data + connection.encode_end())
+        data += connection.encode_end()
+        self.started = True
+        await connection.send(data)
         self.ended = True
 
     def _has_body(self, status: int) -> bool:
@@ -158,14 +180,14 @@
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a response; it is chunked unless the headers give its length."""
+        head = self.connection.encode_response(status, headers)
         self.started = True
-        await self.connection.send(self.connection.encode_response(status, headers))
+        await self.connection.send(head)
 
     async def start_stream(self, content_type: str, headers: Headers | None = None) -> None:
         """Send the head of a chunked response."""
         fields = [("content-type", content_type), ("cache-control", "no-store"), *(headers or [])]
-        self.started = True
-        await self.connection.send(self.connection.encode_response(200, fields))
+        await self.start(200, fields)
 
     async def write(self, data: bytes) -> None:
         """Send a part of the response body."""
@@ -176,6 +198,16 @@
         await self.connection.send(self.connection.encode_end())
         self.ended = True
 
+    async def fail(self, status: int, body: ErrorBody) -> None:
+        """Send an error, unless the response has begun."""
+        if self.started:
+            return
+        if self.connection.conn.our_state is h11.SEND_RESPONSE:
+            await self.respond_json(status, body)
+            return
+        self.started = True
+        await self.connection.send(LAST_RESORT)
+
     async def wait_hangup(self) -> None:
         """Wait until the caller closes the connection; keep the requests that it pipelined."""
         await self.connection.read_until_closed()
@@ -184,25 +216,6 @@
 ExchangeHandler = typing.Callable[[Exchange], typing.Awaitable[None]]
 
 
-class ErrorBody(msgspec.Struct):
-    """JSON body of every error response.
-
-    Attributes:
-        error: Code of the error.
-        text: What went wrong.
-        step: The step that failed.
-        peer: The other end, file or component concerned.
-        run: Whether the request ran: ``not run``, ``unknown`` or an empty string where this does
-            not apply.
-    """
-
-    error: str
-    text: str
-    step: str = ""
-    peer: str = ""
-    run: str = ""
-
-
 class ServerLimits(msgspec.Struct):
     """Size and time limits for requests.
 
@@ -511,23 +524,13 @@
             await self.handler(exchange)
         except exceptions.EbonywheelError as error:
             self.core.metrics.count("http_errors", code=error.code)
-            if exchange.started:
-                return False
             status = getattr(error, "status", 500)
             body = ErrorBody(error.code, error.text, error.step, error.peer)
-            await exchange.respond_json(status, body)
-        except h11.LocalProtocolError as error:
-            self.core.metrics.count("http_errors", code="protocol")
-            self.core.log.error("http_protocol", peer=connection.peer, error=error)
-            return False
-        except (OSError, curio.CurioError):
-            raise
-        except Exception as error:
+            await exchange.fail(status, body)
+        except (Exception, curio.TaskTimeout) as error:
             self.core.metrics.count("http_errors", code="internal")
             self.core.log.error("handler_failed", path=exchange.request.path, error=repr(error))
-            if exchange.started:
-                return False
-            await exchange.respond_json(500, ErrorBody("internal", "internal error"))
+            await exchange.fail(500, ErrorBody("internal", "internal error"))
         if connection.conn.our_state is not h11.DONE:
             return False
         if connection.conn.their_state is not h11.DONE:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,5 +1,6 @@
 """HTTP server and client: responses match their requests, and malformed input is handled."""
 
+import itertools
 import socket
 
 import curio
@@ -187,6 +188,55 @@
         run(scenario)
 
 
+async def fail_before_answer(exchange):
+    """Fail in one of the ways in which a handler or its answer can, by the path of the request."""
+    match exchange.request.path:
+        case "/value":
+            await exchange.respond(200, b"", headers=[("x-key", "a\r\nx-evil: 1")])
+        case "/text":
+            await exchange.respond(200, b"", headers=[("x-key", "\u98f2")])
+        case "/name":
+            await exchange.start(200, [("x key", "a")])
+        case "/length":
+            await exchange.respond_raw(200, [("content-length", "1x")], b"")
+        case "/body" if exchange.request.method == "GET":
+            await exchange.respond_raw(200, [("content-length", "1")], b"longer")
+        case "/os":
+            raise OSError("no such file")
+        case "/timeout":
+            raise curio.TaskTimeout(0.0)
+        case "/fault":
+            raise KeyError("missing")
+        case _:
+            await exchange.respond(200, b"whole")
+
+
+class TestFailedAnswers:
+    # Guards against an error before the first byte of an answer that ends as a closed connection.
+    @pytest.mark.parametrize(
+        "method, path",
+        [
+            *itertools.product(
+                ["GET", "HEAD"],
+                ["/value", "/text", "/name", "/length", "/os", "/timeout", "/fault"],
+            ),
+            ("GET", "/body"),
+        ],
+    )
+    def test_an_error_before_the_first_byte_is_answered(self, method, path):
+        async def scenario(core):
+            await serve(core, fail_before_answer)
+            head = f"{method} {path} HTTP/1.1\r\nhost: x\r\n\r\n".encode()
+            received = await send_and_read(core, head)
+            (answer,) = parse_answers(received, [method])
+            assert answer[0] in (500, 502)
+            assert parse_answers(await send_and_read(core, get("/alive")), ["GET"]) == [
+                (200, b"whole")
+            ]
+
+        run(scenario)
+
+
 class TestSlowCallers:
     @pytest.mark.parametrize(
         "data", [b"GET / HT", b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n"]
--- a/tests/test_platform_kept_connections.py
+++ b/tests/test_platform_kept_connections.py
@@ -145,6 +145,27 @@
         caller.close()
 
 
+# Guards against a request that cannot be passed on and whose caller's connection is closed without
+# an answer.
+@pytest.mark.parametrize("kind", KINDS)
+def test_an_error_of_the_host_itself_is_answered(system, servers, kind):
+    start_servers(servers, answer_with(b"x"))
+    odd = {"name": "line\nbreak", "api-keys": [f"odd-{kind}"], "priority": 1}
+    content = platformsystem.manifest(next(system.attempts) + 100, ROUTES)
+    content["tenants"].append(odd)
+    system.publish(content)
+    node = system.entries[0]
+    for _ in range(2):
+        caller = KeptConnection(system, node)
+        answer = caller.request(kind, {"Authorization": f"Token odd-{kind}"})
+        assert answer.status == 502
+        caller.close()
+        caller = KeptConnection(system, node)
+        assert caller.request(kind).status == 200
+        caller.close()
+    assert node.events("request_failed")[-1]["request"].startswith("kept-")
+
+
 class TestStops:
     # Guards against a signal that comes again and ends a host at once, with requests at servers.
     @pytest.mark.parametrize(
