Pass on all fields of an answer that have one name

What callers saw: of several Set-Cookie fields of an answer only the last one arrived.

Cause: the head of an answer was kept as one value for each name.

What the system reads itself is the last value of a name, as before.

--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -23,10 +23,20 @@
 
 
 class ResponseHead(msgspec.Struct):
-    """Status and headers of a response."""
+    """Status and headers of a response.
+
+    Attributes:
+        fields: All headers in order, with lower-case names and values with one character for each
+            byte received.
+        headers: Their last values by name.
+    """
 
     status: int
-    headers: dict[str, str]
+    fields: http.Headers
+    headers: dict[str, str] = {}
+
+    def __post_init__(self) -> None:
+        self.headers = dict(self.fields)
 
 
 class ClientConnection:
@@ -125,11 +135,12 @@
             raise self._timeout_error("no answer in time", "wait") from error
         if not isinstance(event, h11.Response):
             raise self._error("connection closed before the response", "wait")
-        headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
-        self.close_delimited = not self._is_delimited(event.status_code, headers)
+        fields = [(name.decode(), value.decode("latin-1")) for name, value in event.headers]
+        head = ResponseHead(event.status_code, fields)
+        self.close_delimited = not self._is_delimited(head.status, head.headers)
         if self.close_delimited and not self.allow_close_delimited:
             raise self._error("response has neither a length nor chunked encoding", "wait")
-        return ResponseHead(event.status_code, headers)
+        return head
 
     async def _final_response(self, timeout_s: float) -> typing.Any:
         """Return the next event that is not an interim response."""
--- a/tests/test_fuzz_decoders.py
+++ b/tests/test_fuzz_decoders.py
@@ -71,7 +71,7 @@
 )
 @SETTINGS
 def test_headers(values):
-    DIALECT.decode_answer(httpclient.ResponseHead(200, values))
+    DIALECT.decode_answer(httpclient.ResponseHead(200, list(values.items())))
     request = http.Request("GET", "/", {}, values, b"", "peer", "", list(values.items()))
     try:
         DIALECT.decode_request(request)
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -204,12 +204,16 @@
         ],
     )
     def test_only_a_marked_or_misdirected_answer_counts_as_not_run(self, status, headers, not_run):
-        answer = self.platform_dialect.decode_answer(httpclient.ResponseHead(status, headers))
+        answer = self.platform_dialect.decode_answer(
+            httpclient.ResponseHead(status, list(headers.items()))
+        )
         assert answer.not_run is not_run
 
     def test_load_and_keep_alive_are_decoded(self):
         headers = {"x-server-load": "3, 0,8", "keep-alive": "max=9, timeout=5"}
-        answer = self.platform_dialect.decode_answer(httpclient.ResponseHead(200, headers))
+        answer = self.platform_dialect.decode_answer(
+            httpclient.ResponseHead(200, list(headers.items()))
+        )
         assert answer.load == dialect.ServerLoad(3, 0, 8)
         assert answer.keep_alive_s == 5.0
 
@@ -226,11 +230,11 @@
         ],
     )
     def test_the_limit_of_a_server_is_decoded(self, text, limit_per_s):
-        head = httpclient.ResponseHead(200, {"server-limit": text})
+        head = httpclient.ResponseHead(200, [("server-limit", text)])
         assert self.platform_dialect.decode_answer(head).limit_per_s == limit_per_s
 
     def test_a_server_need_not_state_a_limit(self):
-        head = httpclient.ResponseHead(200, {})
+        head = httpclient.ResponseHead(200, [])
         assert self.platform_dialect.decode_answer(head).limit_per_s is None
 
     def test_an_engines_report_is_decoded(self):
--- a/tests/test_platform_kept_connections.py
+++ b/tests/test_platform_kept_connections.py
@@ -13,6 +13,7 @@
 # Entry hosts stand in three data centres in turn; the last one serves the tests that stop a host.
 RELAYED, STOPPED = 1, 3
 EVENTS = 4
+EVENT = b"id: 1\ndata: x\n\n"
 WORK_S = 1.5
 CALLERS = 10
 # The platform's grace for a process that was told to end.
@@ -25,6 +26,7 @@
 ]
 KINDS = {"book": "POST", "look": "GET", "plan": "POST"}
 # Bytes above 0x7F, which HTTP allows in field values: Latin-1, UTF-8, all of them.
+COOKIES = ["a=1", "b=2", "a=1"]
 VALUES = [b"caf\xe9", "café – 飲".encode(), bytes(range(0x80, 0x100)), b"a\tb \xa0 c"]
 
 
@@ -145,6 +147,24 @@
         caller.close()
 
 
+# Guards against fields that are lost because an answer has several of one name.
+@pytest.mark.parametrize("kind", KINDS)
+def test_an_answer_arrives_with_all_fields_of_one_name(system, servers, kind):
+    def answer(handler, received):
+        handler.send_response(200)
+        for value in COOKIES:
+            handler.send_header("Set-Cookie", value)
+        handler.send_header("X-Attempt-Id", received.headers["x-attempt-id"])
+        handler.send_header("Content-Length", str(len(EVENT)))
+        handler.end_headers()
+        handler.wfile.write(EVENT)
+
+    start_servers(servers, answer)
+    caller = KeptConnection(system, system.entries[0])
+    assert caller.request(kind).headers.get_all("Set-Cookie") == COOKIES
+    caller.close()
+
+
 # Guards against a request that cannot be passed on and whose caller's connection is closed without
 # an answer.
 @pytest.mark.parametrize("kind", KINDS)
