Reset connections whose answer is broken off without chunks

What callers saw: with HTTP/1.0, an answer of unknown length that was broken off ended like a whole one.

Cause: without chunks only the end of the connection delimits the answer, and a broken one was closed like any other.

Change: such a connection is reset. With chunks it is closed as before, so that what was sent arrives.

test_a_broken_off_answer_does_not_look_whole failed for HTTP/1.0 before and passes.

--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -4,6 +4,7 @@
 """
 
 import socket
+import struct
 import typing
 import urllib.parse
 
@@ -26,6 +27,8 @@
 LINGER_BYTES = 256 * 1024
 ACCEPT_BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
+# Option value: linger for no time.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 STATUSES_WITHOUT_BODY = (204, 304)
 # The answer when the protocol state is lost before the first byte of one.
 LAST_RESORT = b"HTTP/1.1 502 Bad Gateway\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
@@ -207,6 +210,7 @@
             return
         self.started = True
         await self.connection.send(LAST_RESORT)
+        self.ended = True
 
     async def wait_hangup(self) -> None:
         """Wait until the caller closes the connection; keep the requests that it pipelined."""
@@ -241,6 +245,8 @@
         conn: HTTP/1.1 protocol state.
         pipelined_bytes: Number of bytes read ahead during the current exchange.
         task: The task that serves it.
+        looks_whole: True once a response has been broken off that a regular close would end as
+            whole, as its caller speaks HTTP/1.0, without chunks.
     """
 
     def __init__(self, server: "Server", sock: curio.io.Socket, peer: str, task: curio.Task):
@@ -252,6 +258,7 @@
         )
         self.pipelined_bytes = 0
         self.task = task
+        self.looks_whole = False
 
     def encode_response(self, status: int, headers: Headers) -> bytes:
         """Encode the head of a response; while draining, announce that the connection closes."""
@@ -334,6 +341,10 @@
         except OSError:
             return
 
+    def reset_when_closed(self) -> None:
+        """Have the close of the connection reset it."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     async def read_until_closed(self) -> None:
         """Read ahead until the caller closes the connection.
 
@@ -481,6 +492,9 @@
             async with sock:
                 while await self._serve_next(connection):
                     pass
+                if connection.looks_whole:
+                    connection.reset_when_closed()
+                    return
                 self.lingering += 1
                 try:
                     await connection.linger()
@@ -531,6 +545,9 @@
             self.core.metrics.count("http_errors", code="internal")
             self.core.log.error("handler_failed", path=exchange.request.path, error=repr(error))
             await exchange.fail(500, ErrorBody("internal", "internal error"))
+        if not exchange.ended:
+            connection.looks_whole = connection.conn.their_http_version == b"1.0"
+            return False
         if connection.conn.our_state is not h11.DONE:
             return False
         if connection.conn.their_state is not h11.DONE:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -188,6 +188,28 @@
         run(scenario)
 
 
+class TestBrokenOffAnswers:
+    # Guards against an answer that is broken off and that its caller, which speaks HTTP/1.0 and so
+    # gets no chunks, takes for whole.
+    @pytest.mark.parametrize("version", ["1.0", "1.1"])
+    def test_a_broken_off_answer_does_not_look_whole(self, version):
+        async def scenario(core):
+            await serve(core)
+            head = f"GET /stream?break=1 HTTP/{version}\r\nhost: x\r\n\r\n".encode()
+            sock = await connect(core.host.http)
+            async with sock:
+                await sock.sendall(head)
+                received = b""
+                try:
+                    while data := await sock.recv(65536):
+                        received += data
+                except ConnectionResetError:
+                    received = b""
+            assert parse_answers(received, ["GET"]) == []
+
+        run(scenario)
+
+
 async def fail_before_answer(exchange):
     """Fail in one of the ways in which a handler or its answer can, by the path of the request."""
     match exchange.request.path:
