--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -355,8 +355,9 @@
 
 
 def usable_servers(cluster: Cluster) -> int:
-    """Return how many backend servers have slots for requests."""
-    hosts = cluster.read("status").json()["entry_hosts"]
+    """Return how many backend servers have slots for requests, 0 while no leader tells."""
+    answer = cluster.read("status")
+    hosts = answer.json()["entry_hosts"] if answer.status == 200 else []
     servers = [server for host in hosts for server in host["load"].get("servers", [])]
     return sum(1 for server in servers if server["limit"] > 0)
 
