--- /dev/null
+++ b/tests/test_platform_streams.py
@@ -0,0 +1,236 @@
+"""Ends of event streams, as callers get them from real entry hosts."""
+
+import http.client
+import threading
+
+import pytest
+
+import platformserver
+import platformsystem
+
+STREAM_ROUTE = platformsystem.route("plan", "/plan/", "streaming", "plan", **{"timeout-ms": 20000})
+PLAN_HEADERS = {"X-Token-Counts": "3000,800", "X-Model-Name": "m", "X-Length-Hint": "700"}
+FRAMINGS = ("chunks", "length", "connection")
+EVENT_STREAM = "text/event-stream"
+WHOLE = {
+    "LF": b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+    "CR LF": b"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+    "CR": b"id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+    "mixed": b"id: 1\r\ndata: a\n\r\nid: 2\ndata: b\r\n\n",
+    "blank lines at the end": b"id: 1\ndata: a\n\n\n\n\n",
+    "blank lines of CR LF at the end": b"id: 1\r\ndata: a\r\n\r\n\r\n",
+    "a comment at the end": b"id: 1\ndata: a\n\n: done\n\n",
+    "a comment line at the end": b"id: 1\ndata: a\n\n: done\n",
+}
+BROKEN = {
+    "inside a line": b"id: 1\ndata: a\n\nid: 2\nda",
+    "before the blank line": b"id: 1\ndata: a\n\nid: 2\ndata: b\n",
+    "inside a line, CR LF": b"id: 1\r\ndata: a\r\n\r\nid: 2\r\nda",
+    "before the blank line, CR LF": b"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n",
+    "before the blank line, CR": b"id: 1\rdata: a\r\rid: 2\rdata: b\r",
+    "inside the first event": b"id: 1\nda",
+    "before the first event": b"",
+    "after a comment alone": b": wait\n\n",
+    "inside a comment": b"id: 1\ndata: a\n\n: wa",
+}
+OTHER_ANSWERS = {
+    "JSON": (200, "application/json", b'{"plan": [1, 2]}\n'),
+    "more bytes than an event may have": (200, "application/json", b"[%s]" % (b"1," * 700_000)),
+    "text with a blank line": (200, "text/plain", b"a\n\nb"),
+    "empty": (200, "text/plain", b""),
+    "failure": (500, EVENT_STREAM, b"id: 1\nda"),
+}
+
+
+@pytest.fixture(scope="module")
+def system(tmp_path_factory):
+    """Run a system with two entry hosts, which can be cut off from the servers."""
+    folder = tmp_path_factory.mktemp("platform")
+    started = platformsystem.System(folder, 2, partitionable=True)
+    try:
+        started.publish(platformsystem.manifest(7, [STREAM_ROUTE]))
+        yield started
+    finally:
+        started.close()
+
+
+@pytest.fixture
+def start_server(system):
+    """Return a function that starts and announces an engine; all leave after the test."""
+    servers = platformsystem.AnnouncedServers(system)
+    yield lambda: servers.start("plan")
+    servers.leave()
+
+
+@pytest.fixture
+def cut_host(system):
+    """Return an entry host that is cut off from the servers until the test ends."""
+    host = system.entries[0]
+    host.partition("refuse")
+    yield host
+    host.partition("")
+
+
+def start_answer(handler, framing, status, content_type, length):
+    """Send the head of an answer whose end its chunks, its length or its connection tells."""
+    handler.send_response(status)
+    handler.send_header("Content-Type", content_type)
+    handler.send_header("X-Attempt-Id", handler.headers["X-Attempt-Id"])
+    if framing == "chunks":
+        handler.send_header("Transfer-Encoding", "chunked")
+    elif framing == "length":
+        handler.send_header("Content-Length", str(length))
+    else:
+        handler.send_header("Connection", "close")
+        handler.close_connection = True
+    handler.end_headers()
+
+
+def answer_with(framing, body, status=200, content_type=EVENT_STREAM):
+    """Return a script that gives an answer that is framed as whole."""
+
+    def script(handler, received):
+        start_answer(handler, framing, status, content_type, len(body))
+        if framing != "chunks":
+            handler.wfile.write(body)
+            return
+        if body:
+            handler.send_chunk(body)
+        handler.send_chunk(b"")
+
+    return script
+
+
+def read_answer(system, server, script, node=None):
+    """Send a request; return the status and body of its answer, None for one that breaks off."""
+    server.script = script
+    try:
+        answer = system.request("POST", "/plan/1", headers=PLAN_HEADERS, node=node)
+    except (http.client.IncompleteRead, ConnectionError):
+        return None
+    # A host that gets no event at all may still tell its caller so.
+    return None if answer.status == 502 else (answer.status, answer.content)
+
+
+# Guards against a stream that ends inside an event and that its caller takes for whole, as its
+# chunks or its length end properly.
+@pytest.mark.parametrize("end", BROKEN)
+def test_a_stream_that_ends_inside_an_event_is_broken_off(system, start_server, end):
+    server = start_server()
+    got = {
+        framing: read_answer(system, server, answer_with(framing, BROKEN[end]))
+        for framing in FRAMINGS
+    }
+    assert got == dict.fromkeys(FRAMINGS)
+
+
+# Guards against whole streams that are taken for broken off for the form of their line ends or for
+# what follows their last event.
+@pytest.mark.parametrize("end", WHOLE)
+def test_a_whole_stream_arrives_unchanged(system, start_server, end):
+    server = start_server()
+    got = {
+        framing: read_answer(system, server, answer_with(framing, WHOLE[end]))
+        for framing in FRAMINGS
+    }
+    assert got == dict.fromkeys(FRAMINGS, (200, WHOLE[end]))
+
+
+# Guards against streams that are held back until their end, as only LF was known to end a line.
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_events_arrive_as_they_are_produced(system, start_server, line_end):
+    server = start_server()
+    event = line_end.join([b"id: 1", b"data: a", b"", b""])
+    read = threading.Event()
+    waited = []
+
+    def script(handler, received):
+        start_answer(handler, "chunks", 200, EVENT_STREAM, 0)
+        handler.send_chunk(event)
+        waited.append(read.wait(5))
+        handler.send_chunk(event.replace(b"1", b"2"))
+        handler.send_chunk(b"")
+
+    server.script = script
+    answer = system.send("POST", "/plan/1", headers=PLAN_HEADERS).getresponse()
+    start = answer.read(len(event))
+    read.set()
+    assert start + answer.read() == event + event.replace(b"1", b"2")
+    assert waited == [True]
+
+
+# Guards against answers of another kind on a streaming route that are taken for broken events.
+@pytest.mark.parametrize("kind", OTHER_ANSWERS)
+def test_an_answer_without_events_is_passed_on_as_it_is(system, start_server, kind):
+    server = start_server()
+    status, content_type, body = OTHER_ANSWERS[kind]
+    got = {
+        framing: read_answer(system, server, answer_with(framing, body, status, content_type))
+        for framing in FRAMINGS
+    }
+    assert got == dict.fromkeys(FRAMINGS, (status, body))
+
+
+# Guards against answers without a body that are taken for streams without an event.
+def test_the_answer_to_head_has_no_events(system, start_server):
+    server = start_server()
+
+    class HeadHandler(platformserver.Handler):
+        do_HEAD = platformserver.Handler.handle_any
+
+    server.http.RequestHandlerClass = HeadHandler
+    server.script = lambda handler, _: start_answer(handler, "chunks", 200, EVENT_STREAM, 0)
+    connection = system.send("HEAD", "/plan/1", headers=PLAN_HEADERS)
+    answer = connection.getresponse()
+    assert (answer.status, answer.read()) == (200, b"")
+    # The connection is kept, as after any whole answer.
+    connection.request("GET", "/none/1", headers={"Host": "a.example", "X-Attempt-Id": "head-2"})
+    assert connection.getresponse().status == 404
+    connection.close()
+
+
+# Guards against a stream that reaches the asking host as whole although it ended inside an event.
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_stream_through_another_host_is_broken_off_alike(system, start_server, cut_host, framing):
+    server = start_server()
+    for body in (BROKEN["inside a line"], BROKEN["before the first event"]):
+        assert read_answer(system, server, answer_with(framing, body), cut_host) is None
+    for body in (WHOLE["LF"], WHOLE["CR LF"]):
+        got = read_answer(system, server, answer_with(framing, body), cut_host)
+        assert got == (200, body)
+    assert all(entry["relayed_by"] for entry in cut_host.events("request")[-4:])
+
+
+# Guards against a moved run that ends for its caller inside an event, as its server ends the
+# chunks of the stream properly when it stops the run.
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_a_run_that_is_stopped_inside_an_event_goes_on_at_its_copy(system, start_server, line_end):
+    servers = [start_server(), start_server()]
+    stopped = threading.Event()
+
+    def event(number):
+        return line_end.join([b"id: %d" % number, b"data: token", b"", b""])
+
+    def script(handler, received):
+        first = int(received.headers["last-event-id"]) + 1 if "kv-from" in received.headers else 1
+        last = 6 if first > 1 else 3
+        start_answer(handler, "chunks", 200, EVENT_STREAM, 0)
+        for number in range(first, last + 1):
+            handler.send_chunk(event(number))
+        if last == 3:
+            stopped.wait(10)
+            handler.send_chunk(event(4)[:8])
+        handler.send_chunk(b"")
+
+    def move(body):
+        if body.get("last"):
+            stopped.set()
+        return 200, {"handle": "h1", "made": 3}
+
+    for server in servers:
+        server.script, server.move = script, move
+    answer = system.send("POST", "/plan/1", headers=PLAN_HEADERS).getresponse()
+    start = answer.read(len(event(1)))
+    source = next(server for server in servers if server.received)
+    system.announce(source, "draining")
+    assert start + answer.read() == b"".join(event(number) for number in range(1, 7))
