Know all line ends of an event stream

What callers saw: events of a stream whose lines end with CR LF or CR were held back until the stream ended, and such a stream that ended with its connection was broken off. Cause: only LF LF was known to end an event, so nothing was counted and a moved run had no last event id. Now any two line ends in a row end an event, and ids are found behind any of them; data without a CR takes the way it took before.

--- a/src/ebonywheel/gateway/events.py
+++ b/src/ebonywheel/gateway/events.py
@@ -1,8 +1,14 @@
 """Splitting of server-sent event streams into whole events, without decoding their data."""
 
+import re
+
 from ebonywheel import exceptions
 
 EVENT_END = b"\n\n"
+# A line ends with LF, CR or CR LF. A CR LF that arrives in two parts may leave its LF to the next
+# event, where it is a blank line, which means nothing there.
+ANY_EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n))(?:\r\n|\n|\r)")
+MAX_EVENT_END_BYTES = 4
 # An event of a generation holds some tokens; a server that sends more without the end of an event
 # is in trouble.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -31,17 +37,27 @@
             UpstreamError: An event is longer than `MAX_EVENT_BYTES`.
         """
         # The end of an event may be split between the old and the new bytes.
-        search_start = max(0, len(self.buffer) - len(EVENT_END) + 1)
+        search_start = max(0, len(self.buffer) - MAX_EVENT_END_BYTES + 1)
         self.buffer += data
-        end = self.buffer.rfind(EVENT_END, search_start)
+        end = self._find_last_end(search_start)
         if end < 0:
             self._check_length()
             return b""
-        complete = bytes(self.buffer[: end + len(EVENT_END)])
-        del self.buffer[: end + len(EVENT_END)]
-        self._record_events(complete)
+        complete = bytes(self.buffer[:end])
+        del self.buffer[:end]
+        self._record_events(_normalize(complete))
         return complete
 
+    def _find_last_end(self, start: int) -> int:
+        """Return the end of the last event that ends after a position, -1 when there is none."""
+        if b"\r" not in self.buffer[start:]:
+            found = self.buffer.rfind(EVENT_END, start)
+            return found if found < 0 else found + len(EVENT_END)
+        end = -1
+        for match in ANY_EVENT_END.finditer(self.buffer, start):
+            end = match.end()
+        return end
+
     def _check_length(self) -> None:
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise exceptions.UpstreamError(
@@ -58,6 +74,11 @@
                 return
 
 
+def _normalize(data: bytes) -> bytes:
+    """Return data with LF as the only end of a line."""
+    return data.replace(b"\r\n", b"\n").replace(b"\r", b"\n") if b"\r" in data else data
+
+
 def _find_id(event: bytes) -> str:
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -52,3 +52,36 @@
     for _ in range(events.MAX_EVENT_BYTES // 16):
         splitter.feed(b"x" * 16)
     assert time.process_time() - started_at < 0.5
+
+
+# Guards against events that are held back or not counted as their lines end with CR LF or CR.
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\r"])
+@pytest.mark.parametrize("size", range(1, 40))
+def test_every_line_end_is_known_at_every_chunk_size(line_end, size):
+    stream = STREAM.replace(b"\n", line_end)
+    events_end = line_end * 2
+    splitter = events.EventSplitter()
+    forwarded = b""
+    for start in range(0, len(stream), size):
+        forwarded += splitter.feed(stream[start : start + size])
+        received = stream[: start + size]
+        whole = received.rfind(events_end)
+        assert len(forwarded) >= (0 if whole < 0 else whole + len(events_end) - 1)
+        assert received.startswith(forwarded)
+    assert (forwarded + splitter.buffer, splitter.buffer.strip(b"\n")) == (stream, b"")
+    assert (splitter.last_id, splitter.count) == ("3", 3)
+
+
+@pytest.mark.parametrize("blank", [b"\n\n", b"\n\r", b"\r\n\n", b"\n\r\n", b"\r\n\r", b"\r\r\n"])
+def test_line_ends_may_be_mixed(blank):
+    splitter = events.EventSplitter()
+    event = b"id: 1\r\ndata: a\rdata: b\ndata: c" + blank
+    assert splitter.feed(event) + splitter.buffer == event
+    assert (splitter.last_id, splitter.count) == ("1", 1)
+
+
+def test_the_end_of_one_line_ends_no_event():
+    splitter = events.EventSplitter()
+    for part in (b"id: 1\r", b"\n", b"data: a\r\nda", b"ta: b\r", b"\n"):
+        assert splitter.feed(part) == b""
+    assert splitter.feed(b"\r") == b"id: 1\r\ndata: a\r\ndata: b\r\n\r"
