Pass on answers of other kinds on a streaming route as they are

What callers saw: a JSON answer or another one with status 200 that states its type, on a streaming route, was held back until it ended or held a blank line, broken off if it ended with its connection, and broken off over 1 MiB. Cause: each answer there was split into events. Now only one of type text/event-stream, or of no stated type, is; others, encoded ones and the answer to HEAD pass as they arrive. Their end is told by their framing alone, and as before by a server that is still there.

The requests and answers that test_streaming makes up now have a method and a type, as real ones have.

--- a/src/ebonywheel/gateway/events.py
+++ b/src/ebonywheel/gateway/events.py
@@ -1,8 +1,9 @@
 """Splitting of server-sent event streams into whole events, without decoding their data."""
 
 import re
+import typing
 
-from ebonywheel import exceptions
+from ebonywheel import exceptions, http
 
 EVENT_END = b"\n\n"
 # A line ends with LF, CR or CR LF. A CR LF that arrives in two parts may leave its LF to the next
@@ -14,6 +15,46 @@
 MAX_EVENT_BYTES = 1024 * 1024
 
 
+class Splitter(typing.Protocol):
+    """Splits a body into parts that are passed on whole.
+
+    Attributes:
+        buffer: Bytes after the last whole part.
+        last_id: Last id that a part had, empty when there was none.
+        count: Number of whole parts so far.
+    """
+
+    buffer: bytearray
+    last_id: str
+    count: int
+
+    def feed(self, data: bytes) -> bytes:
+        """Add received bytes and return the bytes of all parts that are now complete."""
+
+    def is_whole(self) -> bool:
+        """Return whether the body may end here."""
+
+
+class RawBody:
+    """Passes on a body that is no event stream as it arrives."""
+
+    __slots__ = ("buffer", "last_id", "count")
+
+    def __init__(self):
+        self.buffer = bytearray()
+        self.last_id = ""
+        self.count = 0
+
+    def feed(self, data: bytes) -> bytes:
+        """Return received bytes."""
+        self.count += 1
+        return data
+
+    def is_whole(self) -> bool:
+        """Return True; only the framing of the body tells its end."""
+        return True
+
+
 class EventSplitter:
     """Splits a byte stream into whole events.
 
@@ -48,6 +89,10 @@
         self._record_events(_normalize(complete))
         return complete
 
+    def is_whole(self) -> bool:
+        """Return whether there was an event and the stream does not end inside another."""
+        return bool(self.count) and not self.buffer
+
     def _find_last_end(self, start: int) -> int:
         """Return the end of the last event that ends after a position, -1 when there is none."""
         if b"\r" not in self.buffer[start:]:
@@ -74,6 +119,19 @@
                 return
 
 
+def make_splitter(method: str, headers: http.Headers) -> Splitter:
+    """Return the splitter for an answer to a request for a stream.
+
+    An answer that does not state its type counts as an event stream, as its route says so.
+    """
+    fields = dict(headers)
+    media_type = fields.get("content-type", http.EVENT_STREAM).partition(";")[0].strip().lower()
+    encoding = fields.get("content-encoding", "identity").strip().lower()
+    if method == "HEAD" or media_type != http.EVENT_STREAM or encoding != "identity":
+        return RawBody()
+    return EventSplitter()
+
+
 def _normalize(data: bytes) -> bytes:
     """Return data with LF as the only end of a line."""
     return data.replace(b"\r\n", b"\n").replace(b"\r", b"\n") if b"\r" in data else data
--- a/src/ebonywheel/gateway/relayedrun.py
+++ b/src/ebonywheel/gateway/relayedrun.py
@@ -41,7 +41,7 @@
         self.context = context
         self.record = reply.record
         self.reply = reply
-        self.splitter = events.EventSplitter()
+        self.splitter = events.make_splitter(context.request.method, reply.head.headers)
         self.closed = False
         self.copy: Copy | None = None
         self.move_finished: curio.Event | None = None
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -332,7 +332,7 @@
         Raises:
             UpstreamError: It broke off, or was stopped to be handed over.
         """
-        if run.splitter.buffer or not run.splitter.count or run.move_finished is not None:
+        if not run.splitter.is_whole() or run.move_finished is not None:
             raise exceptions.UpstreamError(
                 "connection closed before the end of the stream", "relay", run.record.address, True
             )
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -43,6 +43,7 @@
     """The parts of a request's state that relaying uses; the deadline is far away."""
 
     def __init__(self, clock):
+        self.request = types.SimpleNamespace(method="POST")
         self.deadline_at = clock.monotonic() + 60.0
         self.first_event_at = 0.0
         self.last_event_at = 0.0
@@ -69,6 +70,7 @@
     forwarder = streaming.StreamForwarder(core, sender, None, CrashReporter(), None)
     reply = types.SimpleNamespace(
         record=messages.DirectoryRecord("s", address="10.0.0.1:80"),
+        head=types.SimpleNamespace(headers=[("content-type", "text/event-stream")]),
         connection=ScriptedConnection(parts),
         reservation=types.SimpleNamespace(mark_answer_begun=lambda: None),
     )
