Take every stream that ends inside an event for broken off

What callers saw: a stream whose chunks or length ended properly inside an event, as a crashing server's may, arrived as whole, its last half event included; a moved run that was stopped that way ended there in place of going on at its copy. Cause: the check for it was made only of streams that end with their connection. Class: the framing of an answer was taken for the proof that its content is whole.

Now each event stream must have had an event and may be followed by blank lines and whole comment lines alone. Comments count as no events. An answer that states no type counts as a stream once it had an event, or if its connection ends it.

--- a/src/ebonywheel/gateway/events.py
+++ b/src/ebonywheel/gateway/events.py
@@ -31,8 +31,12 @@
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the bytes of all parts that are now complete."""
 
-    def is_whole(self) -> bool:
-        """Return whether the body may end here."""
+    def is_whole(self, framed: bool) -> bool:
+        """Return whether the body may end here.
+
+        Args:
+            framed: Whether a length or chunks told its end.
+        """
 
 
 class RawBody:
@@ -50,7 +54,7 @@
         self.count += 1
         return data
 
-    def is_whole(self) -> bool:
+    def is_whole(self, framed: bool) -> bool:
         """Return True; only the framing of the body tells its end."""
         return True
 
@@ -61,15 +65,17 @@
     Attributes:
         buffer: Bytes after the last whole event.
         last_id: Last id that a whole event had, empty when there was none.
-        count: Number of whole events so far.
+        count: Number of whole events so far, without comments.
+        type_stated: Whether the answer says that it is an event stream.
     """
 
-    __slots__ = ("buffer", "last_id", "count")
+    __slots__ = ("buffer", "last_id", "count", "type_stated")
 
-    def __init__(self, last_id: str = ""):
+    def __init__(self, type_stated: bool = True):
         self.buffer = bytearray()
-        self.last_id = last_id
+        self.last_id = ""
         self.count = 0
+        self.type_stated = type_stated
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the bytes of all events that are now complete.
@@ -89,9 +95,15 @@
         self._record_events(_normalize(complete))
         return complete
 
-    def is_whole(self) -> bool:
-        """Return whether there was an event and the stream does not end inside another."""
-        return bool(self.count) and not self.buffer
+    def is_whole(self, framed: bool) -> bool:
+        """Return whether there was an event and the stream does not end inside another.
+
+        A framed body that states no type and holds no event is of another kind.
+        """
+        if not self.count:
+            return framed and not self.type_stated
+        rest = _normalize(bytes(self.buffer))
+        return not rest or (rest.endswith(b"\n") and not _has_field(rest))
 
     def _find_last_end(self, start: int) -> int:
         """Return the end of the last event that ends after a position, -1 when there is none."""
@@ -110,7 +122,7 @@
             )
 
     def _record_events(self, complete: bytes) -> None:
-        events = [event for event in complete.split(EVENT_END) if event.strip(b"\n")]
+        events = [event for event in complete.split(EVENT_END) if _has_field(event)]
         self.count += len(events)
         for event in reversed(events):
             event_id = _find_id(event)
@@ -129,7 +141,7 @@
     encoding = fields.get("content-encoding", "identity").strip().lower()
     if method == "HEAD" or media_type != http.EVENT_STREAM or encoding != "identity":
         return RawBody()
-    return EventSplitter()
+    return EventSplitter("content-type" in fields)
 
 
 def _normalize(data: bytes) -> bytes:
@@ -137,6 +149,13 @@
     return data.replace(b"\r\n", b"\n").replace(b"\r", b"\n") if b"\r" in data else data
 
 
+def _has_field(block: bytes) -> bool:
+    """Return whether any line is neither blank nor a comment."""
+    if block[:1] not in (b"", b"\n", b":"):
+        return True
+    return any(line and not line.startswith(b":") for line in block.split(b"\n"))
+
+
 def _find_id(event: bytes) -> str:
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -319,22 +319,23 @@
                 run.context.record_events(self.core.clock.monotonic())
                 await self.crashes.record_progress(run.context)
                 await exchange.write(whole_events)
-        if connection.close_delimited:
-            self._check_whole(run)
-            await self.sender.confirm_end(run.reply)
+        self._check_whole(run)
+        await self.sender.confirm_end(run.reply)
         if run.splitter.buffer:
-            # Bytes after the last blank line are still part of the answer.
+            # Blank lines and comments after the last event are still part of the answer.
             await exchange.write(bytes(run.splitter.buffer))
 
     def _check_whole(self, run: relayedrun.Run) -> None:
-        """Check a stream that ended with its connection, as one that breaks off does, too.
+        """Check a stream whose end was received.
 
         Raises:
             UpstreamError: It broke off, or was stopped to be handed over.
         """
-        if not run.splitter.is_whole() or run.move_finished is not None:
+        framed = not run.reply.connection.close_delimited
+        stopped = run.move_finished is not None and not framed
+        if stopped or not run.splitter.is_whole(framed):
             raise exceptions.UpstreamError(
-                "connection closed before the end of the stream", "relay", run.record.address, True
+                "stream ended inside an event or without one", "relay", run.record.address, True
             )
 
     def _silence_timeout_s(self, run: relayedrun.Run) -> float:
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -85,3 +85,57 @@
     for part in (b"id: 1\r", b"\n", b"data: a\r\nda", b"ta: b\r", b"\n"):
         assert splitter.feed(part) == b""
     assert splitter.feed(b"\r") == b"id: 1\r\ndata: a\r\ndata: b\r\n\r"
+
+
+# Guards against streams that end inside an event and are taken for whole, and whole ones that are
+# not. A comment is no event, but one that is cut shows that more should have followed.
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+@pytest.mark.parametrize(
+    ("rest", "whole"),
+    [
+        (b"", True),
+        (b"\n\n\n", True),
+        (b": bye\n", True),
+        (b"\n: bye\n: bye\n\n", True),
+        (b": by", False),
+        (b":", False),
+        (b"id: 2", False),
+        (b"data\n", False),
+        (b": bye\ndata: b\n", False),
+        (b"data: b\n: bye\n", False),
+    ],
+)
+def test_a_stream_may_end_between_events_only(rest, whole, line_end):
+    splitter = events.EventSplitter()
+    assert not splitter.is_whole(framed=True)
+    splitter.feed(b"id: 1\n\n".replace(b"\n", line_end))
+    splitter.feed(rest.replace(b"\n", line_end))
+    assert (splitter.is_whole(framed=True), splitter.is_whole(framed=False)) == (whole, whole)
+
+
+def test_comments_are_no_events():
+    splitter = events.EventSplitter()
+    splitter.feed(b": wait\n\n\n: wait\n\n")
+    assert splitter.count == 0 and not splitter.is_whole(framed=True)
+
+
+@pytest.mark.parametrize(
+    ("headers", "framed", "closed"),
+    [
+        ({"content-type": "text/event-stream"}, False, False),
+        ({"content-type": "Text/Event-Stream ;charset=utf-8"}, False, False),
+        ({"content-type": "text/event-stream", "content-encoding": "gzip"}, True, True),
+        ({"content-type": "text/event-streams"}, True, True),
+        ({}, True, False),
+    ],
+)
+def test_the_type_of_an_answer_says_how_it_may_end(headers, framed, closed):
+    splitter = events.make_splitter("POST", list(headers.items()))
+    splitter.feed(b"an answer")
+    assert (splitter.is_whole(framed=True), splitter.is_whole(framed=False)) == (framed, closed)
+
+
+def test_an_answer_without_a_type_is_a_stream_once_it_had_an_event():
+    splitter = events.make_splitter("POST", [])
+    splitter.feed(b"id: 1\n\nid: 2")
+    assert not splitter.is_whole(framed=True)
