--- a/tests/test_gateway_forms.py
+++ b/tests/test_gateway_forms.py
@@ -178,6 +178,36 @@
     return "answered"
 
 
+def exchange_raw(fleet, data, method=b"POST", old=False):
+    """Send bytes over a new connection and return the answer."""
+    with fleet.connect() as caller:
+        caller.send([data])
+        return caller.read_answer(method, old)
+
+
+def raw_head(number, method=b"POST", route=b"book", version=b"1.1", fields=b"", query=b""):
+    """Return the head of a request, without its framing."""
+    return (
+        b"%s /%s/%d%s HTTP/%s\r\nHost: a.example\r\nX-Attempt-Id: raw-%d\r\n"
+        b"Authorization: Token key-1\r\nX-Token-Counts: 10,10\r\n%s"
+    ) % (method, route, number, query, version, number, fields)
+
+
+# Guards against HEAD requests that cannot be read and whose connection is closed without an answer.
+@pytest.mark.parametrize(
+    ("rest", "status"),
+    [
+        (b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+        (b"Content-Length: 5\r\nX-Long: " + b"v" * 17_000 + b"\r\n\r\n", 431),
+        (b"Content-Length: 9999999\r\n\r\n", 413),
+    ],
+    ids=["malformed body", "long fields", "long body"],
+)
+def test_an_unreadable_head_request_is_refused_with_an_answer(fleet, rest, status):
+    got = exchange_raw(fleet, raw_head(next(fleet.numbers), b"HEAD") + rest, b"HEAD")
+    assert (got.status, got.keeps) == (status, False)
+
+
 @(hypothesis.seed(int(SEED)) if SEED else lambda test: test)
 @SETTINGS
 @hypothesis.given(
