Refuse HEAD requests that cannot be read with an answer

What callers saw: the connection was closed without an answer where a HEAD request's body was malformed or too large, or its fields had too many bytes.

Cause: the refusal was encoded with a body, which h11 does not allow as an answer to HEAD; the error was taken for a connection that is gone.

Change: the connection knows the method of the request that it reads, and sends the refusal of a HEAD request without its body.

--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -226,6 +226,7 @@
 
     Attributes:
         conn: HTTP/1.1 protocol state.
+        method: Method of the request that is being read or answered, empty until its head is read.
         pipelined_bytes: Number of bytes read ahead during the current exchange.
     """
 
@@ -236,6 +237,7 @@
         self.conn = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits.header_bytes + HEAD_OVERHEAD_BYTES
         )
+        self.method = ""
         self.pipelined_bytes = 0
 
     def encode_response(self, status: int, headers: Headers) -> bytes:
@@ -288,9 +290,11 @@
         Raises:
             HttpError: The request is malformed, too large or too slow.
         """
+        self.method = ""
         head = await self._with_timeout(self._next_event(), self.server.limits.header_s)
         if isinstance(head, h11.ConnectionClosed):
             return None
+        self.method = head.method.decode()
         fields = [(name.decode(), value.decode("latin-1")) for name, value in head.headers]
         headers = dict(fields)
         if sum(len(name) + len(value) for name, value in fields) > self.server.limits.header_bytes:
@@ -301,8 +305,7 @@
             await self.send(self.conn.send(h11.InformationalResponse(status_code=100, headers=[])))
         body = await self._with_timeout(self._read_body(), self.server.limits.body_s)
         query = dict(urllib.parse.parse_qsl(raw_query))
-        method = head.method.decode()
-        return Request(method, path, query, headers, body, self.peer, raw_query, fields)
+        return Request(self.method, path, query, headers, body, self.peer, raw_query, fields)
 
     async def linger(self) -> None:
         """Stop sending, then discard input for a limited time before the connection is closed.
@@ -528,7 +531,9 @@
         ("connection", "close"),
     ]
     try:
-        head = connection.encode_response(error.status, fields)
-        await connection.send(head + connection.encode_data(body) + connection.encode_end())
+        data = connection.encode_response(error.status, fields)
+        if connection.method != "HEAD":
+            data += connection.encode_data(body)
+        await connection.send(data + connection.encode_end())
     except (exceptions.HttpError, h11.LocalProtocolError):
         return
