--- a/tests/httpforms.py
+++ b/tests/httpforms.py
@@ -439,6 +439,29 @@
     return request, draw(answers(request))
 
 
+def plain_answer(**changes):
+    """Return an answer of status 200 without a body, with changes to its attributes."""
+    plain = Answer(
+        fields=[],
+        body=b"",
+        framing_fields=[(b"Content-Length", b"0")],
+        framed_body=b"",
+        wire_version=b"HTTP/1.1",
+        breach="",
+        cuts=[],
+        status=200,
+        reason=b"OK",
+        interim=[],
+        early=False,
+        closes=False,
+        cut_at=None,
+        resets=False,
+        hop=False,
+        legality=LEGAL,
+    )
+    return dataclasses.replace(plain, **changes)
+
+
 def passed_on(fields):
     """Return the fields that have to arrive unchanged, with lower-case names."""
     lowered = [(name.lower(), value) for name, value in fields]
--- a/tests/test_gateway_forms.py
+++ b/tests/test_gateway_forms.py
@@ -208,6 +208,24 @@
     assert (got.status, got.keeps) == (status, False)
 
 
+# Guards against a stream or a long answer that breaks off and that a caller of HTTP/1.0, which gets
+# neither a length nor chunks, takes for whole.
+@pytest.mark.parametrize(
+    ("route", "body"), [(b"plan", b"id: 1\ndata: a\n\n"), (b"book", b"long answer " * 30_000)]
+)
+def test_an_answer_that_breaks_off_is_not_whole_for_http_1_0(fleet, route, body):
+    number = next(fleet.numbers)
+    fleet.scripts[number] = httpforms.plain_answer(
+        framing_fields=[(b"Transfer-Encoding", b"chunked")],
+        framed_body=b"%x\r\n%s\r\nzz\r\n" % (len(body), body),
+        legality=httpforms.ILLEGAL,
+    )
+    head = raw_head(number, route=route, version=b"1.0") + b"\r\n"
+    with pytest.raises(formsockets.BrokenAnswerError):
+        exchange_raw(fleet, head, old=True)
+    assert len(fleet.received(number)) == 1
+
+
 @(hypothesis.seed(int(SEED)) if SEED else lambda test: test)
 @SETTINGS
 @hypothesis.given(
