Reset the connection where an answer to HTTP/1.0 breaks off

What callers saw: a stream, or an answer over 256 KiB, broke off at its server, and a caller of HTTP/1.0 took the part for a whole answer.

Cause: such an answer has neither a length nor chunks; only the end of the connection delimits it, and a host ended it in order in either case.

Change: a connection of HTTP/1.0 whose answer has begun and is not whole is reset. Others are ended as before, as a missing chunk shows the break, and all that was sent before still arrives.

--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -4,6 +4,7 @@
 """
 
 import socket
+import struct
 import typing
 import urllib.parse
 
@@ -24,6 +25,8 @@
 WRITE_TIMEOUT_S = 60.0
 LINGER_S = 1.0
 LINGER_BYTES = 256 * 1024
+# SO_LINGER for no time: a close resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ACCEPT_BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
 STATUSES_WITHOUT_BODY = (204, 304)
@@ -307,6 +310,18 @@
         query = dict(urllib.parse.parse_qsl(raw_query))
         return Request(self.method, path, query, headers, body, self.peer, raw_query, fields)
 
+    def mark_break(self) -> bool:
+        """Have the connection reset if only its end would delimit an answer that is not whole.
+
+        Returns:
+            Whether it will be reset.
+        """
+        broken_off = self.conn.our_state in (h11.SEND_BODY, h11.ERROR)
+        if not broken_off or self.conn.their_http_version >= b"1.1":
+            return False
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        return True
+
     async def linger(self) -> None:
         """Stop sending, then discard input for a limited time before the connection is closed.
 
@@ -456,8 +471,13 @@
         connection = ServerConnection(self, sock, peer)
         try:
             async with sock:
-                while await self._serve_next(connection):
-                    pass
+                try:
+                    while await self._serve_next(connection):
+                        pass
+                finally:
+                    broken_off = connection.mark_break()
+                if broken_off:
+                    return
                 self.lingering += 1
                 try:
                     await connection.linger()
