--- a/tests/test_gateway_forms.py
+++ b/tests/test_gateway_forms.py
@@ -226,6 +226,29 @@
     assert len(fleet.received(number)) == 1
 
 
+# Guards against lengths that the host states of its own for answers that have no body.
+@pytest.mark.parametrize("route", [b"book", b"plan"])
+@pytest.mark.parametrize(
+    ("method", "status", "framing", "lengths"),
+    [
+        (b"HEAD", 200, [(b"Content-Length", b"1234")], [b"1234"]),
+        (b"HEAD", 404, [(b"Content-Length", b"1234")], [b"1234"]),
+        (b"HEAD", 200, [(b"Transfer-Encoding", b"chunked")], []),
+        (b"GET", 304, [(b"Content-Length", b"1234")], [b"1234"]),
+        (b"GET", 304, [], []),
+        (b"GET", 204, [], []),
+    ],
+)
+def test_the_length_of_an_answer_without_a_body_is_the_servers(
+    fleet, route, method, status, framing, lengths
+):
+    number = next(fleet.numbers)
+    fleet.scripts[number] = httpforms.plain_answer(status=status, framing_fields=framing)
+    got = exchange_raw(fleet, raw_head(number, method, route) + b"\r\n", method)
+    assert (got.status, got.keeps, got.body) == (status, True, b"")
+    assert formsockets.values(got.fields, b"content-length") == lengths
+
+
 @(hypothesis.seed(int(SEED)) if SEED else lambda test: test)
 @SETTINGS
 @hypothesis.given(
