Leave the lengths of answers without a body as their servers state them

What callers saw: an answer to HEAD, or a 304, stated a length of 0, as if the resource were empty; a 204 stated a length, which HTTP does not allow.

Cause: the length of the body that was read replaced the stated one in every answer that was passed on.

Change: one function gives the length of a passed-on answer: of the body if the answer can have one, else the server's, and none in a 204. It holds for plain, streamed and relayed requests.

--- a/src/ebonywheel/gateway/dialect.py
+++ b/src/ebonywheel/gateway/dialect.py
@@ -105,6 +105,7 @@
             not stated.
         rejections_per_s: The server fails if it has to reject more requests a second than this for
             want of room; None when not stated.
+        length: Stated length of the body, None when not stated.
     """
 
     status: int
@@ -117,6 +118,7 @@
     leaving: bool = False
     pause_s: float | None = None
     rejections_per_s: float | None = None
+    length: str | None = None
 
 
 class EngineRun(msgspec.Struct, frozen=True):
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -104,7 +104,7 @@
         if last_answer is None:
             raise refusals.not_run_error(context, refusals.retry_after_s(self.view, context))
         context.status = last_answer.head.status
-        await _respond(exchange, last_answer)
+        await _respond(exchange, context, last_answer)
 
     def _choose_server(self, context: inflight.RequestContext) -> balance.Candidate | None:
         if self._remaining_s(context) <= 0:
@@ -202,9 +202,9 @@
         return context.deadline_at - self.core.clock.monotonic()
 
 
-async def _respond(exchange: http.ResponseWriter, buffered: BufferedAnswer) -> None:
-    headers = [
-        *buffered.head.headers,
-        ("content-length", str(len(buffered.body))),
-    ]
-    await exchange.respond_raw(buffered.head.status, headers, buffered.body)
+async def _respond(
+    exchange: http.ResponseWriter, context: inflight.RequestContext, answer: BufferedAnswer
+) -> None:
+    head = answer.head
+    length = http.length_fields(context.request.method, head.status, answer.body, head.length)
+    await exchange.respond_raw(head.status, [*head.headers, *length], answer.body)
--- a/src/ebonywheel/gateway/relays.py
+++ b/src/ebonywheel/gateway/relays.py
@@ -224,9 +224,10 @@
             self.context.status = reply.status
             headers = [(field.name, field.value) for field in reply.headers]
             if reply.ended:
-                await self.exchange.respond_raw(
-                    reply.status, _with_length(headers, reply), reply.data
-                )
+                if all(name != "content-length" for name, _ in headers):
+                    method = self.context.request.method
+                    headers += http.length_fields(method, reply.status, reply.data, None)
+                await self.exchange.respond_raw(reply.status, headers, reply.data)
                 return True
             await self.exchange.start(reply.status, headers)
         if reply.data:
@@ -256,9 +257,3 @@
         except exceptions.LinkError as error:
             # The other host ends by itself when it is not asked for more.
             self.core.log.info("relay_end_lost", host=self.host.host, error=error)
-
-
-def _with_length(headers: http.Headers, reply: messages.RelayReply) -> http.Headers:
-    if any(name == "content-length" for name, _ in headers):
-        return headers
-    return [*headers, ("content-length", str(len(reply.data)))]
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -82,8 +82,8 @@
         run = relayedrun.Run(context, reply)
         self._register(run)
         try:
-            if reply.head.status != STATUS_OK:
-                await self._relay_failure(exchange, context, reply)
+            if reply.head.status != STATUS_OK or context.request.method == "HEAD":
+                await self._relay_complete(exchange, context, reply)
                 return
             await exchange.start(reply.head.status, reply.head.headers)
             await self._notify_if_late(run)
@@ -208,7 +208,7 @@
             return
         await self.sender.finish(reply)
 
-    async def _relay_failure(
+    async def _relay_complete(
         self, exchange: http.ResponseWriter, context: inflight.RequestContext, reply: sender.Reply
     ) -> None:
         try:
@@ -222,8 +222,9 @@
         await self.sender.finish(reply)
         if not server_failed:
             await self.crashes.record_success(context)
-        headers = [*reply.head.headers, ("content-length", str(len(body)))]
-        await exchange.respond_raw(reply.head.status, headers, body)
+        head = reply.head
+        length = http.length_fields(context.request.method, head.status, body, head.length)
+        await exchange.respond_raw(head.status, [*head.headers, *length], body)
 
     # -- relay -----------------------------------------------------------------------------
 
--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -29,7 +29,9 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ACCEPT_BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
-STATUSES_WITHOUT_BODY = (204, 304)
+STATUS_NO_CONTENT = 204
+STATUS_NOT_MODIFIED = 304
+STATUSES_WITHOUT_BODY = (STATUS_NO_CONTENT, STATUS_NOT_MODIFIED)
 JSON = "application/json"
 EVENT_STREAM = "text/event-stream"
 
@@ -45,6 +47,23 @@
     return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
 
 
+def length_fields(method: str, status: int, body: bytes, stated: str | None) -> Headers:
+    """Return the header for the length of a complete answer that is passed on.
+
+    Args:
+        method: Method of the request.
+        status: Status of the answer.
+        body: Its body.
+        stated: The length that its server stated, None without one. For an answer without a body
+            it is the length that another would have.
+    """
+    if status == STATUS_NO_CONTENT:
+        return []
+    if method != "HEAD" and status != STATUS_NOT_MODIFIED:
+        return [("content-length", str(len(body)))]
+    return [] if stated is None else [("content-length", stated)]
+
+
 class Request(msgspec.Struct):
     """A complete request as received.
 
@@ -110,7 +129,7 @@
         """End the response."""
 
     async def respond_raw(self, status: int, fields: Headers, body: bytes) -> None:
-        """Give a complete response with exactly these headers, which must include its length."""
+        """Give a complete response with exactly these headers, with the length of its body."""
 
 
 class Exchange:
@@ -141,7 +160,7 @@
         await self.respond_raw(status, fields, body)
 
     async def respond_raw(self, status: int, fields: Headers, body: bytes) -> None:
-        """Send a complete response with exactly these headers, which must include its length."""
+        """Send a complete response with exactly these headers, with the length of its body."""
         self.started = True
         connection = self.connection
         data = connection.encode_response(status, fields)
