--- a/tests/test_gateway_forms.py
+++ b/tests/test_gateway_forms.py
@@ -249,6 +249,22 @@
     assert formsockets.values(got.fields, b"content-length") == lengths
 
 
+# Guards against fields that concern one connection only, as Connection names them, and that are
+# passed on.
+@pytest.mark.parametrize("route", [b"book", b"look", b"plan"])
+@pytest.mark.parametrize("options", [b"X-Hop", b"keep-alive,x-hop", b"a ,,\tX-HOP , b"])
+def test_a_field_for_one_connection_is_not_passed_on(fleet, route, options):
+    number = next(fleet.numbers)
+    fields = [(b"Connection", options), (b"X-Hop", b"1"), (b"X-F-A", b"2"), (b"x-hop", b"3")]
+    lines = b"".join(b"%s: %s\r\n" % field for field in fields)
+    fleet.scripts[number] = httpforms.plain_answer(fields=fields)
+    got = exchange_raw(fleet, raw_head(number, route=route, fields=lines) + b"\r\n")
+    (received,) = fleet.received(number)
+    for seen in (got, received):
+        assert not formsockets.values(seen.fields, b"x-hop")
+        assert formsockets.values(seen.fields, b"x-f-a") == [b"2"]
+
+
 @(hypothesis.seed(int(SEED)) if SEED else lambda test: test)
 @SETTINGS
 @hypothesis.given(
