--- a/tests/test_gateway_forms.py
+++ b/tests/test_gateway_forms.py
@@ -265,6 +265,17 @@
         assert formsockets.values(seen.fields, b"x-f-a") == [b"2"]
 
 
+# Guards against a target whose query is empty and that arrives without its question mark.
+@pytest.mark.parametrize("prefix", [b"", b"http://a.example", b"HTTP://user@a.example:80"])
+@pytest.mark.parametrize("query", [b"", b"?", b"??", b"?a=b?", b"/?", b"//x;y=%%?"])
+def test_a_target_arrives_as_it_was_sent(fleet, prefix, query):
+    number = next(fleet.numbers)
+    head = raw_head(number, query=query).replace(b"/", prefix + b"/", 1)
+    assert exchange_raw(fleet, head + b"\r\n").status == 200
+    (received,) = fleet.received(number)
+    assert received.target == b"/book/%d%s" % (number, query)
+
+
 @(hypothesis.seed(int(SEED)) if SEED else lambda test: test)
 @SETTINGS
 @hypothesis.given(
