Send a target to the server as its caller sent it

What servers saw: /x? arrived as /x.

Cause: the target was put together again from its path and query, and an empty query could not be told from none.

Change: the request keeps its target. One that another host relays still loses the question mark, as the message between hosts has only path and query.

--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -72,6 +72,7 @@
         raw_query: The query string as sent, without the question mark.
         headers: Header values by lower-case name, with one character for each byte received.
         fields: All headers in order, with lower-case names.
+        target: The path and the query as sent, empty if not known.
     """
 
     method: str
@@ -82,6 +83,7 @@
     peer: str
     raw_query: str = ""
     fields: list[tuple[str, str]] = []
+    target: str = ""
 
     def json(self) -> dict:
         """Return the body as a JSON object.
@@ -323,13 +325,16 @@
         headers = dict(fields)
         if sum(len(name) + len(value) for name, value in fields) > self.server.limits.header_bytes:
             raise exceptions.HttpError("headers too large", "read head", self.peer, 431)
-        path, raw_query = _split_target(head.target.decode("latin-1"), self.peer)
+        target = _origin_form(head.target.decode("ascii"), self.peer)
+        path, _, raw_query = target.partition("?")
         self._check_length(headers)
         if self.conn.they_are_waiting_for_100_continue:
             await self.send(self.conn.send(h11.InformationalResponse(status_code=100, headers=[])))
         body = await self._with_timeout(self._read_body(), self.server.limits.body_s)
         query = dict(urllib.parse.parse_qsl(raw_query))
-        return Request(self.method, path, query, headers, body, self.peer, raw_query, fields)
+        return Request(
+            self.method, path, query, headers, body, self.peer, raw_query, fields, target
+        )
 
     def mark_break(self) -> bool:
         """Have the connection reset if only its end would delimit an answer that is not whole.
@@ -423,15 +428,17 @@
             raise exceptions.HttpError(str(error), "read", self.peer) from error
 
 
-def _split_target(target: str, peer: str) -> tuple[str, str]:
+def _origin_form(target: str, peer: str) -> str:
+    """Return the path and query of a request's target, which may be a whole URL."""
     if target.startswith("/"):
-        path, _, raw_query = target.partition("?")
-        return path, raw_query
+        return target
     try:
         url = urllib.parse.urlsplit(target)
     except ValueError as error:
         raise exceptions.HttpError(str(error), "parse target", peer) from error
-    return url.path, url.query
+    if not url.netloc:
+        return url.path
+    return target.partition("://")[2].removeprefix(url.netloc)
 
 
 class Server:
