--- a/tests/test_gateway_forms.py
+++ b/tests/test_gateway_forms.py
@@ -276,6 +276,23 @@
     assert received.target == b"/book/%d%s" % (number, query)
 
 
+# Guards against a request that is refused as an empty line comes before it, which HTTP has servers
+# ignore, as some callers end a body with one.
+@pytest.mark.parametrize("empty", [b"\r\n", b"\n", b"\r\n\r\n"])
+@pytest.mark.parametrize("at_once", [True, False])
+def test_empty_lines_before_requests_are_ignored(fleet, empty, at_once):
+    numbers = [next(fleet.numbers) for _ in range(3)]
+    requests = [empty + raw_head(number) + b"Content-Length: 4\r\n\r\nbody" for number in numbers]
+    with fleet.connect() as caller:
+        if at_once:
+            caller.send([b"".join(requests)])
+        for number, request in zip(numbers, requests, strict=True):
+            if not at_once:
+                caller.send([request[:1], request[1:]])
+            got = caller.read_answer(b"POST")
+            assert (got.status, got.body) == (200, b"/book/%d" % number)
+
+
 @(hypothesis.seed(int(SEED)) if SEED else lambda test: test)
 @SETTINGS
 @hypothesis.given(
