Ignore empty lines before a request

What callers saw: 400 and a closed connection where an empty line came before a request. Some callers send one after a body, and HTTP has servers ignore it.

Cause: h11 takes it for a head without a request line.

Change: the wait for a request passes over line breaks, also over those that were read ahead with the request before.

--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -32,6 +32,7 @@
 STATUS_NO_CONTENT = 204
 STATUS_NOT_MODIFIED = 304
 STATUSES_WITHOUT_BODY = (STATUS_NO_CONTENT, STATUS_NOT_MODIFIED)
+EMPTY_LINE = b"\r\n"
 JSON = "application/json"
 EVENT_STREAM = "text/event-stream"
 
@@ -259,9 +260,7 @@
         self.server = server
         self.sock = sock
         self.peer = peer
-        self.conn = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes + HEAD_OVERHEAD_BYTES
-        )
+        self.conn = self._new_parser()
         self.method = ""
         self.pipelined_bytes = 0
         self.task = task
@@ -304,11 +303,22 @@
         Raises:
             HttpError: The connection broke or was idle for too long.
         """
-        if self.conn.trailing_data[0]:
+        data, _ = self.conn.trailing_data
+        if data and data[0] not in EMPTY_LINE:
             return True
-        data = await self._with_timeout(self._receive(), self.server.limits.idle_s)
-        self.conn.receive_data(data)
-        return bool(data)
+        if data:
+            # h11 ignores no empty lines before a request.
+            self.conn = self._new_parser()
+        while not (start := data.lstrip(EMPTY_LINE)):
+            data = await self._with_timeout(self._receive(), self.server.limits.idle_s)
+            if not data:
+                return False
+        self.conn.receive_data(start)
+        return True
+
+    def _new_parser(self) -> h11.Connection:
+        max_bytes = self.server.limits.header_bytes + HEAD_OVERHEAD_BYTES
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
 
     async def read_request(self) -> Request | None:
         """Read a complete request; return None when the connection ends instead.
