--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -133,6 +133,34 @@
         path.write_bytes((data + record)[:sector_end].ljust(len(data) + len(record), b"\0"))
         assert open_storage(tmp_path).last_index() == 5
 
+    # Guards against a log that does not open although a power loss may leave it: of two writes
+    # after the last sync, the first is missing or torn and the second present.
+    @pytest.mark.parametrize(
+        ("first_missing", "last_missing"),
+        [(0, 2000), (5, 2000), (27, 2000), (28, 2000), (900, 2000), (1999, 2000)]
+        + [(0, 600), (300, 1200), (300, 1700)],
+    )
+    def test_record_before_a_later_write_is_removed_if_torn(
+        self, tmp_path, first_missing, last_missing
+    ):
+        store = open_with_entries(tmp_path)
+        start = store.log.size
+        sector_ends = -start % logfile.SECTOR_BYTES
+        store.append([messages.LogEntry(6, 1, b"x" * (2000 - logfile.RECORD_HEADER_BYTES))])
+        store.append(make_entries(7, 9))
+        store.close()
+        if last_missing < 2000:
+            last_missing += (sector_ends - last_missing) % logfile.SECTOR_BYTES
+        if first_missing and last_missing < 2000:
+            first_missing += (sector_ends - first_missing) % logfile.SECTOR_BYTES
+        path = tmp_path / storage.LOG_FILE
+        data = bytearray(path.read_bytes())
+        data[start + first_missing : start + last_missing] = bytes(last_missing - first_missing)
+        path.write_bytes(data)
+        reopened = open_storage(tmp_path)
+        assert reopened.last_index() == 5
+        assert path.stat().st_size == start
+
 
 class TestCorruption:
     def test_any_changed_byte_of_a_complete_record_is_detected(self, tmp_path):
