--- a/src/ebonywheel/logfile.py
+++ b/src/ebonywheel/logfile.py
@@ -43,6 +43,9 @@
         self.file = open(path, "r+b", buffering=0)
         if self.size < len(data):
             self._truncate_file(self.size)
+        else:
+            # The process before may have ended between a write and its sync.
+            self.sync()
         self.file.seek(0, os.SEEK_END)
 
     def append(self, entries: list[messages.LogEntry]) -> None:
--- a/src/ebonywheel/storage.py
+++ b/src/ebonywheel/storage.py
@@ -320,7 +320,10 @@
             durable.replace(self.folder / LOG_FILE, b"")
             self.identity = Identity(host, secrets.token_hex(MEMBER_ID_BYTES))
             self._write_identity()
-            durable.sync_folder(self.folder.parent)
+        # The process before may have ended between a change and its sync. What is read from here on
+        # counts as durable.
+        durable.sync_folder(self.folder)
+        durable.sync_folder(self.folder.parent)
         self.identity = self._read_struct(IDENTITY_FILE, Identity)
         if self.identity.host != host:
             raise exceptions.StorageError(
