Open a log of which a later unsynced write was kept and an earlier one lost

A control host did not start again after a power loss, with CorruptLogError at every attempt: it had written two entries that were not synced, and the disk kept the second alone. The gap reads as zeros with a valid record after it, and only zeros up to the end of the file counted as torn.

A bad record is now torn, too, if zeros stand for its beginning, its end or a whole sector of it. Nothing after it was synced, so nothing that was acknowledged is removed. Damage that looks like this in an entry that the saved commit position covers is now refused; before, zeros at the end of the file were not.

--- a/src/ebonywheel/logfile.py
+++ b/src/ebonywheel/logfile.py
@@ -1,9 +1,9 @@
 """The log file: records with checksums, in log order.
 
-When the file is opened, a torn record at its end is removed: one that the end of the file cuts off,
-or one that ends in zeros because a crash came before its blocks were written. A record that was
-synced is thus never removed. Any other bad record is corruption, even at the end of the file, and
-the log does not open.
+When the file is opened, a torn record is removed with all that follows it: one that the end of the
+file cuts off, or one with zeros in place of blocks that were not written before a crash. Later
+writes may have reached the disk, but none of them was synced. Any other bad record is corruption,
+even at the end of the file, and the log does not open.
 """
 
 import os
@@ -18,6 +18,8 @@
 HEADER_CHECKSUM = struct.Struct("!I")
 RECORD_HEADER_BYTES = HEADER.size + HEADER_CHECKSUM.size
 SECTOR_BYTES = 512
+# The length of most records begins with two zeros, which say nothing about missing blocks.
+LENGTH_ZEROS = 2
 
 RECOVERY_HINT = "move the data folder away and bring the host back as a learner"
 
@@ -29,24 +31,33 @@
         entries: All entries, in log order.
         offsets: Byte offset of each entry's record.
         size: Size of all records, in bytes.
-        has_partial_record: True when the file goes on after `size` with a part of a record that
-            found no room and could not be removed yet.
+        has_partial_record: True when the file goes on after `size` with records that were never
+            completely written, until `recover`, or with one that found no room and could not be
+            removed yet.
     """
 
     def __init__(self, path: pathlib.Path):
         self.path = path
         self.entries: list[messages.LogEntry] = []
         self.offsets: list[int] = []
-        self.has_partial_record = False
         data = path.read_bytes()
         self.size = self._read_records(data)
         self.file = open(path, "r+b", buffering=0)
-        if self.size < len(data):
+        self.has_partial_record = self.size < len(data)
+        self.file.seek(0, os.SEEK_END)
+
+    def recover(self) -> None:
+        """Remove what follows the last valid record, and make the records that remain durable.
+
+        The process before may have ended between a write and its sync.
+
+        Raises:
+            OSError: The file could not be truncated or synced.
+        """
+        if self.has_partial_record:
             self._truncate_file(self.size)
         else:
-            # The process before may have ended between a write and its sync.
             self.sync()
-        self.file.seek(0, os.SEEK_END)
 
     def append(self, entries: list[messages.LogEntry]) -> None:
         """Append entries to the file; they are durable only after `sync`.
@@ -177,15 +188,22 @@
 
 def is_torn(data: bytes, offset: int) -> bool:
     """Return whether the invalid record at an offset was never completely written."""
-    if offset + RECORD_HEADER_BYTES > len(data):
-        return True
+    start, end = offset + LENGTH_ZEROS, offset + RECORD_HEADER_BYTES
     header = _decode_header(data, offset)
-    if header is not None and offset + RECORD_HEADER_BYTES + header[0] > len(data):
-        return True
-    # Blocks that were allocated but never written read as zeros, from a sector boundary on.
-    zeros_start = len(data.rstrip(b"\0"))
-    next_sector = -(-zeros_start // SECTOR_BYTES) * SECTOR_BYTES
-    return zeros_start <= offset or next_sector < len(data)
+    if header is not None:
+        start, end = end, end + header[0]
+    # Blocks that were not written read as zeros if a later one was, or if the file has its length.
+    return end > len(data) or data[end - 1] == 0 or _has_empty_sector(data, start, end)
+
+
+def _has_empty_sector(data: bytes, start: int, end: int) -> bool:
+    """Return whether the part of a sector that lies within a range holds only zeros."""
+    while start < end:
+        sector_end = min(start - start % SECTOR_BYTES + SECTOR_BYTES, end)
+        if not any(data[start:sector_end]):
+            return True
+        start = sector_end
+    return False
 
 
 def _decode_header(data: bytes, offset: int) -> tuple[int, int, int, int] | None:
--- a/src/ebonywheel/storage.py
+++ b/src/ebonywheel/storage.py
@@ -334,7 +334,10 @@
         self._open_log()
         self.vote = self._read_struct(VOTE_FILE, Vote) or Vote()
         self.saved_vote = Vote(self.vote.term, self.vote.voted_for)
-        self.committed = self._read_committed()
+        committed = self._read_saved_commit()
+        # It only saves time, so one that the log does not hold is ignored.
+        log_agrees = self.term_at(committed.index) == committed.term
+        self.committed = committed if log_agrees else LogPosition()
         if self.vote.term < self.last_term():
             raise exceptions.StorageError(
                 f"vote of term {self.vote.term} is older than the log's term {self.last_term()}",
@@ -342,13 +345,12 @@
                 str(self.folder),
             )
 
-    def _read_committed(self) -> LogPosition:
-        """Read the saved commit position; it only saves time, so a damaged one is ignored."""
+    def _read_saved_commit(self) -> LogPosition:
+        """Read the saved commit position; a damaged one is ignored."""
         try:
-            saved = self._read_struct(COMMIT_FILE, LogPosition) or LogPosition()
+            return self._read_struct(COMMIT_FILE, LogPosition) or LogPosition()
         except exceptions.StorageError:
             return LogPosition()
-        return saved if self.term_at(saved.index) == saved.term else LogPosition()
 
     def _check_holds_no_data(self) -> None:
         log = self.folder / LOG_FILE
@@ -377,11 +379,25 @@
         self.base = LogPosition(first - 1, -1)
         if first == self.snapshot.index + 1:
             self.base = LogPosition(self.snapshot.index, self.snapshot.term)
-        elif self._term_in_log(self.snapshot.index) != self.snapshot.term:
+        self._check_holds_commit()
+        self.log.recover()
+        overlaps = self.base.index < self.snapshot.index
+        if overlaps and self._term_in_log(self.snapshot.index) != self.snapshot.term:
             # The process ended after it saved a snapshot, before it discarded a conflicting log.
             self._discard_covered(None)
         self.synced_index = self.last_index()
 
+    def _check_holds_commit(self) -> None:
+        """Check that no committed entry is about to be removed as torn."""
+        saved_index = self._read_saved_commit().index
+        if self.log.has_partial_record and self.last_index() < saved_index:
+            raise exceptions.CorruptLogError(
+                f"bad record at byte {self.log.size}, before entry {saved_index}, which was "
+                f"committed; {logfile.RECOVERY_HINT}",
+                "open log",
+                str(self.log.path),
+            )
+
     def _term_in_log(self, index: int) -> int | None:
         position = index - self.base.index - 1
         if 0 <= position < len(self.log.entries):
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -203,6 +203,20 @@
         with pytest.raises(exceptions.StorageError, match=text):
             open_storage(tmp_path)
 
+    # Guards against committed entries that are dropped as their damage looks like a torn write.
+    def test_committed_record_is_not_removed_as_torn(self, tmp_path):
+        store = open_with_entries(tmp_path)
+        curio.run(store.save_commit, 4)
+        start, end = store.log.offsets[3], store.log.offsets[4]
+        store.close()
+        path = tmp_path / storage.LOG_FILE
+        data = bytearray(path.read_bytes())
+        data[start:end] = bytes(end - start)
+        path.write_bytes(data)
+        with pytest.raises(exceptions.CorruptLogError):
+            open_storage(tmp_path)
+        assert path.read_bytes() == data
+
     def test_folder_of_another_host_is_refused(self, tmp_path):
         open_with_entries(tmp_path).close()
         with pytest.raises(exceptions.StorageError, match="belongs to host 'control-1'"):
