Sync the audit file and its name when it is opened

After a power loss a control host could lack its whole audit file, whose folder was never synced after it was created, or entries that a process killed before its sync had left: the next one took them for written. Where the replicated state no longer holds them, they are gone from this host's audit trail.

Opening the file syncs it and its folder. test_new_file_keeps_its_name and test_entries_found_when_opening_survive_a_power_loss of TestAuditFile failed before and pass.

--- a/src/ebonywheel/auditlog.py
+++ b/src/ebonywheel/auditlog.py
@@ -168,6 +168,9 @@
             # The last line is incomplete if the process ended while writing it.
             file.truncate(valid_bytes)
             file.seek(valid_bytes)
+            # Entries that are found here are not written again, so they and the name must last.
+            durable.fsync(file.fileno())
+            durable.sync_folder(self.path.parent)
         except (OSError, msgspec.MsgspecError) as error:
             raise exceptions.StorageError(str(error), "open audit", str(self.path)) from error
         return file
