Open an audit file with blocks that were never written

A control host did not start again after a power loss that kept a later sector of its last, unsynced lines and lost an earlier one: the zeros made a line that is no JSON, and every attempt to open it failed.

A line with a zero byte, which no JSON has, now ends the file like an incomplete line.

--- a/src/ebonywheel/auditlog.py
+++ b/src/ebonywheel/auditlog.py
@@ -161,11 +161,12 @@
             file.seek(0)
             valid_bytes = 0
             for line in file:
-                if not line.endswith(b"\n"):
+                # Blocks that were not written before a power loss read as zeros.
+                if not line.endswith(b"\n") or b"\0" in line:
                     break
                 self._record_line(_decode(line).index, valid_bytes)
                 valid_bytes += len(line)
-            # The last line is incomplete if the process ended while writing it.
+            # The last lines are incomplete if the process ended while writing them.
             file.truncate(valid_bytes)
             file.seek(valid_bytes)
             # Entries that are found here are not written again, so they and the name must last.
