--- a/tests/formsockets.py
+++ b/tests/formsockets.py
@@ -187,7 +187,11 @@
 
 
 class ReceivedRequest:
-    """A request as a server received it."""
+    """A request as a server received it.
+
+    Attributes:
+        body: None until it was read, which an early answer does not wait for.
+    """
 
     def __init__(self, method, target, fields, body):
         self.method = method
@@ -264,7 +268,7 @@
         method, target, version = first.split(b" ")
         assert version == b"HTTP/1.1"
         fields = parse_fields(lines)
-        request = ReceivedRequest(method, target, fields, b"")
+        request = ReceivedRequest(method, target, fields, None)
         match = PATH.match(target)
         if match is None:
             sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
--- a/tests/test_gateway_forms.py
+++ b/tests/test_gateway_forms.py
@@ -141,6 +141,7 @@
         return False
     assert len(received) <= (2 if request.route == "look" else 1)
     for seen in received:
+        platformsystem.wait_for(lambda seen=seen: seen.body is not None, "the body")
         assert (seen.method, seen.body) == (request.method, request.body)
         assert seen.target == request.path(number)
         assert httpforms.passed_on(seen.fields) == httpforms.passed_on(request.fields)
@@ -293,6 +294,28 @@
             assert (got.status, got.body) == (200, b"/book/%d" % number)
 
 
+CONTROL_BYTES = [bytes([byte]) for byte in (0x01, 0x08, 0x0E, 0x1B, 0x1F, 0x7F)]
+
+
+# Guards against control bytes in field values, which HTTP does not allow, and which end up in logs
+# and terminals at the other side.
+@pytest.mark.parametrize("byte", CONTROL_BYTES)
+@pytest.mark.parametrize("route", [b"book", b"look", b"plan"])
+def test_a_control_byte_in_a_value_is_refused(fleet, route, byte):
+    number = next(fleet.numbers)
+    bad = b"X-Bad: a%sb\r\n" % byte
+    got = exchange_raw(fleet, raw_head(number, route=route, fields=bad) + b"\r\n")
+    assert (got.status, got.keeps, fleet.received(number)) == (400, False, [])
+    fleet.scripts[number] = httpforms.plain_answer(
+        framing_fields=[(b"X-Bad", b"a%sb" % byte), (b"Content-Length", b"0")],
+        legality=httpforms.ILLEGAL,
+    )
+    with fleet.connect() as caller:
+        caller.send([raw_head(number, route=route) + b"\r\n"])
+        assert caller.read_answer(b"POST").status == 502
+        fleet.probe(caller)
+
+
 @(hypothesis.seed(int(SEED)) if SEED else lambda test: test)
 @SETTINGS
 @hypothesis.given(
