--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -25,14 +25,14 @@
 WRITE_TIMEOUT_S = 60.0
 LINGER_S = 1.0
 LINGER_BYTES = 256 * 1024
-# SO_LINGER for no time: a close resets the connection.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ACCEPT_BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
 STATUS_NO_CONTENT = 204
 STATUS_NOT_MODIFIED = 304
 STATUSES_WITHOUT_BODY = (STATUS_NO_CONTENT, STATUS_NOT_MODIFIED)
 EMPTY_LINE = b"\r\n"
+# Option value: linger for no time.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # The answer when the protocol state is lost before the first byte of one.
 LAST_RESORT = b"HTTP/1.1 502 Bad Gateway\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 JSON = "application/json"
@@ -266,9 +266,10 @@
     Attributes:
         conn: HTTP/1.1 protocol state.
         method: Method of the request that is being read or answered, empty until its head is read.
-        broken_off: True if the last answer has begun and is not whole.
         pipelined_bytes: Number of bytes read ahead during the current exchange.
         task: The task that serves it.
+        looks_whole: True once a response has been broken off that a regular close would end as
+            whole, as its caller speaks HTTP/1.0, without chunks.
     """
 
     def __init__(self, server: "Server", sock: curio.io.Socket, peer: str, task: curio.Task):
@@ -277,9 +278,9 @@
         self.peer = peer
         self.conn = self._new_parser()
         self.method = ""
-        self.broken_off = False
         self.pipelined_bytes = 0
         self.task = task
+        self.looks_whole = False
 
     def encode_response(self, status: int, headers: Headers) -> bytes:
         """Encode the head of a response; while draining, announce that the connection closes."""
@@ -362,17 +363,6 @@
             self.method, path, query, headers, body, self.peer, raw_query, fields, target
         )
 
-    def mark_break(self) -> bool:
-        """Have the connection reset if only its end would delimit an answer that is not whole.
-
-        Returns:
-            Whether it will be reset.
-        """
-        if not self.broken_off or self.conn.their_http_version >= b"1.1":
-            return False
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        return True
-
     async def linger(self) -> None:
         """Stop sending, then discard input for a limited time before the connection is closed.
 
@@ -388,6 +378,10 @@
         except OSError:
             return
 
+    def reset_when_closed(self) -> None:
+        """Have the close of the connection reset it."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     async def read_until_closed(self) -> None:
         """Read ahead until the caller closes the connection.
 
@@ -535,12 +529,10 @@
         connection = ServerConnection(self, sock, peer, await curio.current_task())
         try:
             async with sock:
-                try:
-                    while await self._serve_next(connection):
-                        pass
-                finally:
-                    broken_off = connection.mark_break()
-                if broken_off:
+                while await self._serve_next(connection):
+                    pass
+                if connection.looks_whole:
+                    connection.reset_when_closed()
                     return
                 self.lingering += 1
                 try:
@@ -592,8 +584,9 @@
             self.core.metrics.count("http_errors", code="internal")
             self.core.log.error("handler_failed", path=exchange.request.path, error=repr(error))
             await exchange.fail(500, ErrorBody("internal", "internal error"))
-        finally:
-            connection.broken_off = exchange.started and not exchange.ended
+        if not exchange.ended:
+            connection.looks_whole = connection.conn.their_http_version == b"1.0"
+            return False
         if connection.conn.our_state is not h11.DONE:
             return False
         if connection.conn.their_state is not h11.DONE:
