Refuse control bytes in header values

What callers and servers saw: a value with a byte that HTTP does not allow, such as an escape or a delete, arrived at the other side, and in logs.

Cause: h11 lets all control bytes but NUL and white space through.

Change: received headers are decoded in one place, which refuses them: with 400 to a caller, while a server's answer counts as malformed (502), with the header's name in the log.

--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -3,6 +3,7 @@
 The exchanges of a connection are served one after the other. The client side is `httpclient`.
 """
 
+import re
 import socket
 import struct
 import typing
@@ -31,6 +32,7 @@
 STATUS_NOT_MODIFIED = 304
 STATUSES_WITHOUT_BODY = (STATUS_NO_CONTENT, STATUS_NOT_MODIFIED)
 EMPTY_LINE = b"\r\n"
+CONTROL_BYTE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 # Option value: linger for no time.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # The answer when the protocol state is lost before the first byte of one.
@@ -50,6 +52,20 @@
     return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
 
 
+def decode_fields(raw: typing.Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return received headers, with one character for each byte of their values.
+
+    Raises:
+        ValueError: A value has a byte that HTTP does not allow; the text names the header.
+    """
+    fields = [(name.decode("ascii"), value.decode("latin-1")) for name, value in raw]
+    for name, value in fields:
+        # h11 lets most control bytes through.
+        if CONTROL_BYTE.search(value):
+            raise ValueError(f"control byte in header {name!r}")
+    return fields
+
+
 def length_fields(method: str, status: int, body: bytes, stated: str | None) -> Headers:
     """Return the header for the length of a complete answer that is passed on.
 
@@ -348,7 +364,10 @@
         if isinstance(head, h11.ConnectionClosed):
             return None
         self.method = head.method.decode()
-        fields = [(name.decode(), value.decode("latin-1")) for name, value in head.headers]
+        try:
+            fields = decode_fields(head.headers)
+        except ValueError as error:
+            raise exceptions.HttpError(str(error), "read head", self.peer) from error
         headers = dict(fields)
         if sum(len(name) + len(value) for name, value in fields) > self.server.limits.header_bytes:
             raise exceptions.HttpError("headers too large", "read head", self.peer, 431)
--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -135,7 +135,10 @@
             raise self._timeout_error("no answer in time", "wait") from error
         if not isinstance(event, h11.Response):
             raise self._error("connection closed before the response", "wait")
-        fields = [(name.decode(), value.decode("latin-1")) for name, value in event.headers]
+        try:
+            fields = http.decode_fields(event.headers)
+        except ValueError as error:
+            raise self._error(f"malformed response: {error}", "wait") from error
         head = ResponseHead(event.status_code, fields)
         self.close_delimited = not self._is_delimited(head.status, head.headers)
         if self.close_delimited and not self.allow_close_delimited:
