Know all line ends in the streams of engines

Its streams always name their end by an event, so one that is cut was never taken for whole.

test_every_line_end_is_known failed before in all 10 cases and passes; it checks a cut end, too.

--- a/src/ebonywheel/engineclient.py
+++ b/src/ebonywheel/engineclient.py
@@ -98,6 +98,7 @@
         self.state = state
         self.connection = httpclient.ClientConnection(state.address)
         self.decoder = sse.Decoder()
+        self.line_ends = sse.LineEnds()
         self.unparsed = b""
         self.body_ended = False
 
@@ -175,7 +176,7 @@
         return b"".join(chunks)
 
     def _parse(self, data: bytes) -> list[Event]:
-        data = self.unparsed + data
+        data = self.unparsed + self.line_ends.replace(data)
         events: list[Event] = []
         position = 0
         while (event_end := data.find(b"\n\n", position)) >= 0:
--- a/src/ebonywheel/sse.py
+++ b/src/ebonywheel/sse.py
@@ -19,15 +19,37 @@
     return f"{name_line}{id_line}data: ".encode() + data + b"\n\n"
 
 
+class LineEnds:
+    """Replaces each CR LF and CR of a byte stream, which end a line as well, with LF.
+
+    Attributes:
+        after_cr: Whether the last byte was a CR.
+    """
+
+    def __init__(self):
+        self.after_cr = False
+
+    def replace(self, data: bytes) -> bytes:
+        """Return the next part of the stream with LF as the only end of a line."""
+        if self.after_cr:
+            data = data.removeprefix(b"\n")
+            self.after_cr = False
+        if b"\r" not in data:
+            return data
+        self.after_cr = data.endswith(b"\r")
+        return data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
+
+
 class Decoder:
     """Splits a byte stream into events."""
 
     def __init__(self):
         self.buffer = b""
+        self.line_ends = LineEnds()
 
     def feed(self, data: bytes) -> list[Event]:
         """Add received bytes and return the events that they complete."""
-        *blocks, self.buffer = (self.buffer + data).split(b"\n\n")
+        *blocks, self.buffer = (self.buffer + self.line_ends.replace(data)).split(b"\n\n")
         return [_decode(block) for block in blocks if block]
 
 
--- a/tests/test_engineclient.py
+++ b/tests/test_engineclient.py
@@ -45,6 +45,20 @@
         assert isinstance(events[-1], engineclient.End)
         assert sum(isinstance(event, engineclient.KeepAlive) for event in events) == 1
 
+    # Guards against events that are never read as their lines end with CR LF or CR, and an end that
+    # counts although it is cut off.
+    @pytest.mark.parametrize("line_end", [b"\r\n", b"\r"])
+    @pytest.mark.parametrize("size", [1, 2, 3, 50, 10_000])
+    def test_every_line_end_is_known(self, line_end, size):
+        body = make_body().replace(b"\n", line_end)
+        engine_stream, events = make_stream(), []
+        for start in range(0, len(body), size):
+            events += engine_stream._parse(body[start : start + size])
+        assert list_tokens(events) == list_tokens(make_stream()._parse(make_body()))
+        assert isinstance(events[-1], engineclient.End)
+        cut_events = make_stream()._parse(body[: -len(line_end)])
+        assert not any(isinstance(event, engineclient.End) for event in cut_events)
+
     @pytest.mark.parametrize(
         "data",
         [
