--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -26,6 +26,11 @@
     return None
 
 
+def as_pairs(headers):
+    """Return headers, a dict or pairs of names and values, as pairs."""
+    return list(headers.items()) if isinstance(headers, dict) else list(headers or ())
+
+
 class Received:
     """One request that the stand-in received."""
 
@@ -86,7 +91,10 @@
     def answer(self, status, body, headers=None):
         attempt = self.headers.get("X-Attempt-Id", "")
         self.send_response(status)
-        for name, value in {"X-Attempt-Id": attempt, **(headers or {})}.items():
+        pairs = as_pairs(headers)
+        if "X-Attempt-Id" not in dict(pairs):
+            pairs.insert(0, ("X-Attempt-Id", attempt))
+        for name, value in pairs:
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -97,7 +105,7 @@
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("X-Response-Stamp", f"stamp-{self.server.owner.name}")
         self.send_header("X-Attempt-Id", self.headers.get("X-Attempt-Id", ""))
-        for name, value in (headers or {}).items():
+        for name, value in as_pairs(headers):
             self.send_header(name, value)
         if chunked:
             self.send_header("Transfer-Encoding", "chunked")
