Draw legal header values, series of signals and callers that come back in the soak

Callers send and servers answer with up to four fields of any legal form: obs-text, UTF-8, tabs and spaces inside, empty and long values, several fields of one name. Each must reach the other side byte by byte, on plain answers and streams.

Hosts are stopped by series of SIGTERM, SIGINT and SIGHUP, also beside other faults and control hosts, too. A stop must end within 8 s, with exit code 0, while 30 callers press an entry host over kept and new connections without heeding "Connection: close".

A new promise: a request that a host without a fault of late has passed on to sound servers gets a complete answer, unless the answer has begun and its deadline is over. "A planned stop cuts nothing" now holds for streams that no server broke off; they were left out before. Checks of a closed connection wait 0.2 s, as a server may record the arrival later than the caller sees it closed.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,12 +1,13 @@
 """Callers that keep their connections, and check each answer."""
 
+import collections
 import http.client
 import random
 import threading
 import time
 
 import platformsystem
-from soak import promises, servers
+from soak import fields, promises, servers
 
 KINDS = {"book": ("POST", "/book/1"), "look": ("GET", "/look/1"), "plan": ("POST", "/plan/1")}
 PLAN_HEADERS = {"X-Token-Counts": "300,120", "X-Model-Name": "m"}
@@ -20,6 +21,8 @@
 BURST_INTERVAL_S = 5.0
 MAX_BURST_WAIT_S = 0.3
 READ_BYTES = 65536
+# A server may record the arrival of a request after its caller has seen the connection closed.
+ARRIVAL_MARGIN_S = 0.2
 # Time that an accepted withdrawal of a key may take to be in force, with hosts that were paused.
 WITHDRAWN_MARGIN_S = 8.0
 
@@ -47,22 +50,43 @@
         yield from lines
 
 
+class StubbornResponse(http.client.HTTPResponse):
+    """An answer whose ``Connection: close`` is not heeded."""
+
+    def begin(self):
+        """Read the head; keep the connection unless the answer ends with it."""
+        super().begin()
+        if self.chunked or self.length is not None:
+            self.will_close = False
+
+
 class Caller(threading.Thread):
-    """Sends requests one after the other, each over a kept or a new connection."""
+    """Sends requests one after the other, each over a kept or a new connection.
 
-    def __init__(self, number, world, seed):
+    Attributes:
+        node: The only host that it calls, without a pause; None to call any.
+        stubborn: True to use each connection until the host closes it.
+        ended: Set to end the caller.
+        unanswered: Requests without a complete answer, to be checked once their time has come.
+    """
+
+    def __init__(self, number, world, seed, node=None, ended=None):
         super().__init__(daemon=True)
+        self.node = node
+        self.stubborn = node is not None or number % 2 == 1
+        self.ended = ended or world.stopping
         self.number = number
         self.world = world
         self.ledger = world.ledger
         self.random = random.Random(f"{seed} caller {number}")
         self.draws = random.Random(f"{seed} prompts {number}")
         self.connections = {}
+        self.unanswered = collections.deque()
         self.sent = 0
 
     def run(self):
-        while not self.world.stopping.is_set():
-            node = self.random.choice(self.world.system.entries)
+        while not self.ended.is_set():
+            node = self.node or self.random.choice(self.world.system.entries)
             kind = self.random.choice(list(KINDS))
             path = None
             if self.wait_for_burst():
@@ -72,10 +96,15 @@
             except (OSError, http.client.HTTPException) as error:
                 self.drop(node)
                 self.ledger.count(kind, "broken")
-                self.check_planned_stop(node, kind, error)
-            time.sleep(self.random.uniform(0.0, 0.05))
+                if self.request_sent:
+                    self.note_unanswered(node, error)
+            self.check_answers_owed(time.monotonic())
+            if self.node is None or not self.request_sent:
+                time.sleep(self.random.uniform(0.0, 0.05))
         for connection in self.connections.values():
             connection.close()
+        time.sleep(ARRIVAL_MARGIN_S)
+        self.check_answers_owed(time.monotonic())
 
     def wait_for_burst(self):
         """Wait for the next burst if it is near; return whether it is."""
@@ -85,12 +114,23 @@
         time.sleep(wait_s)
         return True
 
-    def check_planned_stop(self, node, kind, error):
-        """Record a request that was cut, without any other fault, while its host was stopped."""
-        if self.world.planned_stop is node and self.request_sent and not self.server_broke:
-            request = f"c{self.number}-{self.sent}"
-            if self.ledger.runs.get(request):
-                self.ledger.breach("a planned stop cuts nothing", request, node.name, repr(error))
+    def note_unanswered(self, node, error):
+        """Note that a request has no complete answer, which may be cut at its deadline."""
+        now = time.monotonic()
+        if self.answer_begun and now >= self.deadline:
+            return
+        calm = self.world.planned_stop is node
+        self.unanswered.append((now + ARRIVAL_MARGIN_S, self.request, node.name, calm, error))
+
+    def check_answers_owed(self, now):
+        """Check the requests without an answer that were noted long enough ago."""
+        while self.unanswered and self.unanswered[0][0] <= now:
+            _, request, name, calm, error = self.unanswered.popleft()
+            if self.ledger.is_owed_answer(request, calm):
+                promise = "an answer to each request passed on"
+                if calm:
+                    promise = "a planned stop cuts nothing"
+                self.ledger.breach(promise, request, name, repr(error))
 
     def drop(self, node):
         connection = self.connections.pop(node.name, None)
@@ -103,34 +143,47 @@
             connection = http.client.HTTPConnection(
                 node.ip, platformsystem.FRONT_PORT, timeout=DEADLINE_MS / 1000 + 1
             )
+            if self.stubborn:
+                connection.response_class = StubbornResponse
             self.connections[node.name] = connection
         return connection
 
     def call(self, node, kind, path=None):
         """Send a request, with a path of its own if given, and check its answer."""
         self.sent += 1
-        self.request_sent = self.server_broke = False
-        request = f"c{self.number}-{self.sent}"
+        self.request_sent = self.answer_begun = False
+        request = self.request = f"c{self.number}-{self.sent}"
         self.ledger.hosts[request] = node.name
         key = self.random.choice(["key-1", "key-2"])
         method, usual_path = KINDS[kind]
-        headers = {
+        added = {
             "Host": "a.example",
             "X-Attempt-Id": request,
             "X-Deadline-Ms": str(DEADLINE_MS),
             "Authorization": f"Token {key}",
         }
         if kind == "plan":
-            headers |= {**PLAN_HEADERS, "X-Prompt-Prefix": self.prompt_prefix()}
+            added |= {**PLAN_HEADERS, "X-Prompt-Prefix": self.prompt_prefix()}
+        # Unlike a dict, it holds the same name more than once.
+        headers = http.client.HTTPMessage()
+        for name, value in [*added.items(), *fields.draw("caller", request)]:
+            headers[name] = value
         if path is None:
             path = self.lookup_path(usual_path) if kind == "look" else usual_path
         connection = self.connect(node)
         withdrawn = key == "key-2" and self.world.keys.is_withdrawn(time.monotonic())
         connection.request(method, path, b"", headers)
         self.request_sent = True
+        self.deadline = time.monotonic() + DEADLINE_MS / 1000
         answer = connection.getresponse()
+        self.answer_begun = True
         self.ledger.count(kind, str(answer.status))
         self.record_limit(answer, node)
+        if "X-Response-Stamp" in answer.headers:
+            difference = fields.difference(answer.headers, "server", request)
+            if difference is not None:
+                detail = f"{answer.status} {difference}"
+                self.ledger.breach("header fields stay as they are", request, node.name, detail)
         if answer.status == 200 and withdrawn:
             self.ledger.breach("a withdrawn key is refused", request, node.name, key)
         if answer.status == 200 and kind == "plan":
@@ -172,7 +225,6 @@
 
     def read_stream(self, answer, request, node):
         """Read a stream; a complete one has all events once, in order, from one server."""
-        self.server_broke = True
         expected, source = 1, None
         try:
             for line in read_lines(answer):
@@ -187,8 +239,9 @@
                     if owner != request or source not in (None, server):
                         self.ledger.breach("one generation", request, node.name, line.decode())
                     source = server
-        except http.client.IncompleteRead:
+        except http.client.IncompleteRead as error:
             self.drop(node)
+            self.note_unanswered(node, error)
             return
         if expected != servers.EVENTS + 1:
             detail = f"complete after event {expected - 1}"
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -31,7 +31,9 @@
     """Collects what was seen, from all threads.
 
     Attributes:
-        runs: Servers that ran each request, in order.
+        runs: Names of the servers that ran each request, in order.
+        arrivals: Servers that each request reached, in order.
+        broken_off: Requests whose server broke off an answer that it had begun.
         hosts: Name of the entry host that each request was sent to.
         disturbances: Which hosts are in touch.
         crashing: Generations that crash servers, by a part that they share.
@@ -44,6 +46,8 @@
         self.lock = threading.Lock()
         self.started_at = time.monotonic()
         self.runs = collections.defaultdict(list)
+        self.arrivals = collections.defaultdict(list)
+        self.broken_off = set()
         self.once = set()
         self.refused = {}
         self.hosts = {}
@@ -65,6 +69,32 @@
         if twice:
             self.breach("at most once", request, "", f"ran at {self.runs[request]}")
 
+    def arrived(self, request, server):
+        """Record that a request reached a server, whether or not the server runs it."""
+        with self.lock:
+            self.arrivals[request].append(server)
+
+    def broke_off(self, request):
+        """Record that a server breaks off an answer that it has begun."""
+        with self.lock:
+            self.broken_off.add(request)
+
+    def is_owed_answer(self, request, calm):
+        """Return whether a request that a host has passed on is owed a complete answer.
+
+        Args:
+            request: Id of the request.
+            calm: True if nothing was disturbed; otherwise the host must be without a fault, and
+                the servers and their connections sound.
+        """
+        reached = self.arrivals.get(request)
+        if not reached or request in self.broken_off:
+            return False
+        return calm or (
+            self.disturbances.has_no_fault(self.hosts[request])
+            and all(server.is_sound() for server in reached)
+        )
+
     def is_in_touch(self, request):
         """Return whether the host of a request is in touch."""
         return self.disturbances.is_in_touch(self.hosts[request])
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -7,7 +7,7 @@
 import time
 
 import platformserver
-from soak import sums
+from soak import fields, sums
 
 EVENTS = 30
 EVENT_INTERVAL_S = 0.05
@@ -26,11 +26,13 @@
 
     Attributes:
         mode: What happens to bytes that arrive: one of `MODES`.
+        intact_from: From when connections count as intact, infinite while they are disturbed.
     """
 
     def __init__(self, target):
         self.target = target
         self.mode = "pass"
+        self.intact_from = 0.0
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self.accept, daemon=True).start()
@@ -70,6 +72,16 @@
         for end in (source, sink):
             end_at_once(end)
 
+    def disturb(self, mode):
+        """Disturb the connections in one of `MODES`."""
+        self.intact_from = float("inf")
+        self.mode = mode
+
+    def mend(self):
+        """Pass all bytes on again."""
+        self.mode = "pass"
+        self.intact_from = time.monotonic() + sums.STABLE_WINDOW_S
+
     def is_silent(self, forward):
         """Return whether one direction passes nothing now; `forward` is the one to the server."""
         return self.mode == "silent" or (self.mode == "one way" and not forward)
@@ -102,6 +114,21 @@
         self.limit = None
         self.script = self.stream if service == "plan" else self.answer_once
 
+    def is_sound(self):
+        """Return whether neither the server nor its connections failed of late."""
+        return not self.crashed and time.monotonic() >= self.proxy.intact_from
+
+    def receive(self, handler, received):
+        """Record a request that arrives; return its id and the fields of its answer."""
+        request = received.headers["x-attempt-id"]
+        self.ledger.arrived(request, self)
+        self.check_drained(received, 8.0)
+        difference = fields.difference(handler.headers, "caller", request)
+        if difference is not None:
+            host = self.ledger.hosts[request]
+            self.ledger.breach("header fields stay as they are", request, host, difference)
+        return request
+
     def check_drained(self, received, margin_s):
         """Record a request that arrives although a control host acknowledged the drain long ago."""
         if self.drained_at is not None and time.monotonic() - self.drained_at > margin_s:
@@ -109,10 +136,10 @@
             self.ledger.breach("no work for a leaving server", request, "", self.name)
 
     def check_limit(self, request):
-        """Count a request towards the limit that is stated, and return headers that state it."""
+        """Count a request towards the limit that is stated, and return the fields that state it."""
         limit = self.limit
         if limit is None:
-            return {}
+            return []
         # A connection that is disturbed may hold requests back and pass them on together.
         if self.proxy.mode == "pass" and self.ledger.is_in_touch(request):
             count = limit.count(self.ledger.hosts[request])
@@ -120,7 +147,7 @@
                 detail = f"{count} requests at {self.name}, which states {limit.per_s} a second"
                 self.ledger.breach("limits of servers", request, self.ledger.hosts[request], detail)
         limit.first_stated_at = limit.first_stated_at or time.monotonic()
-        return {"Server-Limit": str(limit.per_s)}
+        return [("Server-Limit", str(limit.per_s))]
 
     def crash(self):
         """Refuse connections and close the open ones, also at the proxy."""
@@ -139,46 +166,46 @@
         self.crash()
 
     def answer_once(self, handler, received):
-        request = received.headers["x-attempt-id"]
-        self.check_drained(received, 8.0)
+        request = self.receive(handler, received)
         if received.path.startswith(CRASHING_LOOKUPS):
             self.crash_under(request, self.ledger.crashing_lookups, received.path)
             return
-        stated = self.check_limit(request)
+        added = [*self.check_limit(request), *fields.draw("server", request)]
         fate = self.random.random()
         if fate < 0.04:
-            handler.answer(503, b"", {"X-Not-Executed": "1", **stated})
+            handler.answer(503, b"", [("X-Not-Executed", "1"), *added])
             return
         self.ledger.ran(request, self.name, once=received.method == "POST")
         if fate < 0.07:
             handler.close_early()
         elif fate < 0.12:
-            handler.answer(500, b"no", {"X-Response-Stamp": "s", **stated})
+            handler.answer(500, b"no", [("X-Response-Stamp", "s"), *added])
         else:
-            stamp = {"X-Response-Stamp": f"stamp-{self.name}"}
-            handler.answer(200, request.encode(), {**stamp, **stated})
+            stamp = ("X-Response-Stamp", f"stamp-{self.name}")
+            handler.answer(200, request.encode(), [stamp, *added])
             if fate < 0.15:
                 # A second copy of the answer, late.
                 time.sleep(self.random.uniform(0.0, 0.2))
                 handler.answer(200, request.encode(), {"X-Response-Stamp": "again"})
 
     def stream(self, handler, received):
-        request = received.headers["x-attempt-id"]
-        self.check_drained(received, 8.0)
+        request = self.receive(handler, received)
         if "kv-from" in received.headers:
             handler.answer(503, b"", {"X-Not-Executed": "1"})
             return
-        stated = self.check_limit(request)
+        added = [*self.check_limit(request), *fields.draw("server", request)]
         self.ledger.ran(request, self.name, once=True)
         part = received.headers["x-prompt-prefix"].split(",")[1]
         if part.startswith(CRASHING_PART):
-            handler.start_stream()
+            self.ledger.broke_off(request)
+            handler.start_stream(headers=added)
             self.crash_under(request, self.ledger.crashing, part)
             return
         fate = self.random.random()
-        handler.start_stream(headers=stated)
+        handler.start_stream(headers=added)
         for number in range(1, EVENTS + 1):
             if fate < 0.05 and number == EVENTS // 2:
+                self.ledger.broke_off(request)
                 handler.close_early()
                 return
             handler.send_chunk(
--- a/tests/soak/sums.py
+++ b/tests/soak/sums.py
@@ -21,24 +21,33 @@
         calm_from: From when hosts are in touch if nothing disturbs them again, by name, infinite
             while a disturbance goes on; control hosts stand under an empty name, as they count
             for all.
+        faultless_from: The same by each host's name, for disturbances that are not planned.
     """
 
     def __init__(self):
         self.calm_from = collections.defaultdict(float)
+        self.faultless_from = collections.defaultdict(float)
 
-    def begin(self, node):
+    def begin(self, node, planned=False):
         """Record that a disturbance of a host begins."""
         self.calm_from[self._key(node)] = float("inf")
+        if not planned:
+            self.faultless_from[node.name] = float("inf")
 
     def end(self, node):
         """Record that it ends."""
-        self.calm_from[self._key(node)] = time.monotonic() + STABLE_WINDOW_S
+        calm_from = time.monotonic() + STABLE_WINDOW_S
+        self.calm_from[self._key(node)] = self.faultless_from[node.name] = calm_from
 
     def is_in_touch(self, name):
         """Return whether an entry host is in touch."""
         now = time.monotonic()
         return now >= self.calm_from[name] and now >= self.calm_from[""]
 
+    def has_no_fault(self, name):
+        """Return whether nothing but a planned stop has disturbed a host of late."""
+        return time.monotonic() >= self.faultless_from[name]
+
     def _key(self, node):
         return "" if node.role == "control" else node.name
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,7 +6,7 @@
 import time
 
 import platformsystem
-from soak import callers, promises, servers, sums
+from soak import callers, promises, servers, stops, sums
 
 ROUTES = [
     platformsystem.route("book", "/book/"),
@@ -20,6 +20,12 @@
 # Share of the pauses between faults in which nothing is disturbed until all hosts are in touch.
 CALM_SHARE = 0.06
 CALM_S = 3 * sums.STABLE_WINDOW_S
+# Share of the faults beside which a host is stopped, and of these stops those of entry hosts.
+STOP_SHARE = 0.25
+STOPPED_ENTRY_SHARE = 0.75
+MAX_STOPS = 2
+# Callers that go on calling an entry host, over kept and new connections, until it has ended.
+CROWD = 30
 READ_TIMEOUT_S = 8.0
 START_S = 0.15
 
@@ -30,6 +36,7 @@
     Attributes:
         calm: True while nothing but a planned stop may disturb what is served.
         planned_stop: Entry host that is being stopped by SIGTERM while nothing else is disturbed.
+        stops: Stops in progress, by name of the host.
         undo: Times and actions that end the faults in progress.
         version: Version of the newest manifest that was acknowledged.
     """
@@ -38,6 +45,7 @@
         self.random = random.Random(seed)
         # Its own draws, so that the faults of a seed stay as they are.
         self.sums_random = random.Random(f"{seed} sums")
+        self.stops_random = random.Random(f"{seed} stops")
         self.seed = seed
         self.ledger = promises.Ledger()
         self.system = platformsystem.System(folder, entries=max(1, processes - 3))
@@ -45,6 +53,7 @@
         self.keys = callers.Keys()
         self.calm = False
         self.planned_stop = None
+        self.stops = {}
         self.undo = []
         self.actions = []
         self.version = 0
@@ -58,10 +67,9 @@
         self.version = 1
         for service in SERVICES:
             self.add_server(service)
-        count = CALLERS_FOR_EACH_HOST * len(self.system.entries)
-        self.callers = [callers.Caller(number, self, self.seed) for number in range(count)]
-        for caller in self.callers:
-            caller.start()
+        self.callers = []
+        for _ in range(CALLERS_FOR_EACH_HOST * len(self.system.entries)):
+            self.add_caller()
 
     def run(self, duration_s):
         """Strike with faults until the time is over, then undo them and check what was seen."""
@@ -70,6 +78,8 @@
             self.end_faults(time.monotonic())
             self.restart_ended()
             self.replace_crashed()
+            if self.stops_random.random() < STOP_SHARE:
+                self.stop_any()
             action = self.random.choice(self.faults())
             self.actions.append(f"{self.ledger.now():.1f} s {action.__name__}")
             action()
@@ -93,6 +103,12 @@
         for server in self.reporter.servers:
             server.close()
 
+    def add_caller(self, node=None, ended=None):
+        """Start a caller, of one host and until an event if given."""
+        caller = callers.Caller(len(self.callers), self, self.seed, node, ended)
+        self.callers.append(caller)
+        caller.start()
+
     # -- servers and operators -----------------------------------------------------------------
 
     def add_server(self, service, draws=None):
@@ -183,7 +199,7 @@
     def restart_ended(self):
         """Start processes that ended by themselves, as a supervisor does."""
         for node in self.system.controls + self.system.entries:
-            if node.process.poll() is not None:
+            if node.name not in self.stops and node.process.poll() is not None:
                 self.ledger.breach("no host ends by itself", "", node.name, node.process.returncode)
                 node.write_settings(self.system.seeds, False)
                 node.start()
@@ -193,12 +209,19 @@
         self.undo = [entry for entry in self.undo if entry[0] > now]
         for _, action in due:
             action()
+        for stop in list(self.stops.values()):
+            if now == float("inf"):
+                stop.join()
+            if stop.ended.is_set():
+                self.restart_stopped(stop)
 
     def signal_alive(self, node, number):
         if node.process.poll() is None:
             node.process.send_signal(number)
 
     def pause(self, node):
+        if node.name in self.stops:
+            return
         self.ledger.disturbances.begin(node)
         self.signal_alive(node, signal.SIGSTOP)
 
@@ -215,6 +238,7 @@
         self.pause(self.random.choice(self.system.controls))
 
     def kill(self, *nodes):
+        nodes = [node for node in nodes if node.name not in self.stops]
         for node in nodes:
             self.ledger.disturbances.begin(node)
             if node.process.poll() is None:
@@ -242,17 +266,47 @@
         self.calm = True
         time.sleep(1.0)
         node = self.random.choice(self.system.entries)
-        self.ledger.disturbances.begin(node)
         if node.process.poll() is None:
             self.planned_stop = node
             try:
-                node.stop()
+                stop = self.stop(node)
+                stop.join()
             finally:
                 self.planned_stop = None
+            self.restart_stopped(stop)
+        self.calm = False
+
+    def stop_any(self):
+        """Stop a host that nothing else disturbs, while faults go on elsewhere."""
+        entry = self.stops_random.random() < STOPPED_ENTRY_SHARE
+        node = self.stops_random.choice(self.system.entries if entry else self.system.controls)
+        if (
+            len(self.stops) < MAX_STOPS
+            and node.name not in self.stops
+            and node.process.poll() is None
+            and self.ledger.disturbances.has_no_fault(node.name)
+        ):
+            self.actions.append(f"{self.ledger.now():.1f} s stop {node.name}")
+            self.stop(node)
+
+    def stop(self, node):
+        """Begin to stop a host, while callers press an entry host; return the stop."""
+        self.ledger.disturbances.begin(node, planned=True)
+        stop = stops.Stop(node, self.ledger, self.stops_random)
+        self.stops[node.name] = stop
+        if node.role == "entry":
+            for _ in range(CROWD):
+                self.add_caller(node, stop.ended)
+        stop.start()
+        return stop
+
+    def restart_stopped(self, stop):
+        node = stop.node
+        node.write_settings(self.system.seeds, False)
         node.start()
         self.ledger.disturbances.end(node)
-        self.calm = False
         time.sleep(START_S)
+        del self.stops[node.name]
 
     def reload_all(self):
         for node in self.system.entries + self.system.controls:
@@ -260,8 +314,8 @@
 
     def disturb_server(self):
         server = self.random.choice(self.reporter.servers)
-        server.proxy.mode = self.random.choice(servers.MODES)
-        self.later(self.random.uniform(0.5, 4.0), lambda: setattr(server.proxy, "mode", "pass"))
+        server.proxy.disturb(self.random.choice(servers.MODES))
+        self.later(self.random.uniform(0.5, 4.0), server.proxy.mend)
 
     def stay_calm(self):
         """Disturb nothing for a while, in which servers state limits."""
