--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -80,3 +80,12 @@
             wait_for(lambda count=count: process.text().count("draining") >= count, "the drain")
         process.signal(signal.SIGINT)
         assert process.popen.wait(2) == 130
+
+    # Guards against a stop that counts as failed, as SIGTERM comes while the interpreter ends.
+    def test_sigterm_changes_nothing_until_the_process_is_gone(self, tmp_path):
+        process = self.start(tmp_path)
+        process.signal(signal.SIGTERM)
+        wait_for(lambda: '"event":"stopped"' in process.text(), "the end")
+        while process.popen.poll() is None:
+            process.signal(signal.SIGTERM)
+        assert process.popen.returncode == program.EXIT_OK
