--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,6 +9,21 @@
 from cluster import Cluster, Host, Process, wait_for
 from ebonywheel import program
 
+# Runs an entry host that gets SIGTERM at the moment at which it has logged that it started.
+STOPPED_AT_START = """
+import os, signal
+from ebonywheel import entry, logs
+
+log = logs.EventLogger.info
+
+def log_and_stop(self, event, **fields):
+    log(self, event, **fields)
+    if event == "started":
+        os.kill(os.getpid(), signal.SIGTERM)
+
+logs.EventLogger.info = log_and_stop
+entry.main()
+"""
 PROGRAMS = ("entry", "control", "operator", "load")
 
 
@@ -89,3 +104,12 @@
         while process.popen.poll() is None:
             process.signal(signal.SIGTERM)
         assert process.popen.returncode == program.EXIT_OK
+
+    # Guards against a SIGTERM that ends a host at once, as it comes right after the start.
+    def test_sigterm_right_after_the_start_drains(self, tmp_path):
+        cluster = Cluster(tmp_path, controls=1, entries=1)
+        process = cluster.start_entry(cluster.entries[0])
+        process.kill()
+        command = [sys.executable, "-c", STOPPED_AT_START, *process.arguments]
+        ended = subprocess.run(command, capture_output=True, text=True, timeout=30)
+        assert (ended.returncode, '"event":"draining"' in ended.stdout) == (program.EXIT_OK, True)
