Take signals from before the start is logged until the process is gone

What supervisors saw: a SIGTERM that came right after the start, or while the interpreter ended, ended the process with -15; found by the soak.

Cause: the handlers were installed by a task that ran after the start was logged; and the interpreter gives signals with a Python handler their default effect when it ends.

Change: the handlers are installed before anything is started, and SIGTERM and SIGHUP are ignored from the end of the kernel on.

--- a/src/ebonywheel/load.py
+++ b/src/ebonywheel/load.py
@@ -87,7 +87,7 @@
         parsed.name, parsed.data_centre, parsed.address, parsed.address, ""
     )
     async with kernel.Kernel("load", host_settings, STAND_IN_SECRET) as core:
-        await core.spawn(signals.watch(core), essential=True)
+        await core.spawn(signals.watch(core, signals.install(core)), essential=True)
         await _create_stand_in(core, stand_in_settings, parsed).start()
         await core.draining.wait()
 
--- a/src/ebonywheel/program.py
+++ b/src/ebonywheel/program.py
@@ -125,7 +125,7 @@
     serve: ProgramFunction,
 ) -> int:
     async with kernel.Kernel(role, host, secret) as core:
-        await core.spawn(signals.watch(core), essential=True)
+        await core.spawn(signals.watch(core, signals.install(core)), essential=True)
         core.log.info("started", host=core.host.name, pid=os.getpid(), http=core.host.http)
         await core.spawn(_run_to_end(core, loaded, serve), essential=True)
         await core.stopped.wait()
--- a/src/ebonywheel/signals.py
+++ b/src/ebonywheel/signals.py
@@ -15,12 +15,8 @@
 HANDLED_SIGNALS = (*DRAIN_SIGNALS, signal.SIGHUP)
 
 
-async def watch(core: kernel.Kernel) -> None:
-    """Drain at SIGTERM or SIGINT, exit at the second SIGINT, and reload at SIGHUP.
-
-    Platforms repeat SIGTERM; a second SIGINT comes from a person at a terminal.
-    """
-    interrupted = False
+def install(core: kernel.Kernel) -> curio.io.Socket:
+    """Take signals from now on, until the process is gone; return where `watch` reads them."""
     reader, writer = socket.socketpair()
     reader.setblocking(False)
     writer.setblocking(False)
@@ -29,10 +25,19 @@
     core.exit_stack.callback(signal.set_wakeup_fd, previous)
     for number in HANDLED_SIGNALS:
         before = signal.signal(number, _ignore_signal)
-        if number == signal.SIGINT:
-            # The other signals stay without effect while the process ends.
-            core.exit_stack.callback(signal.signal, number, before)
-    async with curio.io.Socket(reader) as source:
+        # The interpreter gives signals with a handler their default effect while it ends.
+        last = before if number == signal.SIGINT else signal.SIG_IGN
+        core.exit_stack.callback(signal.signal, number, last)
+    return curio.io.Socket(reader)
+
+
+async def watch(core: kernel.Kernel, source: curio.io.Socket) -> None:
+    """Drain at SIGTERM or SIGINT, exit at the second SIGINT, and reload at SIGHUP.
+
+    Platforms repeat SIGTERM; a second SIGINT comes from a person at a terminal.
+    """
+    interrupted = False
+    async with source:
         while True:
             for number in await source.recv(16):
                 if number == signal.SIGHUP:
