--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -401,3 +401,29 @@
         await serving.cancel()
         await sock.close()
     return None
+
+
+class TestReadAhead:
+    # Guards against a buffer that grows with each of many pipelined requests.
+    def test_bytes_read_ahead_are_bounded_over_many_exchanges(self):
+        async def scenario(core):
+            sizes = []
+
+            async def handler(exchange):
+                async with curio.ignore_after(0.05):
+                    await exchange.wait_hangup()
+                sizes.append(len(exchange.connection.conn.trailing_data[0]))
+                await exchange.respond(200)
+
+            await serve(core, handler)
+            sock = await connect(core.host.http)
+            async with sock:
+                sender = await curio.spawn(sock.sendall(get("/") * 100_000), daemon=True)
+                data = b""
+                while data.count(b"HTTP/1.1 200") < 20:
+                    async with curio.timeout_after(EXCHANGE_TIMEOUT_S):
+                        data += await sock.recv(http.READ_BYTES)
+                await sender.cancel()
+            assert max(sizes) <= http.MAX_HEADER_BYTES + http.READ_BYTES
+
+        run(scenario)
