Bound the bytes read ahead over all exchanges of a connection

What callers could do: each of many pipelined requests let the host read 64 KiB more into memory, as only the bytes read in the same exchange were counted.

Change: reading ahead stops at what is buffered, whenever it was read.

test_bytes_read_ahead_are_bounded_over_many_exchanges saw 1,052,105 bytes after 20 exchanges before, and passes.

--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -282,7 +282,6 @@
     Attributes:
         conn: HTTP/1.1 protocol state.
         method: Method of the request that is being read or answered, empty until its head is read.
-        pipelined_bytes: Number of bytes read ahead during the current exchange.
         task: The task that serves it.
     """
 
@@ -292,7 +291,6 @@
         self.peer = peer
         self.conn = self._new_parser()
         self.method = ""
-        self.pipelined_bytes = 0
         self.task = task
 
     def encode_response(self, status: int, headers: Headers) -> bytes:
@@ -415,9 +413,9 @@
     async def read_until_closed(self) -> None:
         """Read ahead until the caller closes the connection.
 
-        Once `MAX_HEADER_BYTES` were read ahead, read no more and never return.
+        Once `MAX_HEADER_BYTES` are buffered, read no more and never return.
         """
-        while self.pipelined_bytes < MAX_HEADER_BYTES:
+        while len(self.conn.trailing_data[0]) < MAX_HEADER_BYTES:
             try:
                 data = await self.sock.recv(READ_BYTES)
             except OSError:
@@ -425,7 +423,6 @@
             self.conn.receive_data(data)
             if not data:
                 return
-            self.pipelined_bytes += len(data)
         await curio.sleep(float("inf"))
 
     def _check_length(self, headers: dict[str, str]) -> None:
@@ -623,7 +620,6 @@
         if connection.conn.their_state is not h11.DONE:
             return False
         connection.conn.start_next_cycle()
-        connection.pipelined_bytes = 0
         return True
 
 
