--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -427,3 +427,29 @@
             assert max(sizes) <= http.MAX_HEADER_BYTES + http.READ_BYTES
 
         run(scenario)
+
+
+class TestStopAccepting:
+    # Guards against a connection that stays open, and may begin requests, after a stop.
+    def test_a_connection_that_becomes_idle_after_the_stop_is_closed(self):
+        async def scenario(core):
+            started, released = curio.Event(), curio.Event()
+
+            async def handler(exchange):
+                await exchange.start_stream("text/plain")
+                await started.set()
+                await released.wait()
+                await exchange.end()
+
+            server = await serve(core, handler)
+            sock = await connect(core.host.http)
+            async with sock:
+                await sock.sendall(get("/"))
+                await started.wait()
+                await core.draining.set()
+                await server.stop_accepting()
+                await released.set()
+                data = await read_all(sock)
+            assert [status for status, _ in parse_answers(data, ["GET"])] == [200]
+
+        run(scenario)
