Close connections that become idle after a stop

What callers saw: a connection whose answer had begun before SIGTERM stayed open after the stop; a request that was begun on it slowly kept the host from ending for as long as a request may take to be read.

Cause: stop_accepting closes only the connections that are idle at that moment.

Change: after it, a connection ends once the requests that were received on it are answered.

test_a_connection_that_becomes_idle_after_the_stop_is_closed timed out after 5 s before, and passes.

--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -496,6 +496,7 @@
         lingering: Number of connections that may still deliver their last response.
         unread: Connections that are idle, or whose next request has not been read yet.
         listener: The socket that accepts connections, None before `start`.
+        stopped: Whether no more connections are accepted.
     """
 
     def __init__(
@@ -512,6 +513,7 @@
         self.unread: set[ServerConnection] = set()
         self.listener: curio.io.Socket | None = None
         self.accept_task: curio.Task | None = None
+        self.stopped = False
 
     async def start(self) -> None:
         """Bind the address and start accepting.
@@ -528,7 +530,11 @@
         self.accept_task = await self.core.spawn(self._accept(self.listener), essential=True)
 
     async def stop_accepting(self) -> None:
-        """Accept no more connections, and close those that have no request to be answered."""
+        """Accept no more connections, and close those that have no request to be answered.
+
+        The others are closed once the requests that they have sent are answered.
+        """
+        self.stopped = True
         await self.accept_task.cancel()
         await self.listener.close()
         for connection in list(self.unread):
@@ -572,6 +578,8 @@
             self.open_connections -= 1
 
     async def _serve_next(self, connection: ServerConnection) -> bool:
+        if self.stopped and not connection.conn.trailing_data[0]:
+            return False
         self.unread.add(connection)
         try:
             if not await connection.wait_request():
