Answer changes in progress before a control host stops

What operators saw: after SIGTERM at a control host, the connections of changes in progress, which it had proposed or passed on to the leader, were closed without an answer.

Cause: the process ended as soon as the leadership was transferred, and at once where there was none to transfer.

Change: the host then accepts no more connections, and ends once the requests that it has accepted are answered, or after the longest time that the leader may take for one.

test_a_stopping_control_host_answers_changes_in_progress failed before with RemoteDisconnected, and passes.

--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -36,11 +36,16 @@
 # Less than the second after which a caller asks another control host.
 READ_TIMEOUT_S = 0.8
 APPLIED_POLL_S = 0.01
+DRAIN_POLL_S = 0.05
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
 class ControlHost:
-    """A control host: owns its components and answers messages from other processes."""
+    """A control host: owns its components and answers messages from other processes.
+
+    Attributes:
+        servers: Its HTTP servers.
+    """
 
     def __init__(self, core: kernel.Kernel, loaded: settings.ControlSettings):
         self.core = core
@@ -70,12 +75,12 @@
         self.permits = permits.Permits(core.clock, self.replica.require_lease)
         self.admin = admin.Admin(core, loaded.operators, self)
         self.admin.identity = self.formation.info
+        self.servers: list[http.Server] = []
 
     async def start(self) -> None:
         """Start serving links and HTTP, then the replica."""
         await link.LinkServer(self.core, self.handle, self.delay_s).start()
-        address = self.core.host.http
-        await http.Server(self.core, address, self.admin.handle, MAX_BODY_BYTES).start()
+        await self.serve(self.core.host.http, self.admin.handle, MAX_BODY_BYTES)
         await self.replica.start()
         await self.feed.start()
         await self.orders.start()
@@ -87,6 +92,12 @@
         if self.settings.membership == "automatic":
             await self._start_membership()
 
+    async def serve(self, address: str, handler: http.ExchangeHandler, max_body_bytes: int) -> None:
+        """Serve HTTP at an address until this host stops."""
+        server = http.Server(self.core, address, handler, max_body_bytes)
+        await server.start()
+        self.servers.append(server)
+
     async def _start_membership(self) -> None:
         seeds = [peer.link for peer in self.settings.peers]
         await self.watcher.follow(seeds)
@@ -98,6 +109,13 @@
         """Give up the leadership before this host ends."""
         await self.replica.transfer()
 
+    async def finish_exchanges(self) -> None:
+        """Accept no more connections over HTTP, and wait until accepted requests are answered."""
+        for server in self.servers:
+            await server.stop_accepting()
+        while any(server.active_exchanges or server.lingering for server in self.servers):
+            await curio.sleep(DRAIN_POLL_S)
+
     async def handle(self, message: msgspec.Struct, peer: link.PeerInfo) -> msgspec.Struct:
         """Answer one message from another process."""
         answer = await self.replica.handle(message)
@@ -290,6 +308,8 @@
     await core.draining.wait()
     async with curio.ignore_after(4 * loaded.election_timeout_s):
         await host.drain()
+    async with curio.ignore_after(FORWARD_TIMEOUT_S):
+        await host.finish_exchanges()
 
 
 main = program.server_main(
