--- a/src/ebonywheel/callers.py
+++ b/src/ebonywheel/callers.py
@@ -152,7 +152,7 @@
         config = self._require_document()
         customer = self._authenticate(config, request)
         generation = request.path.removeprefix(GENERATIONS_PREFIX)
-        index = _resume_index(request)
+        index = resume_index(request)
         handler = self.handlers[documents.ServiceKind.STREAM]
         await handler.resume(customer, generation, index, exchange)
 
@@ -206,7 +206,12 @@
     return exceptions.UnknownOutcomeError("the host's drain limit has passed", "drain")
 
 
-def _resume_index(request: http.Request) -> int:
+def resume_index(request: http.Request) -> int:
+    """Return the index of the first token that a caller wants.
+
+    Raises:
+        HttpError: The caller states a malformed one.
+    """
     last_event_id = request.headers.get("last-event-id", "")
     index_text = (
         last_event_id.rpartition(":")[2] if last_event_id else request.query.get("after", "-1")
--- a/tests/test_streamid.py
+++ b/tests/test_streamid.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ebonywheel import exceptions, streamid
+from ebonywheel import callers, exceptions, http, streamid
 
 SECRET = b"secret-of-the-tests"
 STREAM_ID = streamid.StreamId("planner-1", 7, "loan", "plan", "press")
@@ -39,5 +39,30 @@
         with pytest.raises(exceptions.HttpError, match="malformed"):
             streamid.split_event_id(event_id)
 
+    # Guards against indexes that are taken for others, or fail with an internal error.
+    @pytest.mark.parametrize(
+        "index", ["-5", "+5", "1_0", " 5", "", "x", "\xb2", "9" * 19, "9" * 5000]
+    )
+    def test_malformed_index_is_refused_on_every_path(self, index):
+        with pytest.raises(exceptions.HttpError, match="malformed"):
+            streamid.split_event_id(f"g:{index}")
+        fields = {"last-event-id": f"g:{index}"}
+        requests = [http.Request("GET", "/v1/generations/g", {}, fields, b"", "caller")]
+        if index:
+            query = {"after": index}
+            requests.append(http.Request("GET", "/v1/generations/g", query, {}, b"", "caller"))
+        for request in requests:
+            with pytest.raises(exceptions.HttpError, match="malformed"):
+                callers.resume_index(request)
+
+    @pytest.mark.parametrize(
+        ("fields", "query", "index"),
+        [({}, {}, 0), ({"last-event-id": "g:4"}, {}, 5), ({}, {"after": "4"}, 5),
+         ({}, {"after": "-1"}, 0)],
+    )  # fmt: skip
+    def test_resume_starts_after_the_last_event(self, fields, query, index):
+        request = http.Request("GET", "/v1/generations/g", query, fields, b"", "caller")
+        assert callers.resume_index(request) == index
+
     def test_event_id_is_split(self):
         assert streamid.split_event_id("abc:12") == ("abc", 12)
