Refuse malformed indexes of a resumed generation

What callers saw: an index such as -5 or 1_0 was taken for another one, and one of thousands of digits failed with 500.

Cause: Python's int() takes more forms than the interface has, and refuses long ones with an error that was not caught.

Change: one function reads indexes, as up to 15 decimal digits. A caller that has received no event may still say -1.

--- a/src/ebonywheel/callers.py
+++ b/src/ebonywheel/callers.py
@@ -18,6 +18,7 @@
     kernel,
     messages,
     services,
+    streamid,
 )
 
 SERVICES_PREFIX = "/v1/services/"
@@ -29,6 +30,8 @@
 STATUS_BACKEND_FAILED = 502
 STATUS_STILL_RUNNING = 409
 RUNNING_RETRY_AFTER_S = 1.0
+# Stated by a caller that has received no event.
+NO_EVENT = "-1"
 
 
 class AnnounceReply(msgspec.Struct):
@@ -212,11 +215,8 @@
     Raises:
         HttpError: The caller states a malformed one.
     """
-    last_event_id = request.headers.get("last-event-id", "")
-    index_text = (
-        last_event_id.rpartition(":")[2] if last_event_id else request.query.get("after", "-1")
-    )
-    try:
-        return int(index_text) + 1
-    except ValueError as error:
-        raise exceptions.HttpError("malformed event id", "read Last-Event-ID") from error
+    last_event_id = request.headers.get("last-event-id")
+    if last_event_id:
+        return streamid.parse_index(last_event_id.rpartition(":")[2]) + 1
+    after = request.query.get("after", NO_EVENT)
+    return 0 if after == NO_EVENT else streamid.parse_index(after) + 1
--- a/src/ebonywheel/streamid.py
+++ b/src/ebonywheel/streamid.py
@@ -9,6 +9,8 @@
 from ebonywheel import exceptions
 
 SIGNATURE_BYTES = 12
+# Indexes travel between hosts in 64 bits.
+MAX_INDEX_DIGITS = 15
 
 
 class StreamId(msgspec.Struct, array_like=True, frozen=True):
@@ -54,9 +56,20 @@
         HttpError: The event id is malformed.
     """
     generation, _, index = event_id.rpartition(":")
-    if not generation or not index.isdecimal():
+    if not generation:
         raise exceptions.HttpError("malformed event id", "read Last-Event-ID")
-    return generation, int(index)
+    return generation, parse_index(index)
+
+
+def parse_index(text: str) -> int:
+    """Return the index of a token.
+
+    Raises:
+        HttpError: It is malformed.
+    """
+    if not (text.isascii() and text.isdecimal()) or len(text) > MAX_INDEX_DIGITS:
+        raise exceptions.HttpError("malformed event id", "read Last-Event-ID")
+    return int(text)
 
 
 def _sign(body: bytes, secret: bytes) -> bytes:
