--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -71,6 +71,9 @@
     async def confirm_end(self, reply):
         return
 
+    async def abandon(self, reply):
+        return
+
 
 def relay(monkeypatch, parts):
     """Relay a stream of these parts and return what the caller got of it."""
@@ -111,3 +114,29 @@
     part = b"x" * (events.MAX_EVENT_BYTES // 2)
     with pytest.raises(exceptions.UpstreamError):
         relay(monkeypatch, [b"id: 1\n\n"] + [part] * 1000)
+
+
+class StalledConnection:
+    """Has sent the head of an answer and sends none of its body."""
+
+    async def body(self, timeout_s, limit):
+        await curio.sleep(timeout_s)
+        raise exceptions.UpstreamError("no complete response in time", "read", timed_out=True)
+
+
+# Guards against a request that outlasts its deadline, and keeps a stopping host from ending, as its
+# server stalls in an answer that is no stream.
+def test_an_answer_that_is_no_stream_ends_with_the_deadline():
+    from ebonywheel import clock
+
+    async def scenario():
+        core = types.SimpleNamespace(clock=clock.SystemClock())
+        forwarder = streaming.StreamForwarder(core, Sender(), None, CrashReporter(), None)
+        reply = types.SimpleNamespace(connection=StalledConnection())
+        context = Context(core.clock)
+        context.deadline_at = core.clock.monotonic() + STALL_S
+        async with curio.timeout_after(10 * STALL_S):
+            await forwarder._relay_complete(Exchange(), context, reply)
+
+    with pytest.raises(exceptions.UpstreamError):
+        curio.run(scenario)
