End answers that are no stream with the deadline of their request

What callers saw: on a streaming route, a request whose server stalls within the body of an answer other than 200, or of a refusal, got nothing for up to 60 s, whatever the route's timeout; a stopping host waited for it.

Cause: these bodies were read with the time limit for writes.

Change: they are read until the deadline of the request.

test_an_answer_that_is_no_stream_ends_with_the_deadline ran into its time limit before, and passes.

--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -131,7 +131,7 @@
             if not reply.head.not_run:
                 return reply
             context.reason = f"refused by {candidate.record.server}"
-            await self._discard_answer(reply)
+            await self._discard_answer(context, reply)
             if not self.budgets.take_retry(context.service.name):
                 break
         raise refusals.not_run_error(context, refusals.retry_after_s(self.view, context))
@@ -200,9 +200,14 @@
             report_age_ms=int(candidate.age_s * 1000),
         )
 
-    async def _discard_answer(self, reply: sender.Reply) -> None:
+    async def _read_body(self, context: inflight.RequestContext, reply: sender.Reply) -> bytes:
+        """Read the body of an answer that is no stream, until the deadline; raises like `body`."""
+        remaining_s = context.deadline_at - self.core.clock.monotonic()
+        return await reply.connection.body(remaining_s, sender.MAX_ENGINE_ANSWER_BYTES)
+
+    async def _discard_answer(self, context: inflight.RequestContext, reply: sender.Reply) -> None:
         try:
-            await reply.connection.body(http.WRITE_TIMEOUT_S, sender.MAX_ENGINE_ANSWER_BYTES)
+            await self._read_body(context, reply)
         except exceptions.UpstreamError:
             await self.sender.abandon(reply)
             return
@@ -212,7 +217,7 @@
         self, exchange: http.ResponseWriter, context: inflight.RequestContext, reply: sender.Reply
     ) -> None:
         try:
-            body = await reply.connection.body(http.WRITE_TIMEOUT_S, sender.MAX_ENGINE_ANSWER_BYTES)
+            body = await self._read_body(context, reply)
             await self.sender.confirm_end(reply)
         except BaseException:
             await self.sender.abandon(reply)
@@ -290,7 +295,7 @@
         run.replace_copy(None)
         reply = await self._send(run.context, copy.record, resume)
         if reply.head.status != STATUS_OK:
-            await self._discard_answer(reply)
+            await self._discard_answer(run.context, reply)
             raise exceptions.UpstreamError(
                 f"continuation refused with {reply.head.status}",
                 "resume",
