--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -10,7 +10,7 @@
 import pytest
 
 from ebonywheel import clock, messages
-from ebonywheel.gateway import balance, dialect, moves
+from ebonywheel.gateway import balance, dialect, moves, relayedrun
 
 SOURCE = messages.DirectoryRecord("source", address="10.0.0.1:80")
 DESTINATION = messages.DirectoryRecord("destination", address="10.0.0.2:80")
@@ -158,3 +158,20 @@
     used = meanwhile == "go_on"
     assert (run.copies, streams.dropped) == ((["h"], []) if used else ([], ["h"]))
     assert bool(sender.state.tokens) == used
+
+
+# Guards against an answer that is no event stream and is stopped in its middle, which its framing
+# then calls whole, or goes on with the bytes of another run.
+@pytest.mark.parametrize(
+    ("content_type", "moved"), [("text/event-stream", True), ("application/json", False)]
+)
+def test_only_event_streams_are_moved(content_type, moved):
+    service = types.SimpleNamespace(engine=types.SimpleNamespace(supports_moves=True))
+    context = types.SimpleNamespace(
+        service=service, request=types.SimpleNamespace(method="POST", attempt="a")
+    )
+    head = types.SimpleNamespace(headers=[("content-type", content_type)])
+    run = relayedrun.Run(context, types.SimpleNamespace(record=SOURCE, head=head))
+    mover = Mover([])
+    mover.streams = types.SimpleNamespace(runs={SOURCE.server: {"a": run}})
+    assert mover._movable_runs(SOURCE.server) == ([run] if moved else [])
