Move only event streams off servers that shut down

What callers could get: on a streaming route, an answer of another kind whose server shut down was stopped in its middle to be handed over. With a length or chunks its end then looked whole; without, it went on with the bytes of another run.

Cause: since answers of other kinds are passed on as they are, their runs were moved like those of event streams.

Change: only runs whose answer is read as events are moved.

test_only_event_streams_are_moved failed before for application/json, and passes.

--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -14,10 +14,10 @@
 from ebonywheel.gateway import (
     balance,
     dialect,
+    events,
     inflight,
     moveplan,
     relayedrun,
-    routes,
     sender,
     streaming,
 )
@@ -84,7 +84,7 @@
     async def start_late_move(self, run: relayedrun.Run) -> None:
         """Start to move a run whose answer began after its server's shutdown notice."""
         notice = self.notices.get(run.record.server)
-        if notice is not None and _supports_moves(run.context.service):
+        if notice is not None and _supports_moves(run):
             await self.core.spawn(self._move_late(run, notice))
 
     def _forget_gone_servers(self) -> None:
@@ -158,7 +158,7 @@
 
     def _movable_runs(self, server: str) -> list[relayedrun.Run]:
         runs = self.streams.runs.get(server, {})
-        return [run for run in runs.values() if _supports_moves(run.context.service)]
+        return [run for run in runs.values() if _supports_moves(run)]
 
     async def _fetch_report(self, run: relayedrun.Run) -> dialect.EngineReport | None:
         """Fetch the report of a run's engine; it also lists the runs of other hosts."""
@@ -302,5 +302,8 @@
     return dialect.EngineRun(run.attempt(), run.context.request.prompt.tokens, run.splitter.count)
 
 
-def _supports_moves(service: routes.Service) -> bool:
-    return service.engine is not None and service.engine.supports_moves
+def _supports_moves(run: relayedrun.Run) -> bool:
+    """Return whether a run may go on at another server, after its last event."""
+    engine = run.context.service.engine
+    is_event_stream = isinstance(run.splitter, events.EventSplitter)
+    return engine is not None and engine.supports_moves and is_event_stream
