--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -3,6 +3,7 @@
 import types
 
 import curio
+import msgspec
 import pytest
 
 from ebonywheel import exceptions, http, link, messages
@@ -12,6 +13,8 @@
 REQUEST = http.Request(
     "POST", "/plan/1", {}, {}, b"prompt", "10.0.0.1:5", "a=1", [("host", "a.example")]
 )
+# With an empty query.
+TARGET = "/plan/1?"
 WHOLE = b"".join(b"id: %d\n\n" % number for number in range(200))
 
 
@@ -119,8 +122,8 @@
             **fields,
         )
 
-    async def forward(self, response, context=None):
-        return await self.relays.forward(response, REQUEST, context or self.context())
+    async def forward(self, response, context=None, request=REQUEST):
+        return await self.relays.forward(response, request, context or self.context())
 
 
 def with_bench(scenario, *scripts):
@@ -166,6 +169,17 @@
     with_bench(scenario, answer_whole)
 
 
+# Guards against a relayed target that loses the question mark before its empty query.
+def test_a_relayed_target_arrives_as_it_was_sent():
+    async def scenario(bench):
+        request = msgspec.structs.replace(REQUEST, target=TARGET, raw_query="")
+        assert await bench.forward(Response(), request=request)
+        (exchange,) = bench.servants[0].served
+        assert exchange.request.target == TARGET
+
+    with_bench(scenario, answer_whole)
+
+
 def test_a_stream_arrives_once_and_in_order():
     async def scenario(bench):
         response = Response()
