Relay the target of a request as its caller sent it

What servers saw: /x? arrived as /x where another entry host served it.

Cause: the message between hosts had the path and the query, but not whether the query was empty or missing.

Change: the message has the target as well, as a field appended to it; a host of an earlier build sends none, and is understood as before.

--- a/src/ebonywheel/gateway/relays.py
+++ b/src/ebonywheel/gateway/relays.py
@@ -187,6 +187,7 @@
             int((now - self.context.started_at) * MS_PER_S),
             self.context.sent_to,
             self.routing_index,
+            request.target,
         )
         self.begun = True
         try:
--- a/src/ebonywheel/gateway/relayserver.py
+++ b/src/ebonywheel/gateway/relayserver.py
@@ -177,6 +177,7 @@
             peer.host,
             message.raw_query,
             fields,
+            message.target,
         )
         relayed = RelayedExchange(self.core, request, message)
         key = (peer.host, message.relay)
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -775,6 +775,7 @@
         elapsed_ms: Milliseconds since the request arrived.
         sent_to: Servers that it may have been sent to before.
         routing_index: Log index of the routing content by which it was admitted.
+        target: Path and query as the caller sent them, empty from hosts of earlier builds.
     """
 
     relay: int = 0
@@ -786,6 +787,7 @@
     elapsed_ms: int = 0
     sent_to: list[str] = []
     routing_index: int = 0
+    target: str = ""
 
 
 class RelayRead(msgspec.Struct):
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -434,6 +434,7 @@
   elapsedMs @6 :UInt64;
   sentTo @7 :List(Text);
   routingIndex @8 :UInt64;
+  target @9 :Text;
 }
 
 struct RelayRead {
