--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -282,7 +282,6 @@
     Attributes:
         conn: HTTP/1.1 protocol state.
         method: Method of the request that is being read or answered, empty until its head is read.
-        pipelined_bytes: Number of bytes read ahead during the current exchange.
         task: The task that serves it.
     """
 
@@ -292,7 +291,6 @@
         self.peer = peer
         self.conn = self._new_parser()
         self.method = ""
-        self.pipelined_bytes = 0
         self.task = task
 
     def encode_response(self, status: int, headers: Headers) -> bytes:
@@ -415,9 +413,9 @@
     async def read_until_closed(self) -> None:
         """Read ahead until the caller closes the connection.
 
-        Once `MAX_HEADER_BYTES` were read ahead, read no more and never return.
+        Once `MAX_HEADER_BYTES` are buffered, read no more and never return.
         """
-        while self.pipelined_bytes < MAX_HEADER_BYTES:
+        while len(self.conn.trailing_data[0]) < MAX_HEADER_BYTES:
             try:
                 data = await self.sock.recv(READ_BYTES)
             except OSError:
@@ -425,7 +423,6 @@
             self.conn.receive_data(data)
             if not data:
                 return
-            self.pipelined_bytes += len(data)
         await curio.sleep(float("inf"))
 
     def _check_length(self, headers: dict[str, str]) -> None:
@@ -499,6 +496,7 @@
         lingering: Number of connections that may still deliver their last response.
         unread: Connections that are idle, or whose next request has not been read yet.
         listener: The socket that accepts connections, None before `start`.
+        stopped: Whether no more connections are accepted.
     """
 
     def __init__(
@@ -515,6 +513,7 @@
         self.unread: set[ServerConnection] = set()
         self.listener: curio.io.Socket | None = None
         self.accept_task: curio.Task | None = None
+        self.stopped = False
 
     async def start(self) -> None:
         """Bind the address and start accepting.
@@ -531,7 +530,11 @@
         self.accept_task = await self.core.spawn(self._accept(self.listener), essential=True)
 
     async def stop_accepting(self) -> None:
-        """Accept no more connections, and close those that have no request to be answered."""
+        """Accept no more connections, and close those that have no request to be answered.
+
+        The others are closed once the requests that they have sent are answered.
+        """
+        self.stopped = True
         await self.accept_task.cancel()
         await self.listener.close()
         for connection in list(self.unread):
@@ -575,6 +578,8 @@
             self.open_connections -= 1
 
     async def _serve_next(self, connection: ServerConnection) -> bool:
+        if self.stopped and not connection.conn.trailing_data[0]:
+            return False
         self.unread.add(connection)
         try:
             if not await connection.wait_request():
@@ -623,7 +628,6 @@
         if connection.conn.their_state is not h11.DONE:
             return False
         connection.conn.start_next_cycle()
-        connection.pipelined_bytes = 0
         return True
 
 
