--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -3,6 +3,7 @@
 The exchanges of a connection are served one after the other. The client side is `httpclient`.
 """
 
+import re
 import socket
 import struct
 import typing
@@ -27,9 +28,13 @@
 LINGER_BYTES = 256 * 1024
 ACCEPT_BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
+STATUS_NO_CONTENT = 204
+STATUS_NOT_MODIFIED = 304
+STATUSES_WITHOUT_BODY = (STATUS_NO_CONTENT, STATUS_NOT_MODIFIED)
+EMPTY_LINE = b"\r\n"
+CONTROL_BYTE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 # Option value: linger for no time.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-STATUSES_WITHOUT_BODY = (204, 304)
 # The answer when the protocol state is lost before the first byte of one.
 LAST_RESORT = b"HTTP/1.1 502 Bad Gateway\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 JSON = "application/json"
@@ -47,6 +52,37 @@
     return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
 
 
+def decode_fields(raw: typing.Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return received headers, with one character for each byte of their values.
+
+    Raises:
+        ValueError: A value has a byte that HTTP does not allow; the text names the header.
+    """
+    fields = [(name.decode("ascii"), value.decode("latin-1")) for name, value in raw]
+    for name, value in fields:
+        # h11 lets most control bytes through.
+        if CONTROL_BYTE.search(value):
+            raise ValueError(f"control byte in header {name!r}")
+    return fields
+
+
+def length_fields(method: str, status: int, body: bytes, stated: str | None) -> Headers:
+    """Return the header for the length of a complete answer that is passed on.
+
+    Args:
+        method: Method of the request.
+        status: Status of the answer.
+        body: Its body.
+        stated: The length that its server stated, None without one. For an answer without a body
+            it is the length that another would have.
+    """
+    if status == STATUS_NO_CONTENT:
+        return []
+    if method != "HEAD" and status != STATUS_NOT_MODIFIED:
+        return [("content-length", str(len(body)))]
+    return [] if stated is None else [("content-length", stated)]
+
+
 class Request(msgspec.Struct):
     """A complete request as received.
 
@@ -55,6 +91,7 @@
         raw_query: The query string as sent, without the question mark.
         headers: Header values by lower-case name, with one character for each byte received.
         fields: All headers in order, with lower-case names.
+        target: The path and the query as sent, empty if not known.
     """
 
     method: str
@@ -65,6 +102,7 @@
     peer: str
     raw_query: str = ""
     fields: list[tuple[str, str]] = []
+    target: str = ""
 
     def json(self) -> dict:
         """Return the body as a JSON object.
@@ -112,7 +150,7 @@
         """End the response."""
 
     async def respond_raw(self, status: int, fields: Headers, body: bytes) -> None:
-        """Give a complete response with exactly these headers, which must include its length."""
+        """Give a complete response with exactly these headers, with the length of its body."""
 
 
 class ErrorBody(msgspec.Struct):
@@ -162,7 +200,7 @@
         await self.respond_raw(status, fields, body)
 
     async def respond_raw(self, status: int, fields: Headers, body: bytes) -> None:
-        """Send a complete response with exactly these headers, which must include its length."""
+        """Send a complete response with exactly these headers, with the length of its body."""
         connection = self.connection
         data = connection.encode_response(status, fields)
         if body and self._has_body(status):
@@ -243,22 +281,19 @@
 
     Attributes:
         conn: HTTP/1.1 protocol state.
+        method: Method of the request that is being read or answered, empty until its head is read.
         pipelined_bytes: Number of bytes read ahead during the current exchange.
         task: The task that serves it.
-        looks_whole: True once a response has been broken off that a regular close would end as
-            whole, as its caller speaks HTTP/1.0, without chunks.
     """
 
     def __init__(self, server: "Server", sock: curio.io.Socket, peer: str, task: curio.Task):
         self.server = server
         self.sock = sock
         self.peer = peer
-        self.conn = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes + HEAD_OVERHEAD_BYTES
-        )
+        self.conn = self._new_parser()
+        self.method = ""
         self.pipelined_bytes = 0
         self.task = task
-        self.looks_whole = False
 
     def encode_response(self, status: int, headers: Headers) -> bytes:
         """Encode the head of a response; while draining, announce that the connection closes."""
@@ -298,11 +333,29 @@
         Raises:
             HttpError: The connection broke or was idle for too long.
         """
-        if self.conn.trailing_data[0]:
+        data, _ = self.conn.trailing_data
+        if data and data[0] not in EMPTY_LINE:
             return True
-        data = await self._with_timeout(self._receive(), self.server.limits.idle_s)
-        self.conn.receive_data(data)
-        return bool(data)
+        if data:
+            # h11 ignores no empty lines before a request.
+            self.conn = self._new_parser()
+        start = data.lstrip(EMPTY_LINE)
+        if not start:
+            start = await self._with_timeout(self._first_bytes(), self.server.limits.idle_s)
+        if start:
+            self.conn.receive_data(start)
+        return bool(start)
+
+    async def _first_bytes(self) -> bytes:
+        """Return the first bytes of a request; none when the connection ends instead."""
+        while data := await self._receive():
+            if start := data.lstrip(EMPTY_LINE):
+                return start
+        return b""
+
+    def _new_parser(self) -> h11.Connection:
+        max_bytes = self.server.limits.header_bytes + HEAD_OVERHEAD_BYTES
+        return h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
 
     async def read_request(self) -> Request | None:
         """Read a complete request; return None when the connection ends instead.
@@ -310,21 +363,39 @@
         Raises:
             HttpError: The request is malformed, too large or too slow.
         """
+        self.method = ""
         head = await self._with_timeout(self._next_event(), self.server.limits.header_s)
         if isinstance(head, h11.ConnectionClosed):
             return None
-        fields = [(name.decode(), value.decode("latin-1")) for name, value in head.headers]
+        self.method = head.method.decode()
+        try:
+            fields = decode_fields(head.headers)
+        except ValueError as error:
+            raise exceptions.HttpError(str(error), "read head", self.peer) from error
         headers = dict(fields)
         if sum(len(name) + len(value) for name, value in fields) > self.server.limits.header_bytes:
             raise exceptions.HttpError("headers too large", "read head", self.peer, 431)
-        path, raw_query = _split_target(head.target.decode("latin-1"), self.peer)
+        target = _origin_form(head.target.decode("ascii"), self.peer)
+        path, _, raw_query = target.partition("?")
         self._check_length(headers)
         if self.conn.they_are_waiting_for_100_continue:
             await self.send(self.conn.send(h11.InformationalResponse(status_code=100, headers=[])))
         body = await self._with_timeout(self._read_body(), self.server.limits.body_s)
         query = dict(urllib.parse.parse_qsl(raw_query))
-        method = head.method.decode()
-        return Request(method, path, query, headers, body, self.peer, raw_query, fields)
+        return Request(
+            self.method, path, query, headers, body, self.peer, raw_query, fields, target
+        )
+
+    def mark_break(self) -> bool:
+        """Have the connection reset if only its end would delimit an answer that is not whole.
+
+        Returns:
+            Whether it will be reset.
+        """
+        if self.conn.our_state is not h11.SEND_BODY or self.conn.their_http_version >= b"1.1":
+            return False
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        return True
 
     async def linger(self) -> None:
         """Stop sending, then discard input for a limited time before the connection is closed.
@@ -341,10 +412,6 @@
         except OSError:
             return
 
-    def reset_when_closed(self) -> None:
-        """Have the close of the connection reset it."""
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-
     async def read_until_closed(self) -> None:
         """Read ahead until the caller closes the connection.
 
@@ -410,15 +477,17 @@
             raise exceptions.HttpError(str(error), "read", self.peer) from error
 
 
-def _split_target(target: str, peer: str) -> tuple[str, str]:
+def _origin_form(target: str, peer: str) -> str:
+    """Return the path and query of a request's target, which may be a whole URL."""
     if target.startswith("/"):
-        path, _, raw_query = target.partition("?")
-        return path, raw_query
+        return target
     try:
         url = urllib.parse.urlsplit(target)
     except ValueError as error:
         raise exceptions.HttpError(str(error), "parse target", peer) from error
-    return url.path, url.query
+    if not url.netloc:
+        return url.path
+    return target.partition("://")[2].removeprefix(url.netloc)
 
 
 class Server:
@@ -490,10 +559,12 @@
         connection = ServerConnection(self, sock, peer, await curio.current_task())
         try:
             async with sock:
-                while await self._serve_next(connection):
-                    pass
-                if connection.looks_whole:
-                    connection.reset_when_closed()
+                try:
+                    while await self._serve_next(connection):
+                        pass
+                finally:
+                    broken_off = connection.mark_break()
+                if broken_off:
                     return
                 self.lingering += 1
                 try:
@@ -546,7 +617,6 @@
             self.core.log.error("handler_failed", path=exchange.request.path, error=repr(error))
             await exchange.fail(500, ErrorBody("internal", "internal error"))
         if not exchange.ended:
-            connection.looks_whole = connection.conn.their_http_version == b"1.0"
             return False
         if connection.conn.our_state is not h11.DONE:
             return False
@@ -567,7 +637,9 @@
         ("connection", "close"),
     ]
     try:
-        head = connection.encode_response(error.status, fields)
-        await connection.send(head + connection.encode_data(body) + connection.encode_end())
+        data = connection.encode_response(error.status, fields)
+        if connection.method != "HEAD":
+            data += connection.encode_data(body)
+        await connection.send(data + connection.encode_end())
     except (exceptions.HttpError, h11.LocalProtocolError):
         return
