--- a/src/ebonywheel/gateway/events.py
+++ b/src/ebonywheel/gateway/events.py
@@ -67,15 +67,17 @@
         last_id: Last id that a whole event had, empty when there was none.
         count: Number of whole events so far, without comments.
         type_stated: Whether the answer says that it is an event stream.
+        has_cr: Whether a CR has arrived.
     """
 
-    __slots__ = ("buffer", "last_id", "count", "type_stated")
+    __slots__ = ("buffer", "last_id", "count", "type_stated", "has_cr")
 
     def __init__(self, type_stated: bool = True):
         self.buffer = bytearray()
         self.last_id = ""
         self.count = 0
         self.type_stated = type_stated
+        self.has_cr = False
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes and return the bytes of all events that are now complete.
@@ -86,13 +88,14 @@
         # The end of an event may be split between the old and the new bytes.
         search_start = max(0, len(self.buffer) - MAX_EVENT_END_BYTES + 1)
         self.buffer += data
+        self.has_cr = self.has_cr or b"\r" in data
         end = self._find_last_end(search_start)
         if end < 0:
             self._check_length()
             return b""
         complete = bytes(self.buffer[:end])
         del self.buffer[:end]
-        self._record_events(_normalize(complete))
+        self._record_events(_normalize(complete) if self.has_cr else complete)
         return complete
 
     def is_whole(self, framed: bool) -> bool:
@@ -107,7 +110,7 @@
 
     def _find_last_end(self, start: int) -> int:
         """Return the end of the last event that ends after a position, -1 when there is none."""
-        if b"\r" not in self.buffer[start:]:
+        if not self.has_cr:
             found = self.buffer.rfind(EVENT_END, start)
             return found if found < 0 else found + len(EVENT_END)
         end = -1
@@ -122,7 +125,7 @@
             )
 
     def _record_events(self, complete: bytes) -> None:
-        events = [event for event in complete.split(EVENT_END) if _has_field(event)]
+        events = [event for event in complete.split(EVENT_END) if event and _has_field(event)]
         self.count += len(events)
         for event in reversed(events):
             event_id = _find_id(event)
@@ -146,7 +149,7 @@
 
 def _normalize(data: bytes) -> bytes:
     """Return data with LF as the only end of a line."""
-    return data.replace(b"\r\n", b"\n").replace(b"\r", b"\n") if b"\r" in data else data
+    return data.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
 
 
 def _has_field(block: bytes) -> bool:
