Cancel the tasks that cancelled tasks start, too, before a process ends

Cause: the kernel cancelled the tasks that it knew at the start; what they start while they are cancelled, such as the call that drops a copy or ends a relay, ran on, and curio's shutdown then asserts that no task is left.

Change: tasks are cancelled until none is left.

test_tasks_that_are_started_by_cancelled_ones_are_cancelled_too failed with that assertion before and passes.

--- a/src/ebonywheel/kernel.py
+++ b/src/ebonywheel/kernel.py
@@ -80,9 +80,12 @@
             await callback()
 
     async def cancel_tasks(self) -> None:
-        """Cancel all running tasks."""
-        for task in list(self.tasks):
-            await task.cancel()
+        """Cancel all running tasks, and those that they start while they are cancelled."""
+        while self.tasks:
+            for task in list(self.tasks):
+                await task.cancel()
+                # One that was cancelled before it began has not removed itself.
+                self.tasks.discard(task)
 
     async def _run_task(self, coro: typing.Coroutine, essential: bool) -> None:
         try:
