--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -48,6 +49,7 @@
         "minutes": minutes,
         "processes": processes,
         "folder": str(folder),
+        "load": round(os.getloadavg()[0], 1),
         "served": soak.ledger.served(),
         "outcomes": dict(sorted(soak.ledger.outcomes.items())),
         "actions": soak.actions,
@@ -59,7 +61,7 @@
     """Return a report as lines for a terminal."""
     head = (
         f"seed {report['seed']}: {len(report['broken'])} broken, {report['served']} served, "
-        f"{len(report['actions'])} faults, logs in {report['folder']}"
+        f"{len(report['actions'])} faults, load {report['load']}, logs in {report['folder']}"
     )
     lines = [
         f"  {b['at_s']} s {b['promise']}: {b['request']} {b['detail']}" for b in report["broken"]
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -1,5 +1,6 @@
 """Planned stops: series of signals to a host, which must end by itself."""
 
+import pathlib
 import signal
 import subprocess
 import threading
@@ -20,6 +21,12 @@
 )
 
 
+def processor_times(pid):
+    """Return how long a process has run, and waited for a processor, in seconds."""
+    ran_ns, waited_ns, _ = pathlib.Path(f"/proc/{pid}/schedstat").read_text().split()
+    return int(ran_ns) / 1e9, int(waited_ns) / 1e9
+
+
 class Stop(threading.Thread):
     """One stop of a host.
 
@@ -41,6 +48,7 @@
 
     def run(self):
         limit = time.monotonic() + LIMIT_S
+        ran_before_s, waited_before_s = processor_times(self.process.pid)
         for number, pause_s in zip(self.series, self.pauses_s, strict=True):
             if self.process.poll() is None:
                 self.process.send_signal(number)
@@ -48,7 +56,11 @@
         try:
             code = self.process.wait(max(0.0, limit - time.monotonic()))
         except subprocess.TimeoutExpired:
-            self.breach(f"still runs after {LIMIT_S} s")
+            ran_s, waited_s = processor_times(self.process.pid)
+            self.breach(
+                f"still runs after {LIMIT_S} s, of which it ran {ran_s - ran_before_s:.1f} s and "
+                f"waited for a processor {waited_s - waited_before_s:.1f} s"
+            )
             self.ledger.disturbances.begin(self.node)
             self.process.kill()
             self.process.wait()
