Keep concurrent test runs off each other's addresses

Systems of two test runs whose process ids are equal modulo 254 used the same loopback addresses: all hosts of the second ended with "Address already in use" (seen in a run of test_platform_streams beside others: four errors in its fixture). Now a run claims its addresses by a bound socket and takes the next ones if another run has them; tried with two processes of the same number.

--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -1,11 +1,13 @@
 """Runs the programs as the platform does, on loopback addresses, for contract tests."""
 
+import functools
 import http.client
 import itertools
 import json
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 
@@ -20,6 +22,9 @@
 FRONT_PORT, READY_PORT, CONTROL_PORT, FIRST_INTERNAL_PORT = 18740, 18749, 18748, 17200
 ZONES = {"puget-a": "puget", "yakima-a": "yakima", "willamette-a": "willamette"}
 WAIT_S = cluster.WAIT_S
+# A process claims its loopback addresses by a socket that is bound to this port until it ends.
+CLAIM_PORT = 17199
+CLAIMS = []
 
 ENGINE = {
     "slots": 24,
@@ -72,9 +77,20 @@
     }
 
 
+@functools.cache
 def loopback_prefix():
     """Return the first two octets of loopback addresses, different for concurrent test runs."""
-    return f"127.{1 + os.getpid() % 254}"
+    for number in range(254):
+        prefix = f"127.{1 + (os.getpid() + number) % 254}"
+        claim = socket.socket()
+        try:
+            claim.bind((f"{prefix}.0.1", CLAIM_PORT))
+        except OSError:
+            claim.close()
+            continue
+        CLAIMS.append(claim)
+        return prefix
+    raise AssertionError("no loopback addresses left")
 
 
 class Node:
