--- a/tests/upgrade/replacement.py
+++ b/tests/upgrade/replacement.py
@@ -210,16 +210,15 @@
         node.process.wait()
 
     def after_step(self):
-        """Crash a server and wait until all entry hosts know a new one and the newest routing."""
+        """Crash a server; wait until all entry hosts know the newest routing and server."""
         version = self.operator.latest
-        added = None
         if "crashes" in self.features:
-            added = self.servers.add("book")
             node = next(self.system.entry_turns)
             try:
                 self.system.request("GET", self.crash_path, traffic.CRASHING_BODY, node=node)
             except (OSError, http.client.HTTPException) as error:
                 self.failures.append(f"lost: the crashing request at {node.name}, {error!r}")
+        added = self.servers.replace_crashed()
         for node in self.system.entries:
             try:
                 platformsystem.wait_for(
--- a/tests/upgrade/traffic.py
+++ b/tests/upgrade/traffic.py
@@ -49,6 +49,7 @@
         runs: How often each request that may not be repeated ran.
         limit: What one server states as its limit, requests per second; None for nothing.
         event_pause_s: Pause before each event of a stream.
+        full_strength: How many servers there were before any crashed.
     """
 
     numbers = itertools.count(1)
@@ -63,6 +64,7 @@
         self.running = []
         for service in ("book", "plan") * 4:
             system.announce(self.add(service))
+        self.full_strength = len(self.running)
         self.limited = self.running[0]
         self.reporting = threading.Thread(target=self.report_regularly, daemon=True)
         self.reporting.start()
@@ -75,6 +77,16 @@
         self.running.append(server)
         return server
 
+    def replace_crashed(self):
+        """Start a server for each that crashed, and return the last one, None if none crashed.
+
+        A lookup may crash as many servers as it has attempts.
+        """
+        added = None
+        while len(self.running) < self.full_strength:
+            added = self.add("book")
+        return added
+
     def report_regularly(self):
         nodes = itertools.cycle(self.system.controls)
         while not self.closed.wait(REPORT_INTERVAL_S):
