--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -27,18 +27,30 @@
 ACCEPT_BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
 STATUSES_WITHOUT_BODY = (204, 304)
+# The answer when the protocol state is lost before the first byte of one.
+LAST_RESORT = b"HTTP/1.1 502 Bad Gateway\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 JSON = "application/json"
 EVENT_STREAM = "text/event-stream"
 
 Headers = list[tuple[str, str]]
 
 
+def encode_fields(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return headers as they are sent; their values hold one character for each byte.
+
+    Raises:
+        UnicodeEncodeError: A name is not ASCII, or a value has characters beyond Latin-1.
+    """
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+
+
 class Request(msgspec.Struct):
     """A complete request as received.
 
     Attributes:
         peer: Address and port of the caller.
         raw_query: The query string as sent, without the question mark.
+        headers: Header values by lower-case name, with one character for each byte received.
         fields: All headers in order, with lower-case names.
     """
 
@@ -81,9 +93,11 @@
 
     Attributes:
         started: True once the response has begun.
+        ended: True once all of it has been given.
     """
 
     started: bool
+    ended: bool
 
     async def start(self, status: int, headers: Headers) -> None:
         """Begin a response, which is chunked unless the headers give its length."""
@@ -98,17 +112,38 @@
         """Give a complete response with exactly these headers, which must include its length."""
 
 
+class ErrorBody(msgspec.Struct):
+    """JSON body of every error response.
+
+    Attributes:
+        error: Code of the error.
+        text: What went wrong.
+        step: The step that failed.
+        peer: The other end, file or component concerned.
+        run: Whether the request ran: ``not run``, ``unknown`` or an empty string where this does
+            not apply.
+    """
+
+    error: str
+    text: str
+    step: str = ""
+    peer: str = ""
+    run: str = ""
+
+
 class Exchange:
     """One request and its response, on the server side.
 
     Attributes:
         started: True once a response has begun.
+        ended: True once all of it has been written to the socket.
     """
 
     def __init__(self, connection: "ServerConnection", request: Request):
         self.connection = connection
         self.request = request
         self.started = False
+        self.ended = False
 
     async def respond(
         self,
@@ -125,12 +160,14 @@
 
     async def respond_raw(self, status: int, fields: Headers, body: bytes) -> None:
         """Send a complete response with exactly these headers, which must include its length."""
-        self.started = True
         connection = self.connection
         data = connection.encode_response(status, fields)
         if body and self._has_body(status):
             data += connection.encode_data(body)
-        await connection.send(data + connection.encode_end())
+        data += connection.encode_end()
+        self.started = True
+        await connection.send(data)
+        self.ended = True
 
     def _has_body(self, status: int) -> bool:
         return self.request.method != "HEAD" and status not in STATUSES_WITHOUT_BODY
@@ -143,14 +180,14 @@
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a response; it is chunked unless the headers give its length."""
+        head = self.connection.encode_response(status, headers)
         self.started = True
-        await self.connection.send(self.connection.encode_response(status, headers))
+        await self.connection.send(head)
 
     async def start_stream(self, content_type: str, headers: Headers | None = None) -> None:
         """Send the head of a chunked response."""
         fields = [("content-type", content_type), ("cache-control", "no-store"), *(headers or [])]
-        self.started = True
-        await self.connection.send(self.connection.encode_response(200, fields))
+        await self.start(200, fields)
 
     async def write(self, data: bytes) -> None:
         """Send a part of the response body."""
@@ -159,6 +196,17 @@
     async def end(self) -> None:
         """End the response."""
         await self.connection.send(self.connection.encode_end())
+        self.ended = True
+
+    async def fail(self, status: int, body: ErrorBody) -> None:
+        """Send an error, unless the response has begun."""
+        if self.started:
+            return
+        if self.connection.conn.our_state is h11.SEND_RESPONSE:
+            await self.respond_json(status, body)
+            return
+        self.started = True
+        await self.connection.send(LAST_RESORT)
 
     async def wait_hangup(self) -> None:
         """Wait until the caller closes the connection; keep the requests that it pipelined."""
@@ -168,25 +216,6 @@
 ExchangeHandler = typing.Callable[[Exchange], typing.Awaitable[None]]
 
 
-class ErrorBody(msgspec.Struct):
-    """JSON body of every error response.
-
-    Attributes:
-        error: Code of the error.
-        text: What went wrong.
-        step: The step that failed.
-        peer: The other end, file or component concerned.
-        run: Whether the request ran: ``not run``, ``unknown`` or an empty string where this does
-            not apply.
-    """
-
-    error: str
-    text: str
-    step: str = ""
-    peer: str = ""
-    run: str = ""
-
-
 class ServerLimits(msgspec.Struct):
     """Size and time limits for requests.
 
@@ -211,9 +240,10 @@
     Attributes:
         conn: HTTP/1.1 protocol state.
         pipelined_bytes: Number of bytes read ahead during the current exchange.
+        task: The task that serves it.
     """
 
-    def __init__(self, server: "Server", sock: curio.io.Socket, peer: str):
+    def __init__(self, server: "Server", sock: curio.io.Socket, peer: str, task: curio.Task):
         self.server = server
         self.sock = sock
         self.peer = peer
@@ -221,12 +251,13 @@
             h11.SERVER, max_incomplete_event_size=server.limits.header_bytes + HEAD_OVERHEAD_BYTES
         )
         self.pipelined_bytes = 0
+        self.task = task
 
     def encode_response(self, status: int, headers: Headers) -> bytes:
         """Encode the head of a response; while draining, announce that the connection closes."""
         if self.server.core.draining.is_set():
             headers = [*headers, ("connection", "close")]
-        return self.conn.send(h11.Response(status_code=status, headers=headers))
+        return self.conn.send(h11.Response(status_code=status, headers=encode_fields(headers)))
 
     def encode_data(self, data: bytes) -> bytes:
         """Encode a part of a response body."""
@@ -386,6 +417,8 @@
         active_exchanges: Number of exchanges that are being read, handled or answered.
         open_connections: Number of connections, lingering ones included.
         lingering: Number of connections that may still deliver their last response.
+        unread: Connections that are idle, or whose next request has not been read yet.
+        listener: The socket that accepts connections, None before `start`.
     """
 
     def __init__(
@@ -399,6 +432,8 @@
         self.active_exchanges = 0
         self.open_connections = 0
         self.lingering = 0
+        self.unread: set[ServerConnection] = set()
+        self.listener: curio.io.Socket | None = None
         self.accept_task: curio.Task | None = None
 
     async def start(self) -> None:
@@ -409,11 +444,18 @@
         """
         host, port = settings.split_address(self.address)
         try:
-            sock = curio.tcp_server_socket(host, port, backlog=ACCEPT_BACKLOG)
+            self.listener = curio.tcp_server_socket(host, port, backlog=ACCEPT_BACKLOG)
         except OSError as error:
             raise exceptions.SettingsError(str(error), "bind http", self.address) from error
-        self.core.exit_stack.push_async_callback(sock.close)
-        self.accept_task = await self.core.spawn(self._accept(sock), essential=True)
+        self.core.exit_stack.push_async_callback(self.listener.close)
+        self.accept_task = await self.core.spawn(self._accept(self.listener), essential=True)
+
+    async def stop_accepting(self) -> None:
+        """Accept no more connections, and close those that have no request to be answered."""
+        await self.accept_task.cancel()
+        await self.listener.close()
+        for connection in list(self.unread):
+            await connection.task.cancel(blocking=False)
 
     async def _accept(self, sock: curio.io.Socket) -> None:
         while True:
@@ -434,7 +476,7 @@
             await self.core.spawn(self._serve_connection(client, f"{address[0]}:{address[1]}"))
 
     async def _serve_connection(self, sock: curio.io.Socket, peer: str) -> None:
-        connection = ServerConnection(self, sock, peer)
+        connection = ServerConnection(self, sock, peer, await curio.current_task())
         try:
             async with sock:
                 while await self._serve_next(connection):
@@ -448,12 +490,15 @@
             self.open_connections -= 1
 
     async def _serve_next(self, connection: ServerConnection) -> bool:
+        self.unread.add(connection)
         try:
             if not await connection.wait_request():
                 return False
         except exceptions.HttpError:
             self.core.metrics.count("http_idle_closed")
             return False
+        finally:
+            self.unread.discard(connection)
         self.active_exchanges += 1
         try:
             return await self._serve_request(connection)
@@ -461,12 +506,15 @@
             self.active_exchanges -= 1
 
     async def _serve_request(self, connection: ServerConnection) -> bool:
+        self.unread.add(connection)
         try:
             request = await connection.read_request()
         except exceptions.HttpError as error:
             self.core.metrics.count("http_bad_requests", status=str(error.status))
             await _send_error(connection, error)
             return False
+        finally:
+            self.unread.discard(connection)
         if request is None:
             return False
         return await self._handle(connection, Exchange(connection, request))
@@ -476,23 +524,13 @@
             await self.handler(exchange)
         except exceptions.EbonywheelError as error:
             self.core.metrics.count("http_errors", code=error.code)
-            if exchange.started:
-                return False
             status = getattr(error, "status", 500)
             body = ErrorBody(error.code, error.text, error.step, error.peer)
-            await exchange.respond_json(status, body)
-        except h11.LocalProtocolError as error:
-            self.core.metrics.count("http_errors", code="protocol")
-            self.core.log.error("http_protocol", peer=connection.peer, error=error)
-            return False
-        except (OSError, curio.CurioError):
-            raise
-        except Exception as error:
+            await exchange.fail(status, body)
+        except (Exception, curio.TaskTimeout) as error:
             self.core.metrics.count("http_errors", code="internal")
             self.core.log.error("handler_failed", path=exchange.request.path, error=repr(error))
-            if exchange.started:
-                return False
-            await exchange.respond_json(500, ErrorBody("internal", "internal error"))
+            await exchange.fail(500, ErrorBody("internal", "internal error"))
         if connection.conn.our_state is not h11.DONE:
             return False
         if connection.conn.their_state is not h11.DONE:
