Wait until a replaced control host answers before the next one is stopped

On a busy machine (load 57 of 8 cores) a control host took 7 s to start and the next one was stopped 3 s after it, so that two of three were down: a change took 8.3 s. The premise is that one host is down at a time; entry hosts were waited for already. The harness also sends header values above 0x7F if asked to.

--- a/tests/upgrade/__main__.py
+++ b/tests/upgrade/__main__.py
@@ -12,6 +12,8 @@
 
 EXIT_BROKEN = 1
 MAX_SHOWN = 6
+# Requests that took longer are counted as having waited.
+WAITED_S = 0.5
 
 
 class Interruption:
@@ -119,6 +121,7 @@
         "outcomes": {str(status): count for status, count in outcomes.items()},
         "cut_host": {f"{run.build_name(key[0])}: {key[1]}": n for key, n in apart.items()},
         "reasons": [[run.build_name(key[0]), *key[1:], n] for key, n in reasons.items()],
+        "waited": sum(time > WAITED_S for time in times),
         "request_ms": _quantiles(times),
         "change_ms": _quantiles(changes),
         "ends": len(run.ends),
--- a/tests/upgrade/replacement.py
+++ b/tests/upgrade/replacement.py
@@ -26,7 +26,7 @@
     "streams",
 )
 # What requests and servers do besides, which needs commands and messages of its own.
-FEATURES = ("crashes", "limits", "cut")
+FEATURES = ("crashes", "limits", "cut", "bytes")
 # Time between the replacements of two hosts.
 PAUSE_S = 1.0
 HALF_WAY_S = 20.0
@@ -38,6 +38,8 @@
 VOTER_S = 4.0
 EVENT_PAUSE_S = 1.0
 LIMIT_PER_S = 5.0
+# A header value with a byte above 0x7F.
+NOTE = "caf\u00e9"
 FAILURE_EVENTS = ("process_failed", "task_failed", "entry_unreadable")
 UNKNOWN_MESSAGE = "unknown message type"
 
@@ -89,9 +91,10 @@
             self.system.publish(traffic.manifest(1))
             limit = LIMIT_PER_S if "limits" in self.features else None
             pause_s = EVENT_PAUSE_S if self.trouble == "streams" else 0.0
-            self.servers = traffic.Servers(self.system, limit, pause_s)
+            note = NOTE if "bytes" in self.features else None
+            self.servers = traffic.Servers(self.system, limit, pause_s, note)
             self.callers = traffic.Callers(
-                self.system, self.failures, self.cut_host, self.requests_per_s
+                self.system, self.failures, self.cut_host, self.requests_per_s, note
             )
             self.operator = traffic.Operator(self.system, self.failures)
             if self.cut_host is not None:
@@ -175,12 +178,18 @@
             self.start(node)
         if node in self.system.entries:
             platformsystem.wait_for(lambda: self.system.ready_status(node) == 200, node.name)
+        else:
+            platformsystem.wait_for(lambda: self.answers(node), node.name)
         self.replaced.discard(node)
         self.callers.ready = list(self.system.entries)
         if empty_disk:
             platformsystem.wait_for(lambda: self.operator.read_back(node), node.name)
             time.sleep(VOTER_S)
 
+    def answers(self, node):
+        """Return whether a control host answers at all, be it that it knows no leader yet."""
+        return self.system.call_control("GET", "/api/config", node=node)[0] != 0
+
     def change_largely(self):
         """Have the operator send a large change while a host is down, then small ones again."""
         self.operator.large = True
--- a/tests/upgrade/traffic.py
+++ b/tests/upgrade/traffic.py
@@ -19,6 +19,7 @@
 EVENTS = 4
 EVENT = b"id: %d\ndata: token\n\n"
 CRASHING_BODY = b"crash"
+NOTE_HEADER = "X-Note"
 LARGE_ROUTES, LARGE_CUSTOMERS = 300, 200
 PLAN_HEADERS = {"X-Token-Counts": "300,40", "X-Model-Name": "m"}
 ROUTES = [
@@ -49,13 +50,15 @@
         runs: How often each request that may not be repeated ran.
         limit: What one server states as its limit, requests per second; None for nothing.
         event_pause_s: Pause before each event of a stream.
+        note: Header value of answers to lookups, None for no such header.
         full_strength: How many servers there were before any crashed.
     """
 
     numbers = itertools.count(1)
 
-    def __init__(self, system, limit=None, event_pause_s=0.0):
+    def __init__(self, system, limit=None, event_pause_s=0.0, note=None):
         self.system = system
+        self.note = note
         self.limit = limit
         self.event_pause_s = event_pause_s
         self.arrivals = []
@@ -107,6 +110,8 @@
                 self.runs[received.headers["x-attempt-id"]] += 1
             stated = self.limit is not None and server is self.limited
             headers = {"Server-Limit": str(self.limit)} if stated else {}
+            if self.note is not None and received.path.startswith("/look/"):
+                headers[NOTE_HEADER] = self.note
             handler.answer(200, received.headers["x-attempt-id"].encode(), headers)
 
     def stream(self, handler):
@@ -129,6 +134,7 @@
     Attributes:
         ready: Entry hosts that the balancer sends requests to.
         killed_at: When each host was killed last, monotonic seconds.
+        note: Header value of lookups, None for no such header.
         apart: A host whose requests are counted for themselves, or None.
         outcomes: How often each status came, "lost" without an answer, "killed" if its host was
             killed meanwhile.
@@ -141,8 +147,9 @@
 
     numbers = itertools.count(1)
 
-    def __init__(self, system, failures, apart=None, per_s=REQUESTS_PER_S):
+    def __init__(self, system, failures, apart=None, per_s=REQUESTS_PER_S, note=None):
         self.system = system
+        self.note = note
         self.per_s = per_s
         self.ready = list(system.entries)
         self.killed_at = {}
@@ -173,6 +180,8 @@
         kind = number // len(self.system.entries) % 3
         path, headers = (("/book/", {}), ("/look/", {}), ("/plan/", PLAN_HEADERS))[kind]
         headers = {**headers, "X-Attempt-Id": attempt, "X-Deadline-Ms": "7000"}
+        if self.note is not None and path == "/look/":
+            headers[NOTE_HEADER] = self.note
         expected = attempt.encode()
         if path == "/plan/":
             expected = b"".join(EVENT % number for number in range(1, EVENTS + 1))
@@ -185,6 +194,7 @@
                 self.outcomes["killed"] += 1
                 return
             self.outcomes["lost"] += 1
+            self.reasons[build, 0, repr(error)] += 1
             self.failures.append(f"lost: {path}{number} at {node.name}, {error!r}")
             return
         self.times.append(time.monotonic() - started_at)
@@ -196,7 +206,8 @@
             self.reasons[build, answer.status, answer.content[:100].decode("latin-1")] += 1
         if answer.status == 503:
             self.refused.add(attempt)
-        if answer.status == 200 and answer.content != expected:
+        wrong_note = NOTE_HEADER in headers and answer.getheader(NOTE_HEADER) != self.note
+        if answer.status == 200 and (answer.content != expected or wrong_note):
             self.failures.append(f"wrong body: {path}{number} at {node.name}, {answer.content!r}")
 
 
