--- a/tests/upgrade/__main__.py
+++ b/tests/upgrade/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import itertools
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -117,6 +118,7 @@
     times = sorted(run.callers.times) if run.callers else []
     changes = sorted(run.operator.times) if run.operator else []
     return {
+        "load": round(os.getloadavg()[0]),
         "seconds": round(run.seconds, 1),
         "outcomes": {str(status): count for status, count in outcomes.items()},
         "cut_host": {f"{run.build_name(key[0])}: {key[1]}": n for key, n in apart.items()},
@@ -148,7 +150,8 @@
     )
     lines = [
         f"{' | '.join(names)} | {','.join(row['features'])}: {len(row['failures'])} broken, "
-        f"{row['outcomes']}, {row['seconds']} s, changes {row['change_ms']} ms, {row['logs']}"
+        f"{row['outcomes']}, {row['seconds']} s, changes {row['change_ms']} ms, "
+        f"load {row['load']}, {row['logs']}"
     ]
     if row["cut_host"]:
         lines.append(f"  cut host: {row['cut_host']}")
--- a/tests/upgrade/replacement.py
+++ b/tests/upgrade/replacement.py
@@ -164,6 +164,7 @@
         with self.lock:
             self.replaced.add(node)
         self.callers.ready = [entry for entry in self.callers.ready if entry is not node]
+        platformsystem.wait_for(lambda: not self.callers.unsent[node], f"requests to {node.name}")
         if node.process.poll() is None:
             self.stop(node)
         if empty_disk:
--- a/tests/upgrade/traffic.py
+++ b/tests/upgrade/traffic.py
@@ -1,6 +1,7 @@
 """Servers, callers and an operator during a replacement, and what they saw."""
 
 import collections
+import contextlib
 import http.client
 import itertools
 import json
@@ -139,6 +140,7 @@
         outcomes: How often each status came, "lost" without an answer, "killed" if its host was
             killed meanwhile.
         outcomes_apart: The same for the host `apart`, by build.
+        unsent: Requests by host that have a host but were not sent yet.
         times: Seconds until each answer was whole.
         refused: Attempts that were told that they have not run.
         reasons: Why requests were not served, by build, status and text.
@@ -161,6 +163,8 @@
         self.reasons = collections.Counter()
         self.failures = failures
         self.stopped = threading.Event()
+        self.lock = threading.Lock()
+        self.unsent = collections.Counter()
         self.thread = threading.Thread(target=self.run)
 
     def run(self):
@@ -169,6 +173,8 @@
             number = next(self.numbers)
             ready = self.ready
             node = ready[number % len(ready)]
+            with self.lock:
+                self.unsent[node] += 1
             threads.append(threading.Thread(target=self.send, args=(number, node)))
             threads[-1].start()
         for thread in threads:
@@ -188,7 +194,7 @@
         build = node.program
         started_at = time.monotonic()
         try:
-            answer = self.system.request("POST", f"{path}{number}", b"x", headers, node)
+            answer = self.exchange(f"{path}{number}", headers, node)
         except (OSError, http.client.HTTPException) as error:
             if self.killed_at.get(node, 0.0) >= started_at:
                 self.outcomes["killed"] += 1
@@ -210,6 +216,18 @@
         if answer.status == 200 and (answer.content != expected or wrong_note):
             self.failures.append(f"wrong body: {path}{number} at {node.name}, {answer.content!r}")
 
+    def exchange(self, path, headers, node):
+        """Send a request and return the answer with its body in `content`."""
+        try:
+            connection = self.system.send("POST", path, b"x", headers, node)
+        finally:
+            with self.lock:
+                self.unsent[node] -= 1
+        with contextlib.closing(connection):
+            answer = connection.getresponse()
+            answer.content = answer.read()
+            return answer
+
 
 class Operator:
     """Sends changes to any control host until each is acknowledged, and reads them back.
