--- a/tests/upgrade/__main__.py
+++ b/tests/upgrade/__main__.py
@@ -73,7 +73,7 @@
             continue
         features = [each for each in parsed.feature or ["crashes"] if each != "none"]
         run_folder = folder / f"run-{number}"
-        run_folder.mkdir()
+        run_folder.mkdir(parents=True)
         row = {
             "build": build,
             "to": parsed.to,
--- a/tests/upgrade/traffic.py
+++ b/tests/upgrade/traffic.py
@@ -260,7 +260,7 @@
         content = self.contents[version] = manifest(version, self.large)
         started_at = time.monotonic()
         while self.system.call_control("PUT", "/api/config", content, next(nodes))[0] != 200:
-            if self.stopped.is_set():
+            if self.stopped.is_set() and time.monotonic() - started_at >= ACK_S:
                 self.failures.append(f"change {version} was not acknowledged")
                 return
             time.sleep(RETRY_PAUSE_S)
