--- a/src/ebonywheel/callers.py
+++ b/src/ebonywheel/callers.py
@@ -18,6 +18,7 @@
     kernel,
     messages,
     services,
+    streamid,
 )
 
 SERVICES_PREFIX = "/v1/services/"
@@ -29,6 +30,8 @@
 STATUS_BACKEND_FAILED = 502
 STATUS_STILL_RUNNING = 409
 RUNNING_RETRY_AFTER_S = 1.0
+# Stated by a caller that has received no event.
+NO_EVENT = "-1"
 
 
 class AnnounceReply(msgspec.Struct):
@@ -152,7 +155,7 @@
         config = self._require_document()
         customer = self._authenticate(config, request)
         generation = request.path.removeprefix(GENERATIONS_PREFIX)
-        index = _resume_index(request)
+        index = resume_index(request)
         handler = self.handlers[documents.ServiceKind.STREAM]
         await handler.resume(customer, generation, index, exchange)
 
@@ -206,12 +209,14 @@
     return exceptions.UnknownOutcomeError("the host's drain limit has passed", "drain")
 
 
-def _resume_index(request: http.Request) -> int:
-    last_event_id = request.headers.get("last-event-id", "")
-    index_text = (
-        last_event_id.rpartition(":")[2] if last_event_id else request.query.get("after", "-1")
-    )
-    try:
-        return int(index_text) + 1
-    except ValueError as error:
-        raise exceptions.HttpError("malformed event id", "read Last-Event-ID") from error
+def resume_index(request: http.Request) -> int:
+    """Return the index of the first token that a caller wants.
+
+    Raises:
+        HttpError: The caller states a malformed one.
+    """
+    last_event_id = request.headers.get("last-event-id")
+    if last_event_id:
+        return streamid.parse_index(last_event_id.rpartition(":")[2]) + 1
+    after = request.query.get("after", NO_EVENT)
+    return 0 if after == NO_EVENT else streamid.parse_index(after) + 1
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -82,8 +82,8 @@
         run = relayedrun.Run(context, reply)
         self._register(run)
         try:
-            if reply.head.status != STATUS_OK:
-                await self._relay_failure(exchange, context, reply)
+            if reply.head.status != STATUS_OK or context.request.method == "HEAD":
+                await self._relay_complete(exchange, context, reply)
                 return
             await exchange.start(reply.head.status, reply.head.headers)
             await self._notify_if_late(run)
@@ -131,7 +131,7 @@
             if not reply.head.not_run:
                 return reply
             context.reason = f"refused by {candidate.record.server}"
-            await self._discard_answer(reply)
+            await self._discard_answer(context, reply)
             if not self.budgets.take_retry(context.service.name):
                 break
         raise refusals.not_run_error(context, refusals.retry_after_s(self.view, context))
@@ -200,19 +200,24 @@
             report_age_ms=int(candidate.age_s * 1000),
         )
 
-    async def _discard_answer(self, reply: sender.Reply) -> None:
+    async def _read_body(self, context: inflight.RequestContext, reply: sender.Reply) -> bytes:
+        """Read the body of an answer that is no stream, until the deadline; raises like `body`."""
+        remaining_s = context.deadline_at - self.core.clock.monotonic()
+        return await reply.connection.body(remaining_s, sender.MAX_ENGINE_ANSWER_BYTES)
+
+    async def _discard_answer(self, context: inflight.RequestContext, reply: sender.Reply) -> None:
         try:
-            await reply.connection.body(http.WRITE_TIMEOUT_S, sender.MAX_ENGINE_ANSWER_BYTES)
+            await self._read_body(context, reply)
         except exceptions.UpstreamError:
             await self.sender.abandon(reply)
             return
         await self.sender.finish(reply)
 
-    async def _relay_failure(
+    async def _relay_complete(
         self, exchange: http.ResponseWriter, context: inflight.RequestContext, reply: sender.Reply
     ) -> None:
         try:
-            body = await reply.connection.body(http.WRITE_TIMEOUT_S, sender.MAX_ENGINE_ANSWER_BYTES)
+            body = await self._read_body(context, reply)
             await self.sender.confirm_end(reply)
         except BaseException:
             await self.sender.abandon(reply)
@@ -222,8 +227,9 @@
         await self.sender.finish(reply)
         if not server_failed:
             await self.crashes.record_success(context)
-        headers = [*reply.head.headers, ("content-length", str(len(body)))]
-        await exchange.respond_raw(reply.head.status, headers, body)
+        head = reply.head
+        length = http.length_fields(context.request.method, head.status, body, head.length)
+        await exchange.respond_raw(head.status, [*head.headers, *length], body)
 
     # -- relay -----------------------------------------------------------------------------
 
@@ -289,7 +295,7 @@
         run.replace_copy(None)
         reply = await self._send(run.context, copy.record, resume)
         if reply.head.status != STATUS_OK:
-            await self._discard_answer(reply)
+            await self._discard_answer(run.context, reply)
             raise exceptions.UpstreamError(
                 f"continuation refused with {reply.head.status}",
                 "resume",
@@ -319,22 +325,23 @@
                 run.context.record_events(self.core.clock.monotonic())
                 await self.crashes.record_progress(run.context)
                 await exchange.write(whole_events)
-        if connection.close_delimited:
-            self._check_whole(run)
-            await self.sender.confirm_end(run.reply)
+        self._check_whole(run)
+        await self.sender.confirm_end(run.reply)
         if run.splitter.buffer:
-            # Bytes after the last blank line are still part of the answer.
+            # Blank lines and comments after the last event are still part of the answer.
             await exchange.write(bytes(run.splitter.buffer))
 
     def _check_whole(self, run: relayedrun.Run) -> None:
-        """Check a stream that ended with its connection, as one that breaks off does, too.
+        """Check a stream whose end was received.
 
         Raises:
             UpstreamError: It broke off, or was stopped to be handed over.
         """
-        if run.splitter.buffer or not run.splitter.count or run.move_finished is not None:
+        framed = not run.reply.connection.close_delimited
+        stopped = run.move_finished is not None and not framed
+        if stopped or not run.splitter.is_whole(framed):
             raise exceptions.UpstreamError(
-                "connection closed before the end of the stream", "relay", run.record.address, True
+                "stream ended inside an event or without one", "relay", run.record.address, True
             )
 
     def _silence_timeout_s(self, run: relayedrun.Run) -> float:
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -52,3 +52,90 @@
     for _ in range(events.MAX_EVENT_BYTES // 16):
         splitter.feed(b"x" * 16)
     assert time.process_time() - started_at < 0.5
+
+
+# Guards against events that are held back or not counted as their lines end with CR LF or CR.
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\r"])
+@pytest.mark.parametrize("size", range(1, 40))
+def test_every_line_end_is_known_at_every_chunk_size(line_end, size):
+    stream = STREAM.replace(b"\n", line_end)
+    events_end = line_end * 2
+    splitter = events.EventSplitter()
+    forwarded = b""
+    for start in range(0, len(stream), size):
+        forwarded += splitter.feed(stream[start : start + size])
+        received = stream[: start + size]
+        whole = received.rfind(events_end)
+        assert len(forwarded) >= (0 if whole < 0 else whole + len(events_end) - 1)
+        assert received.startswith(forwarded)
+    assert (forwarded + splitter.buffer, splitter.buffer.strip(b"\n")) == (stream, b"")
+    assert (splitter.last_id, splitter.count) == ("3", 3)
+
+
+@pytest.mark.parametrize("blank", [b"\n\n", b"\n\r", b"\r\n\n", b"\n\r\n", b"\r\n\r", b"\r\r\n"])
+def test_line_ends_may_be_mixed(blank):
+    splitter = events.EventSplitter()
+    event = b"id: 1\r\ndata: a\rdata: b\ndata: c" + blank
+    assert splitter.feed(event) + splitter.buffer == event
+    assert (splitter.last_id, splitter.count) == ("1", 1)
+
+
+def test_the_end_of_one_line_ends_no_event():
+    splitter = events.EventSplitter()
+    for part in (b"id: 1\r", b"\n", b"data: a\r\nda", b"ta: b\r", b"\n"):
+        assert splitter.feed(part) == b""
+    assert splitter.feed(b"\r") == b"id: 1\r\ndata: a\r\ndata: b\r\n\r"
+
+
+# Guards against streams that end inside an event and are taken for whole, and whole ones that are
+# not. A comment is no event, but one that is cut shows that more should have followed.
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+@pytest.mark.parametrize(
+    ("rest", "whole"),
+    [
+        (b"", True),
+        (b"\n\n\n", True),
+        (b": bye\n", True),
+        (b"\n: bye\n: bye\n\n", True),
+        (b": by", False),
+        (b":", False),
+        (b"id: 2", False),
+        (b"data\n", False),
+        (b": bye\ndata: b\n", False),
+        (b"data: b\n: bye\n", False),
+    ],
+)
+def test_a_stream_may_end_between_events_only(rest, whole, line_end):
+    splitter = events.EventSplitter()
+    assert not splitter.is_whole(framed=True)
+    splitter.feed(b"id: 1\n\n".replace(b"\n", line_end))
+    splitter.feed(rest.replace(b"\n", line_end))
+    assert (splitter.is_whole(framed=True), splitter.is_whole(framed=False)) == (whole, whole)
+
+
+def test_comments_are_no_events():
+    splitter = events.EventSplitter()
+    splitter.feed(b": wait\n\n\n: wait\n\n")
+    assert splitter.count == 0 and not splitter.is_whole(framed=True)
+
+
+@pytest.mark.parametrize(
+    ("headers", "framed", "closed"),
+    [
+        ({"content-type": "text/event-stream"}, False, False),
+        ({"content-type": "Text/Event-Stream ;charset=utf-8"}, False, False),
+        ({"content-type": "text/event-stream", "content-encoding": "gzip"}, True, True),
+        ({"content-type": "text/event-streams"}, True, True),
+        ({}, True, False),
+    ],
+)
+def test_the_type_of_an_answer_says_how_it_may_end(headers, framed, closed):
+    splitter = events.make_splitter("POST", list(headers.items()))
+    splitter.feed(b"an answer")
+    assert (splitter.is_whole(framed=True), splitter.is_whole(framed=False)) == (framed, closed)
+
+
+def test_an_answer_without_a_type_is_a_stream_once_it_had_an_event():
+    splitter = events.make_splitter("POST", [])
+    splitter.feed(b"id: 1\n\nid: 2")
+    assert not splitter.is_whole(framed=True)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -188,6 +188,28 @@
         run(scenario)
 
 
+class TestBrokenOffAnswers:
+    # Guards against an answer that is broken off and that its caller, which speaks HTTP/1.0 and so
+    # gets no chunks, takes for whole.
+    @pytest.mark.parametrize("version", ["1.0", "1.1"])
+    def test_a_broken_off_answer_does_not_look_whole(self, version):
+        async def scenario(core):
+            await serve(core)
+            head = f"GET /stream?break=1 HTTP/{version}\r\nhost: x\r\n\r\n".encode()
+            sock = await connect(core.host.http)
+            async with sock:
+                await sock.sendall(head)
+                received = b""
+                try:
+                    while data := await sock.recv(65536):
+                        received += data
+                except ConnectionResetError:
+                    received = b""
+            assert parse_answers(received, ["GET"]) == []
+
+        run(scenario)
+
+
 async def fail_before_answer(exchange):
     """Fail in one of the ways in which a handler or its answer can, by the path of the request."""
     match exchange.request.path:
@@ -379,3 +401,55 @@
         await serving.cancel()
         await sock.close()
     return None
+
+
+class TestReadAhead:
+    # Guards against a buffer that grows with each of many pipelined requests.
+    def test_bytes_read_ahead_are_bounded_over_many_exchanges(self):
+        async def scenario(core):
+            sizes = []
+
+            async def handler(exchange):
+                async with curio.ignore_after(0.05):
+                    await exchange.wait_hangup()
+                sizes.append(len(exchange.connection.conn.trailing_data[0]))
+                await exchange.respond(200)
+
+            await serve(core, handler)
+            sock = await connect(core.host.http)
+            async with sock:
+                sender = await curio.spawn(sock.sendall(get("/") * 100_000), daemon=True)
+                data = b""
+                while data.count(b"HTTP/1.1 200") < 20:
+                    async with curio.timeout_after(EXCHANGE_TIMEOUT_S):
+                        data += await sock.recv(http.READ_BYTES)
+                await sender.cancel()
+            assert max(sizes) <= http.MAX_HEADER_BYTES + http.READ_BYTES
+
+        run(scenario)
+
+
+class TestStopAccepting:
+    # Guards against a connection that stays open, and may begin requests, after a stop.
+    def test_a_connection_that_becomes_idle_after_the_stop_is_closed(self):
+        async def scenario(core):
+            started, released = curio.Event(), curio.Event()
+
+            async def handler(exchange):
+                await exchange.start_stream("text/plain")
+                await started.set()
+                await released.wait()
+                await exchange.end()
+
+            server = await serve(core, handler)
+            sock = await connect(core.host.http)
+            async with sock:
+                await sock.sendall(get("/"))
+                await started.wait()
+                await core.draining.set()
+                await server.stop_accepting()
+                await released.set()
+                data = await read_all(sock)
+            assert [status for status, _ in parse_answers(data, ["GET"])] == [200]
+
+        run(scenario)
