--- a/src/ebonywheel/entry.py
+++ b/src/ebonywheel/entry.py
@@ -94,7 +94,6 @@
 
     async def leave(self) -> None:
         """Leave the roster and wait for the last responses to be delivered."""
-        await self.http.stop_accepting()
         async with curio.ignore_after(LEAVE_TIMEOUT_S):
             await self.feed.leave()
         async with curio.ignore_after(http.LINGER_S):
