Have the tests' servers take as many waiting connections as real ones

Hosts refused requests with 'no connection in time' (0.5 s) in many tests beside load: the stand-in's queue held five connections, and the kernel sends a dropped first packet again only after a second.

--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -148,6 +148,8 @@
     """
 
     daemon_threads = True
+    # A full queue drops connections, which hosts take for a server that cannot be reached.
+    request_queue_size = 128
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
