--- a/tests/test_crossing.py
+++ b/tests/test_crossing.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from ebonywheel import clock
 from ebonywheel.gateway import balance, crossing
 
 STEP_S = 0.1
