Check a configuration for what can never be used, contradicts, or differs

Cause: a valid configuration may hold entries that never match and limits that contradict each other; operators learn of it only in service.

--- a/src/ebonywheel/adminclient.py
+++ b/src/ebonywheel/adminclient.py
@@ -21,6 +21,8 @@
 CONNECT_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.2
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Control hosts take no larger request.
+MAX_DOCUMENT_CHARS = 4 * 1024 * 1024
 NOT_RUN = "not run"
 
 
@@ -148,9 +150,14 @@
     """
     try:
         with open(path, encoding="utf-8") as file:
-            return file.read()
+            text = file.read(MAX_DOCUMENT_CHARS + 1)
     except (OSError, UnicodeDecodeError) as error:
         raise exceptions.DocumentError(str(error), "read document", path) from error
+    if len(text) > MAX_DOCUMENT_CHARS:
+        raise exceptions.DocumentError(
+            f"over {MAX_DOCUMENT_CHARS} characters", "read document", path
+        )
+    return text
 
 
 def outcome_exit_code(outcome: commands.AnyOutcome) -> int:
--- a/src/ebonywheel/documentdiff.py
+++ b/src/ebonywheel/documentdiff.py
@@ -23,8 +23,11 @@
 
 def compare(old: documents.Document | None, new: documents.Document) -> list[EntryChange]:
     """Return the entries in which two documents differ."""
-    before = {} if old is None else _entries(old)
-    after = _entries(new)
+    return compare_entries({} if old is None else _entries(old), _entries(new))
+
+
+def compare_entries(before: dict[str, object], after: dict[str, object]) -> list[EntryChange]:
+    """Return the entries, by key, that differ between two configurations."""
     changes = []
     for place in sorted(before.keys() | after.keys()):
         if place not in before:
--- a/src/ebonywheel/operator.py
+++ b/src/ebonywheel/operator.py
@@ -16,6 +16,7 @@
     commands,
     documentcheck,
     documentdiff,
+    documentlint,
     documents,
     exceptions,
     explain,
@@ -45,6 +46,9 @@
         "check", help="check documents offline, or the settings if no document is given"
     )
     check.add_argument("documents", nargs="*")
+    check.add_argument(
+        "--in-force", action="store_true", help="show what differs from the version in force, too"
+    )
     diff = actions.add_parser("diff", help="show what applying or promoting would change")
     diff.add_argument("source", help="document file, or environment with --promote")
     diff.add_argument("--promote", metavar="TARGET", help="environment to promote to")
@@ -126,20 +130,36 @@
         return await getattr(self, f"_{action}")()
 
     async def _check(self) -> int:
-        invalid = 0
         if not self.arguments.documents:
             load_settings(self.arguments.settings)
             print(f"{self.arguments.settings}: settings are valid")
-        for path in self.arguments.documents:
-            try:
-                adminclient.parse_document(path)
-            except exceptions.DocumentError as error:
-                invalid += 1
-                print(f"error: {error}", file=sys.stderr)
-            else:
-                print(f"{path}: document is valid")
+        if self.arguments.in_force:
+            self.client = adminclient.AdminClient(load_settings(self.arguments.settings))
+        checked = [await self._check_document(path) for path in self.arguments.documents]
+        if checked and self.arguments.json:
+            print(msgspec.json.encode(checked).decode())
+        elif checked:
+            for document in checked:
+                stream = sys.stderr if document.error else sys.stdout
+                print(screens.checked_document(document), file=stream)
+        invalid = any(document.error for document in checked)
         return program.EXIT_BAD_INPUT if invalid else program.EXIT_OK
 
+    async def _check_document(self, path: str) -> documentlint.CheckedDocument:
+        try:
+            document = adminclient.parse_document(path)
+        except exceptions.DocumentError as error:
+            return documentlint.CheckedDocument(path, str(error))
+        checked = documentlint.CheckedDocument(path, "", documentlint.find(document))
+        if self.client is not None:
+            current = await self._read_document(document.environment)
+            old = None
+            if current["text"]:
+                old = documentcheck.parse(current["text"], document.environment)
+            checked.revision = current["revision"]
+            checked.changes = documentdiff.compare(old, document)
+        return checked
+
     async def _explain(self) -> int:
         content = explain.read_logs(self.arguments.logs)
         explanation = explain.explain(self.arguments.request, content.lines)
--- a/src/ebonywheel/screens.py
+++ b/src/ebonywheel/screens.py
@@ -3,7 +3,7 @@
 import datetime
 import typing
 
-from ebonywheel import commands, documentdiff, explain
+from ebonywheel import commands, documentdiff, documentlint, explain
 
 Rows = list[list[typing.Any]]
 
@@ -61,6 +61,18 @@
     return "\n".join([*documentdiff.format_changes(entries), "", *diff_lines])
 
 
+def checked_document(checked: documentlint.CheckedDocument) -> str:
+    """Return the result of the check of one document."""
+    if checked.error:
+        return f"error: {checked.error}"
+    lines = [f"{checked.path}: document is valid"]
+    lines += [f"warning: {finding.line()}" for finding in checked.doubts]
+    if checked.revision is not None:
+        lines.append(f"against revision {checked.revision}: {len(checked.changes)} entries differ")
+        lines += documentdiff.format_changes(checked.changes)
+    return "\n".join(lines)
+
+
 def status(state: dict[str, typing.Any]) -> str:
     """Return the status screen."""
     sections = [f"leader {state['leader'] or '-'}  term {state['term']}  index {state['index']}"]
