Servers that differ: sums of what all hosts saw, and a choice by them (first draft)

Cause: each host knew only its own answers, so a slow server made streams miss their target for pauses, and one that resets everything was found by each host. Change: sums of windows, reading and answers go through the control hosts; the choice keeps long streams on servers that keep the target.

--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -16,8 +16,8 @@
 
 import msgspec
 
-from ebonywheel import messages
-from ebonywheel.gateway import routes
+from ebonywheel import messages, serverpaces
+from ebonywheel.gateway import routes, speeds
 
 # Cost of a server elsewhere, as a share of its capacity. Traffic between regions is paid for and
 # adds two one-way delays.
@@ -38,6 +38,10 @@
 FAILURE_RATE_SMOOTHING = 0.1
 # Load added per unit of failure rate above the lowest rate among the servers considered.
 FAILURE_WEIGHT = 2.0
+# Load, and share of the target for the first event, up to which a server that keeps the target for
+# pauses is preferred to those that miss it.
+PREFERRED_LOAD = 0.9
+PREFERRED_WAIT_SHARE = 0.6
 # Servers drawn from each distance: in this data centre, elsewhere in the region, in other regions.
 # Two are enough to avoid a loaded server; with more, hosts agree on the least loaded one again.
 SAMPLE_SIZE = 2
@@ -82,6 +86,9 @@
             0 while the leader grants permits.
         leaving: True once it has said in an answer that it leaves.
         paused_until: Until when it wants no requests from this host, monotonic seconds.
+        seen: How it answers, as all entry hosts saw it.
+        avoided_until: Until when it is left alone as it reset requests of several hosts, monotonic
+            seconds.
     """
 
     requests: int = 0
@@ -103,6 +110,8 @@
     own_part_at: float = 0.0
     leaving: bool = False
     paused_until: float = 0.0
+    seen: serverpaces.Sums = msgspec.field(default_factory=serverpaces.Sums)
+    avoided_until: float = 0.0
 
     def is_denied(self, now: float) -> bool:
         """Return whether its limit, or its pace, leaves no room for a request now."""
@@ -114,6 +123,10 @@
             return 0.0
         return now - max(self.heard_at, min(self.waiting_since))
 
+    def worst_failure_rate(self) -> float:
+        """Return the failure rate that this host or all hosts together saw."""
+        return max(self.failure_rate, speeds.failure_rate(self.seen))
+
     def record_answer(self, failed: bool) -> None:
         """Update the failure rate with an answer, and reset the backoff."""
         self.failure_rate += FAILURE_RATE_SMOOTHING * (float(failed) - self.failure_rate)
@@ -158,6 +171,8 @@
         long_running: True when the request is expected to outlast a server's shutdown notice.
         without_wait: True when the server must be able to run the request at once.
         without_cold: True when the server must not be in its cold start.
+        target_latency_s: Target time to the first event, 0 for none.
+        stream_s: Expected length of a stream with a target for its pauses, 0 for other requests.
     """
 
     service: routes.Service
@@ -171,6 +186,8 @@
     long_running: bool = False
     without_wait: bool = False
     without_cold: bool = False
+    target_latency_s: float = 0.0
+    stream_s: float = 0.0
 
 
 def load_with_request(candidate: Candidate, requirements: Requirements) -> float:
@@ -241,19 +258,25 @@
         considered = with_room
     if not considered:
         return None
-    lowest_rate = min(candidate.state.failure_rate for candidate in considered)
+    lowest_rate = min(candidate.state.worst_failure_rate() for candidate in considered)
+    compared = speeds.Speeds(
+        [candidate.state.seen for candidate in considered], requirements.stream_s
+    )
+    considered = _preferred(considered, requirements, compared)
 
     def cost(candidate: Candidate) -> float:
-        failure_cost = FAILURE_WEIGHT * (candidate.state.failure_rate - lowest_rate)
+        state = candidate.state
+        failure_cost = FAILURE_WEIGHT * (state.worst_failure_rate() - lowest_rate)
         location_cost = distance_cost(candidate.location(), location)
         neighbour_cost = (
             NO_NEIGHBOUR_COST if requirements.long_running and candidate.without_neighbour else 0.0
         )
         limit_cost = 0.0 if candidate.state.limit_per_s is None else LIMITED_COST
         return (
-            load_with_request(candidate, requirements)
+            load_with_request(candidate, requirements) * compared.working_ratio(state.seen)
             + limit_cost
-            + unread_load(candidate, requirements)
+            + unread_load(candidate, requirements) * compared.reading_ratio(state.seen)
+            + compared.late_cost(state.seen)
             + location_cost
             + failure_cost
             + neighbour_cost
@@ -262,6 +285,27 @@
     return min(_sample(considered, location), key=cost)
 
 
+def _preferred(
+    candidates: list[Candidate], requirements: Requirements, compared: speeds.Speeds
+) -> list[Candidate]:
+    """Return the servers with room that keep a stream's targets; all where that makes none."""
+    if not requirements.stream_s or not compared.differ:
+        return candidates
+    with_room = [
+        candidate for candidate in candidates if _has_spare(candidate, requirements, compared)
+    ]
+    return compared.keeping(with_room) or candidates
+
+
+def _has_spare(candidate: Candidate, requirements: Requirements, compared: speeds.Speeds) -> bool:
+    """Return whether a stream may begin in time at a server that is not full."""
+    state = candidate.state
+    tokens = state.unread + state.other_unread + requirements.unread
+    wait_s = compared.reading_s(state.seen, tokens)
+    in_time = wait_s <= PREFERRED_WAIT_SHARE * requirements.target_latency_s
+    return in_time and load_with_request(candidate, requirements) <= PREFERRED_LOAD
+
+
 def _sample(candidates: list[Candidate], location: Location) -> list[Candidate]:
     """Return some candidates of each distance, drawn at random and in random order."""
     by_distance: dict[float, list[Candidate]] = {}
@@ -305,7 +349,10 @@
     """Return whether a server reports and can be reached, as far as known."""
     state = candidate.state
     return (
-        candidate.age_s < MAX_REPORT_AGE_S and not state.unreachable and state.backoff_until <= now
+        candidate.age_s < MAX_REPORT_AGE_S
+        and not state.unreachable
+        and state.backoff_until <= now
+        and state.avoided_until <= now
     )
 
 
--- a/src/ebonywheel/gateway/dialect.py
+++ b/src/ebonywheel/gateway/dialect.py
@@ -100,11 +100,16 @@
 
 
 class ServerLoad(msgspec.Struct, frozen=True):
-    """Load of a server, as stated in an answer: running and waiting requests, and its slots."""
+    """Load of a server, as stated in an answer: running and waiting requests, and its slots.
+
+    Attributes:
+        stretch: How long work takes at this moment, 1.0 for the usual time; None when not stated.
+    """
 
     running: int
     waiting: int
     slots: int
+    stretch: float | None = None
 
 
 class AnswerHead(msgspec.Struct):
--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -18,6 +18,7 @@
     moveplan,
     relayedrun,
     sender,
+    speeds,
     streaming,
 )
 
@@ -277,6 +278,8 @@
             MAX_DESTINATION_LOAD,
             long_running=True,
             data_centre=run.record.data_centre if move.near else "",
+            target_latency_s=context.route.target_latency_s,
+            stream_s=speeds.stream_s(context.request.prompt, context.route, run.splitter.count),
         )
         return self.view.choose(requirements, self.view.location_of(run.record))
 
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -156,6 +156,8 @@
                 complete = await self._read_answer(reply, body)
         except curio.TaskTimeout as error:
             self.view.state_of(candidate.record).record_answer(failed=True)
+            if context.sent:
+                self.view.paces.observe_failure(candidate.record, reset=False)
             text, step = ("no answer", "wait") if context.sent else ("no connection", "connect")
             raise exceptions.UpstreamError(
                 f"{text} in time", step, candidate.record.address, context.sent
--- a/src/ebonywheel/gateway/relayedrun.py
+++ b/src/ebonywheel/gateway/relayedrun.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from ebonywheel import messages
-from ebonywheel.gateway import events, inflight, sender
+from ebonywheel.gateway import events, inflight, paces, sender
 
 
 class Copy(msgspec.Struct):
@@ -37,6 +37,7 @@
         broken: True from a break of the server's answer until the run goes on elsewhere.
         stopped: True once the server is known not to work on it any more.
         copy: The newest copy of the run, None when there is none.
+        windows: How it kept its target for pauses at the server that runs it now.
         move_finished: Set when the hand-over ends, even if it failed; None without one.
     """
 
@@ -49,6 +50,7 @@
         "broken",
         "stopped",
         "copy",
+        "windows",
         "move_finished",
     )
 
@@ -61,6 +63,7 @@
         self.broken = False
         self.stopped = False
         self.copy: Copy | None = None
+        self.windows = paces.StreamWindows()
         self.move_finished: curio.Event | None = None
 
     def is_at(self, record: messages.DirectoryRecord) -> bool:
@@ -78,6 +81,7 @@
         self.broken = False
         self.stopped = False
         self.move_finished = None
+        self.windows = paces.StreamWindows()
         self.splitter.buffer.clear()
 
     def replace_copy(self, copy: Copy | None) -> None:
@@ -89,3 +93,13 @@
     def attempt(self) -> str:
         """Return the id of the run's request."""
         return self.context.request.attempt
+
+    def observe_pace(self, server_paces: paces.Paces, waiting_since: float) -> None:
+        """Record how fast its server produced events, which this host waits for since a time."""
+        reply = self.reply
+        if reply.tokens_to_read:
+            server_paces.observe_first_event(self.record, reply.tokens_to_read, reply.sent_at)
+            reply.tokens_to_read = 0
+        target_s = self.context.route.max_gap_s
+        if target_s:
+            server_paces.observe_events(self.record, self.windows, target_s, waiting_since)
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -24,6 +24,7 @@
     Attributes:
         reservation: Counts the request as load of the server until released.
         sent_at: When the request was sent, monotonic seconds.
+        tokens_to_read: Prompt tokens, with those in front of it, that the server had to read then.
     """
 
     record: messages.DirectoryRecord
@@ -31,6 +32,7 @@
     head: dialect.AnswerHead
     reservation: inflight.Reservation
     sent_at: float = 0.0
+    tokens_to_read: int = 0
 
 
 class Sender:
@@ -75,6 +77,7 @@
         state = self.view.state_of(record)
         sent_at = None
         reservation = inflight.Reservation(state, tokens, unread=unread)
+        tokens_to_read = state.unread + state.other_unread if unread else 0
         connection = None
         context.sent = False
         try:
@@ -109,7 +112,8 @@
         self.reach.heard(state)
         self.view.limits.observe_answer(record, head.limit_per_s)
         self.view.notices.observe_answer(record, state, head, self.view.share.hosts)
-        return Reply(record, connection, head, reservation, sent_at)
+        self.view.paces.observe_head(record, head)
+        return Reply(record, connection, head, reservation, sent_at, tokens_to_read)
 
     async def _read_matching_head(
         self, connection: httpclient.ClientConnection, attempt: str, timeout_s: float
@@ -136,8 +140,10 @@
         state: balance.ServerState,
         error: exceptions.UpstreamError,
     ) -> None:
-        if error.step != "connect" and not error.timed_out:
-            state.record_unreachable(self.core.clock.monotonic())
+        if error.step != "connect":
+            if not error.timed_out:
+                state.record_unreachable(self.core.clock.monotonic())
+            self.view.paces.observe_failure(record, reset=not error.timed_out)
         state.record_answer(failed=True)
         self.core.metrics.count("upstream_failures", service=record.service, step=error.step)
 
@@ -168,8 +174,12 @@
     async def finish(self, reply: Reply) -> None:
         """Return the connection to the pool after the whole answer has been read."""
         reply.reservation.release()
-        if reply.head.status < STATUS_SERVER_ERROR and not reply.head.not_run:
-            elapsed_s = self.core.clock.monotonic() - reply.sent_at
+        elapsed_s = self.core.clock.monotonic() - reply.sent_at
+        server_failed = reply.head.status >= STATUS_SERVER_ERROR
+        if not reply.head.not_run:
+            work_s = None if reply.reservation.tokens else elapsed_s
+            self.view.paces.observe_answer(reply.record, server_failed, work_s)
+        if not server_failed and not reply.head.not_run:
             self.view.notices.record_answer_time(reply.record.service, elapsed_s)
         await self.pool.release(reply.record, reply.connection, reply.head.keep_alive_s)
 
--- /dev/null
+++ b/src/ebonywheel/gateway/speeds.py
@@ -0,0 +1,176 @@
+"""Which of several servers keep a request's targets, by what all entry hosts saw of them.
+
+Servers differ in speed, and so does the loss that a request suffers there: on a slow server the
+pauses of a stream exceed its target while a fast one keeps it. What was seen of one server counts
+against the typical figures of all that are compared, which stand for a server while little is
+known of it. Where servers are alike, or nothing is known, no choice changes.
+"""
+
+import math
+import typing
+
+from ebonywheel import serverpaces
+from ebonywheel.gateway import dialect, routes
+
+# Seconds of streams, answers and prompt tokens at a server that count as much as the typical
+# figures of all servers.
+PRIOR_WINDOWS = 4.0
+PRIOR_WORKS = 4.0
+PRIOR_READ_TOKENS = 12_000.0
+PRIOR_STRETCHES = 10.0
+# Ratios of speeds nearer to 1 than this, by their natural logarithm, may be chance.
+CHANCE_LOG_RATIO = 0.3
+MAX_RATIO = 3.0
+# Servers whose streams are late more often than those of the best one by this share miss the
+# target: one caller in five is worse off there.
+MISSED_SHARE = 0.2
+# Successes that count with the answers seen of a server, so that one failure says little.
+PRIOR_ANSWERS = 4.0
+# Cost of a server that makes a stream late for certain, beside one that never does, as a share of a
+# server's capacity: others take it first, up to their whole room.
+LATE_COST = 1.0
+# Cost of a server that keeps a target which others miss, for requests without that target: they
+# leave it to those that have it while others are not much busier.
+YIELD_COST = 0.15
+# Length of the streams by which servers are compared for requests without a target for pauses.
+TYPICAL_STREAM_S = 4.0
+# Tokens of an answer a second and run, as an engine with a usual load generates them.
+ANSWER_TOKENS_PER_S = 150.0
+
+
+class HasSeen(typing.Protocol):
+    """A server's state with what was seen of it."""
+
+    seen: serverpaces.Sums
+
+
+class HasState(typing.Protocol):
+    """A server with its state."""
+
+    state: HasSeen
+
+
+Server = typing.TypeVar("Server", bound=HasState)
+
+
+class Speeds:
+    """Speeds of servers that are compared for a request.
+
+    Attributes:
+        late_share: Share of the windows of their streams that are late.
+        read_s: Seconds that they take to read a prompt token, 0 when not known.
+        work_s: Seconds of an answer that is no stream, 0 when not known.
+        stretch: What they state of the time that work takes, 0 when not known.
+        stream_s: Expected length of the request's stream, 0 without a target for its pauses.
+        lowest: Lowest chance that a stream is late at one of them.
+        highest: Highest such chance.
+        differ: Whether some keep the target for pauses and others miss it.
+    """
+
+    __slots__ = (
+        "late_share",
+        "read_s",
+        "work_s",
+        "stretch",
+        "stream_s",
+        "lowest",
+        "highest",
+        "differ",
+    )
+
+    def __init__(self, seen: list[serverpaces.Sums], stream_s: float = 0.0):
+        total = serverpaces.Sums()
+        for sums in seen:
+            for name in serverpaces.SUMMED:
+                setattr(total, name, getattr(total, name) + getattr(sums, name))
+        self.late_share = _ratio(total.late_windows, total.windows)
+        self.read_s = _ratio(total.read_s, total.read_tokens)
+        self.work_s = _ratio(total.work_s, total.works)
+        self.stretch = _ratio(total.stretch, total.stretches)
+        self.stream_s = stream_s
+        chances = [self.late_chance(sums) for sums in seen] if total.late_windows else [0.0]
+        self.lowest, self.highest = min(chances), max(chances)
+        self.differ = self.highest - self.lowest > MISSED_SHARE
+
+    def late_cost(self, sums: serverpaces.Sums) -> float:
+        """Return the cost of missing the target for pauses, or of room that others need."""
+        if not self.differ:
+            return 0.0
+        if self.stream_s:
+            return LATE_COST * (self.late_chance(sums) - self.lowest)
+        return YIELD_COST * (self.highest - self.late_chance(sums))
+
+    def keeping(self, servers: list[Server]) -> list[Server]:
+        """Return the servers at which a stream is late hardly more often than at the best."""
+        if not servers:
+            return []
+        chances = [self.late_chance(server.state.seen) for server in servers]
+        limit = min(chances) + MISSED_SHARE
+        return [server for server, chance in zip(servers, chances, strict=True) if chance <= limit]
+
+    def late_chance(self, sums: serverpaces.Sums) -> float:
+        """Return the chance that a stream is late at a server, as far as what was seen proves it.
+
+        It is a low estimate: a server of which little is known counts as no worse than others.
+        """
+        weight = sums.windows + PRIOR_WINDOWS
+        share = min(1.0, (sums.late_windows + PRIOR_WINDOWS * self.late_share) / weight)
+        proven = max(0.0, share - math.sqrt(share * (1.0 - share) / weight))
+        return 1.0 - (1.0 - proven) ** (self.stream_s or TYPICAL_STREAM_S)
+
+    def reading_ratio(self, sums: serverpaces.Sums) -> float:
+        """Return the time that a server takes to read a prompt, 1 for the typical time."""
+        if not self.read_s:
+            return 1.0
+        prior_s = PRIOR_READ_TOKENS * self.read_s
+        per_token_s = (sums.read_s + prior_s) / (sums.read_tokens + PRIOR_READ_TOKENS)
+        return _beyond_chance(per_token_s / self.read_s)
+
+    def reading_s(self, sums: serverpaces.Sums, tokens: int) -> float:
+        """Return the time that a server takes to read tokens, 0 when not known."""
+        return tokens * self.read_s * self.reading_ratio(sums)
+
+    def working_ratio(self, sums: serverpaces.Sums) -> float:
+        """Return the time that a server takes for an answer, 1 for the typical time.
+
+        What a server states of itself stands for it until its answers were seen.
+        """
+        if not self.work_s:
+            return 1.0
+        stated = 1.0
+        if self.stretch:
+            stretch = (sums.stretch + PRIOR_STRETCHES * self.stretch) / (
+                sums.stretches + PRIOR_STRETCHES
+            )
+            stated = _beyond_chance(stretch / self.stretch)
+        work_s = (sums.work_s + PRIOR_WORKS * self.work_s * stated) / (sums.works + PRIOR_WORKS)
+        return _beyond_chance(work_s / self.work_s)
+
+
+def stream_s(prompt: dialect.Prompt, route: routes.Route, events: int = 0) -> float:
+    """Return the expected length of a stream, 0 when its route sets no target for pauses.
+
+    Args:
+        prompt: Its prompt.
+        route: Its route.
+        events: Events that it has had, each of which counts as a token at least.
+    """
+    if not route.max_gap_s:
+        return 0.0
+    return max(0, prompt.expected_answer_tokens() - events) / ANSWER_TOKENS_PER_S
+
+
+def failure_rate(sums: serverpaces.Sums) -> float:
+    """Return the share of a server's answers to all hosts that failed, a low estimate."""
+    return sums.failures / (sums.answers + PRIOR_ANSWERS)
+
+
+def _ratio(amount: float, count: float) -> float:
+    return amount / count if count > 0 else 0.0
+
+
+def _beyond_chance(ratio: float) -> float:
+    """Return a ratio of speeds, 1 where it may be chance."""
+    if abs(math.log(max(ratio, 1e-9))) < CHANCE_LOG_RATIO:
+        return 1.0
+    return min(MAX_RATIO, max(1.0 / MAX_RATIO, ratio))
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -21,6 +21,7 @@
     refusals,
     relayedrun,
     sender,
+    speeds,
 )
 
 # Load up to which a server gets new generations: the whole memory.
@@ -173,6 +174,8 @@
             unread=context.request.prompt.tokens,
             max_unread=PREFILL_TOKENS_PER_S * context.route.target_latency_s,
             long_running=context.request.prompt.is_long_running(),
+            target_latency_s=context.route.target_latency_s,
+            stream_s=speeds.stream_s(context.request.prompt, context.route),
         )
         chosen = self.view.choose(requirements)
         if chosen is None:
@@ -197,6 +200,8 @@
             other_tokens=state.other_tokens,
             unread=state.unread + state.other_unread,
             report_age_ms=int(candidate.age_s * 1000),
+            windows=round(state.seen.windows, 1),
+            late_windows=round(state.seen.late_windows, 1),
         )
 
     async def _read_body(self, context: inflight.RequestContext, reply: sender.Reply) -> bytes:
@@ -248,6 +253,7 @@
                 await self._record_broken(run.context, run.record, error, run.splitter.count)
                 if self.view.remains_in_service(run.record):
                     self.view.state_of(run.record).record_answer(failed=True)
+                    self.view.paces.observe_failure(run.record, reset=not error.timed_out)
                 self._unregister(run)
                 await self._resume(run, error)
                 self._register(run)
@@ -327,14 +333,17 @@
 
     async def _relay_events(self, exchange: http.ResponseWriter, run: relayedrun.Run) -> None:
         connection = run.reply.connection
+        waiting_since = self.core.clock.monotonic()
         while (chunk := await connection.read_chunk(self._silence_timeout_s(run))) is not None:
             self.sender.record_heard(run.reply)
             whole_events = run.splitter.feed(chunk)
             if whole_events:
+                run.observe_pace(self.view.paces, waiting_since)
                 run.reply.reservation.mark_answer_begun()
                 run.context.record_events(self.core.clock.monotonic())
                 await self.crashes.record_progress(run.context)
                 await exchange.write(whole_events)
+                waiting_since = self.core.clock.monotonic()
         self._check_whole(run)
         await self.sender.confirm_end(run.reply)
         if run.splitter.buffer:
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -9,7 +9,16 @@
 import result
 
 from ebonywheel import directory, exceptions, kernel, link, messages
-from ebonywheel.gateway import balance, hostshare, inflight, limits, notices, quarantine, routes
+from ebonywheel.gateway import (
+    balance,
+    hostshare,
+    inflight,
+    limits,
+    notices,
+    paces,
+    quarantine,
+    routes,
+)
 
 TableDecoder = typing.Callable[[bytes], result.Result[routes.Table, exceptions.DocumentError]]
 FETCH_TIMEOUT_S = 2.0
@@ -44,6 +53,7 @@
         on_shutdown_notice: Called with the id of a server that shuts down or has left.
         quarantine: Fingerprints of requests that crash servers, or may do so.
         limits: Limits that servers stated.
+        paces: How they answer, as all entry hosts saw it.
         notices: What else they said of themselves in answers.
     """
 
@@ -74,6 +84,7 @@
         self.on_shutdown_notice: list[collections.abc.Callable[[str], typing.Awaitable[None]]] = []
         self.quarantine = quarantine.Quarantine()
         self.limits = limits.ServerLimits(core, self._state_for)
+        self.paces = paces.Paces(core, self._state_for)
         self.notices = notices.Notices(core)
         self.fetch_lock = curio.Lock()
 
@@ -98,6 +109,7 @@
             suspects_index=self.quarantine.index,
             limits=self.limits.reports(),
             may_relay=not (self.cut_off or self.draining),
+            paces=self.paces.reports(),
         )
 
     def distance(self, data_centre: str) -> float:
@@ -129,6 +141,7 @@
         self.share.record(connection.address, reply.members, reply.entry_hosts)
         self._update_quarantine(reply)
         self.limits.merge(reply.limits)
+        self.paces.merge(reply.paces)
         if request.uses_wanted:
             # A control host of an older version sends all sums, and no number.
             complete = reply.uses_complete or not reply.uses_number
@@ -301,6 +314,7 @@
         """Forget servers that have been silent for long."""
         self.directory.prune()
         self.limits.prune()
+        self.paces.prune()
         self.notices.prune()
         known = {
             (entry.record.server, entry.record.born_ms) for entry in self.directory.entries.values()
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -579,6 +579,33 @@
     age_ms: int = 0
 
 
+class ServerPace(msgspec.Struct):
+    """What one entry host, or all of them, saw of how a backend server answers.
+
+    The sums are those of `serverpaces.Sums`, where they are described; old answers count less.
+
+    Attributes:
+        born_ms: When the server's process started, Unix milliseconds.
+        reset_hosts: Number of entry hosts whose requests it reset lately, without an answer since.
+        reset_age_ms: Milliseconds since the last of these resets.
+    """
+
+    server: str = ""
+    born_ms: int = 0
+    answers: float = 0.0
+    failures: float = 0.0
+    work_s: float = 0.0
+    works: float = 0.0
+    windows: float = 0.0
+    late_windows: float = 0.0
+    read_tokens: float = 0.0
+    read_s: float = 0.0
+    stretch: float = 0.0
+    stretches: float = 0.0
+    reset_hosts: int = 0
+    reset_age_ms: int = 0
+
+
 class SuspectFingerprint(msgspec.Struct):
     """A fingerprint whose requests crash backend servers, or may do so.
 
@@ -614,6 +641,7 @@
         limits: What servers stated to the sender about their limits, if any stated one lately.
         may_relay: True when the sender reaches the backend servers, and may relay requests for
             hosts that do not.
+        paces: What the sender saw lately of how servers answer, where that is news.
     """
 
     host: str = ""
@@ -633,6 +661,7 @@
     suspects_index: int = 0
     limits: list[ServerLimit] = []
     may_relay: bool = False
+    paces: list[ServerPace] = []
 
 
 class WatchReply(msgspec.Struct):
@@ -654,6 +683,7 @@
         suspects: All suspect fingerprints, if wanted and newer than those that the sender has.
         limits: What servers stated to any entry host, if `uses` were requested. Without
             `uses_complete`, only what is newer than the reply that the request names.
+        paces: What all entry hosts saw of how servers answer, told like `limits`.
     """
 
     epoch: int = 0
@@ -671,6 +701,7 @@
     suspects_index: int = 0
     suspects: list[SuspectFingerprint] = []
     limits: list[ServerLimit] = []
+    paces: list[ServerPace] = []
 
 
 class RoutingRequest(msgspec.Struct):
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -19,6 +19,7 @@
     link,
     messages,
     replica,
+    serverpaces,
     state,
     statedlimits,
 )
@@ -48,7 +49,7 @@
         uses: Its own work.
         told: Sums over the other hosts that it was told of, by server.
         told_number: Number of the reply that told it of them.
-        limits_told_at: When it was told of servers' limits, monotonic seconds.
+        servers_told_at: When it was told of servers' limits and paces, monotonic seconds.
         relay_host: The host as one that may relay requests, None while it may not.
     """
 
@@ -56,7 +57,7 @@
     uses: list[messages.ServerUse]
     told: dict[str, _Sums] = {}
     told_number: int = 0
-    limits_told_at: float = 0.0
+    servers_told_at: float = 0.0
     relay_host: messages.RelayHost | None = None
 
 
@@ -67,6 +68,7 @@
         directory: Backend servers known here.
         uses: Work in flight by entry host.
         limits: What servers stated about their limits to any entry host.
+        paces: What the entry hosts saw of how servers answer.
         epoch: Random id of this process's positions, which start anew after a restart.
         wake_count: Number of times that waiting watches were woken.
         state_version: Log indexes of the last changes of the state that watches are woken for.
@@ -83,6 +85,7 @@
         self.directory = directory.Directory(core.clock)
         self.uses: dict[str, HostUses] = {}
         self.limits = statedlimits.StatedLimits(core.clock)
+        self.paces = serverpaces.ServerPaces(core.clock)
         self.epoch = secrets.randbits(EPOCH_BITS) + 1
         self.wake_count = 0
         self.suspects: dict[bytes, int] = {}
@@ -138,6 +141,7 @@
 
     def _record_uses(self, request: messages.WatchRequest, now: float) -> None:
         self.limits.merge(request.limits)
+        self.paces.merge(request.host, request.paces)
         known = self.uses.get(request.host)
         if known is None:
             self.uses[request.host] = HostUses(now, request.uses)
@@ -203,7 +207,7 @@
             reply.suspects = self._suspects()
         if request.uses_wanted:
             self._tell_uses(request, reply, recent_uses)
-            self._tell_limits(request, reply)
+            self._tell_of_servers(request, reply)
         return reply
 
     def _suspects(self) -> list[messages.SuspectFingerprint]:
@@ -273,11 +277,13 @@
         asker.told_number += 1
         reply.uses_number = asker.told_number
 
-    def _tell_limits(self, request: messages.WatchRequest, reply: messages.WatchReply) -> None:
-        """Add servers' limits to a reply, only what is news to a host that has the rest."""
+    def _tell_of_servers(self, request: messages.WatchRequest, reply: messages.WatchReply) -> None:
+        """Add servers' limits and paces to a reply, only what is news to a host with the rest."""
         asker = self.uses[request.host]
-        reply.limits = self.limits.changes(0.0 if reply.uses_complete else asker.limits_told_at)
-        asker.limits_told_at = self.core.clock.monotonic()
+        since = 0.0 if reply.uses_complete else asker.servers_told_at
+        reply.limits = self.limits.changes(since)
+        reply.paces = self.paces.changes(since)
+        asker.servers_told_at = self.core.clock.monotonic()
 
     async def _wake_after_applied(self) -> None:
         version = self._state_version()
@@ -300,6 +306,7 @@
             await curio.sleep(PRUNE_INTERVAL_S)
             self.directory.prune()
             self.limits.prune()
+            self.paces.prune()
             self.uses = self._recent_uses()
 
 
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -326,6 +326,23 @@
   ageMs @4 :UInt64;
 }
 
+struct ServerPace {
+  server @0 :Text;
+  bornMs @1 :UInt64;
+  answers @2 :Float64;
+  failures @3 :Float64;
+  workS @4 :Float64;
+  works @5 :Float64;
+  windows @6 :Float64;
+  lateWindows @7 :Float64;
+  readTokens @8 :Float64;
+  readS @9 :Float64;
+  stretch @10 :Float64;
+  stretches @11 :Float64;
+  resetHosts @12 :UInt64;
+  resetAgeMs @13 :UInt64;
+}
+
 struct SuspectFingerprint {
   fingerprint @0 :Data;
   crashedMs @1 :UInt64;
@@ -350,6 +367,7 @@
   suspectsIndex @14 :UInt64;
   limits @15 :List(ServerLimit);
   mayRelay @16 :Bool;
+  paces @17 :List(ServerPace);
 }
 
 struct WatchReply {
@@ -368,6 +386,7 @@
   suspectsIndex @12 :UInt64;
   suspects @13 :List(SuspectFingerprint);
   limits @14 :List(ServerLimit);
+  paces @15 :List(ServerPace);
 }
 
 struct RoutingRequest {
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -44,6 +44,7 @@
 
     def __init__(self, clock):
         self.request = types.SimpleNamespace(method="POST")
+        self.route = types.SimpleNamespace(max_gap_s=0.0)
         self.deadline_at = clock.monotonic() + 60.0
         self.first_event_at = 0.0
         self.last_event_at = 0.0
@@ -63,7 +64,7 @@
 class Sender:
     """Takes every server that ends an answer for alive."""
 
-    view = None
+    view = types.SimpleNamespace(paces=None)
 
     def record_heard(self, reply):
         return
@@ -88,6 +89,7 @@
         head=types.SimpleNamespace(headers=[("content-type", "text/event-stream")]),
         connection=ScriptedConnection(parts),
         reservation=types.SimpleNamespace(mark_answer_begun=lambda: None),
+        tokens_to_read=0,
     )
     exchange = Exchange()
     curio.run(forwarder._relay_events, exchange, relayedrun.Run(Context(core.clock), reply))
