--- a/src/ebonywheel/gateway/speeds.py
+++ b/src/ebonywheel/gateway/speeds.py
@@ -19,11 +19,13 @@
 PRIOR_READ_TOKENS = 12_000.0
 PRIOR_STRETCHES = 10.0
 # Ratios of speeds nearer to 1 than this, by their natural logarithm, may be chance.
-CHANCE_LOG_RATIO = 0.3
+CHANCE_LOG_RATIO = 0.2
 MAX_RATIO = 3.0
 # Servers whose streams are late more often than those of the best one by this share miss the
 # target: one caller in five is worse off there.
 MISSED_SHARE = 0.2
+# Standard deviations by which the late shares of servers must vary more than by chance.
+CHANCE_DEVIATIONS = 2.0
 # Successes that count with the answers seen of a server, so that one failure says little.
 PRIOR_ANSWERS = 4.0
 # Cost of a server that makes a stream late for certain, beside one that never does, as a share of a
@@ -90,7 +92,20 @@
         self.stream_s = stream_s
         chances = [self.late_chance(sums) for sums in seen] if total.late_windows else [0.0]
         self.lowest, self.highest = min(chances), max(chances)
-        self.differ = self.highest - self.lowest > MISSED_SHARE
+        self.differ = self.highest - self.lowest > MISSED_SHARE and self._is_proven(seen)
+
+    def _is_proven(self, seen: list[serverpaces.Sums]) -> bool:
+        """Return whether the late shares of the servers vary more than they would by chance."""
+        share = self.late_share
+        squares = sum(
+            (sums.late_windows - share * sums.windows) ** 2 / sums.windows
+            for sums in seen
+            if sums.windows > 0
+        )
+        observed = sum(sums.windows > 0 for sums in seen)
+        # The sum follows a chi-square distribution where servers are alike.
+        most = observed + CHANCE_DEVIATIONS * math.sqrt(2.0 * observed)
+        return share < 1.0 and squares / (share * (1.0 - share)) > most
 
     def late_cost(self, sums: serverpaces.Sums) -> float:
         """Return the cost of missing the target for pauses, or of room that others need."""
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -217,6 +217,24 @@
         assert answer.load == dialect.ServerLoad(3, 0, 8)
         assert answer.keep_alive_s == 5.0
 
+    @pytest.mark.parametrize(
+        ("text", "load"),
+        [
+            ("3,0,8,140", dialect.ServerLoad(3, 0, 8, 1.4)),
+            ("3,0,8, 100", dialect.ServerLoad(3, 0, 8, 1.0)),
+            ("3,0,8,0", dialect.ServerLoad(3, 0, 8)),
+            ("3,0,8,-5", dialect.ServerLoad(3, 0, 8)),
+            ("3,0,8,nan", dialect.ServerLoad(3, 0, 8)),
+            ("3,0,8,", dialect.ServerLoad(3, 0, 8)),
+            ("3,0,8,99999999999999999999", dialect.ServerLoad(3, 0, 8)),
+            ("3,0", None),
+            ("3,0,8,140,1", None),
+        ],
+    )
+    def test_the_time_that_work_takes_is_decoded(self, text, load):
+        head = httpclient.ResponseHead(200, [("x-server-load", text)])
+        assert self.platform_dialect.decode_answer(head).load == load
+
     @pytest.mark.parametrize(
         ("text", "limit_per_s"),
         [
--- /dev/null
+++ b/tests/test_speeds.py
@@ -0,0 +1,137 @@
+"""Choice among servers of different speed and reliability, without a network."""
+
+import collections
+import random
+
+import pytest
+
+from ebonywheel import messages, serverpaces
+from ebonywheel.gateway import balance, dialect, routes, speeds
+
+PLAN = routes.Service("plan", engine=routes.Engine(24, 27_000, supports_moves=True))
+BOOK = routes.Service("book")
+HERE = balance.Location("puget-a", "puget")
+LONG = {
+    "service": PLAN,
+    "tokens": 3_800,
+    "unread": 3_000,
+    "max_load": 1.0,
+    "max_unread": 12_600,
+    "target_latency_s": 1.8,
+    "stream_s": 5.0,
+}
+SHORT = {"service": PLAN, "tokens": 2_200, "unread": 2_200, "max_load": 1.0}
+
+
+def candidate(name, seen=None, data_centre="puget-a", slots=24, **state):
+    record = messages.DirectoryRecord(name, 1, 1, data_centre=data_centre, slots=slots)
+    state = balance.ServerState(seen=seen or serverpaces.Sums(), **state)
+    return balance.Candidate(record, state, 0.1, data_centre.partition("-")[0])
+
+
+def streams(windows, late_share, read_s=0.0001):
+    return serverpaces.Sums(
+        windows=windows,
+        late_windows=windows * late_share,
+        read_tokens=40_000.0,
+        read_s=40_000 * read_s,
+    )
+
+
+FAST = streams(20, 0.0)
+SLOW = streams(20, 0.4, read_s=0.00022)
+
+
+def choices(candidates, now=0.0, count=200, **requirements):
+    """Return how often each server is chosen."""
+    random.seed(1)
+    requirements = balance.Requirements(**requirements)
+    chosen = [balance.choose(candidates, requirements, HERE, now, 70) for _ in range(count)]
+    return collections.Counter(each.record.server[:4] if each else None for each in chosen)
+
+
+def quarter_slow():
+    return [candidate(f"slow{n}", SLOW) for n in range(3)] + [
+        candidate(f"fast{n}", FAST, tokens=8_000) for n in range(9)
+    ]
+
+
+def test_a_quarter_of_the_servers_is_half_as_fast():
+    assert choices(quarter_slow(), **LONG) == {"fast": 200}
+    # Short answers have no pause that is late, and leave the room of the fast ones.
+    assert choices(quarter_slow(), **SHORT)["slow"] > 50
+
+
+def test_most_servers_are_half_as_fast():
+    servers = [candidate(f"slow{n}", SLOW) for n in range(9)]
+    servers += [candidate(f"fast{n}", FAST, "yakima-a") for n in range(2)]
+    assert choices(servers, **LONG) == {"fast": 200}
+
+
+@pytest.mark.parametrize("full", [{"tokens": 23_500}, {"other_unread": 9_000}])
+def test_the_fast_servers_have_no_room_in_time(full):
+    servers = [candidate("fast", FAST, **full), candidate("slow", SLOW)]
+    assert choices(servers, **LONG) == {"slow": 200}
+
+
+def test_a_server_of_which_nothing_is_known_is_tried():
+    servers = [candidate("fast", FAST), candidate("new0"), candidate("slow", SLOW)]
+    counts = choices(servers, **LONG)
+    assert counts["new0"] and counts["fast"] and not counts["slow"]
+
+
+def test_alike_servers_are_chosen_as_if_nothing_were_known():
+    """Seeds as seen: what a few windows of each show by chance changes no choice."""
+    rng = random.Random(3)
+    names = [f"s{n:03}" for n in range(12)]
+    known = [
+        candidate(name, streams(12, sum(rng.random() < 0.1 for _ in range(12)) / 12))
+        for name in names
+    ]
+    for requirements in (LONG, SHORT):
+        assert choices(known, **requirements) == choices(
+            [candidate(name) for name in names], **requirements
+        )
+
+
+def test_plain_work_goes_by_work_a_second():
+    slow = serverpaces.Sums(works=40, work_s=40 * 0.2)
+    fast = serverpaces.Sums(works=40, work_s=40 * 0.09)
+    servers = [candidate("slow", slow, slots=6), candidate("fast", fast, slots=6, requests=1)]
+    # The slow one would take as long for its first request as the fast one for two.
+    assert choices(servers, service=BOOK)["fast"] > 180
+    servers[1].state.requests = 3
+    assert choices(servers, service=BOOK) == {"slow": 200}
+
+
+def test_what_a_server_states_stands_in_until_its_answers_were_seen():
+    lying = serverpaces.Sums(works=200, work_s=18.0, stretch=100.0, stretches=50)
+    stating = serverpaces.Sums(stretch=100.0, stretches=50)
+    usual = serverpaces.Sums(works=200, work_s=18.0, stretch=50.0, stretches=50)
+    compared = speeds.Speeds([lying, stating, *[usual] * 8])
+    assert compared.working_ratio(lying) == 1.0
+    assert compared.working_ratio(stating) > 1.3
+
+
+def test_one_server_fails_a_third_of_its_answers_to_all_hosts():
+    failing = serverpaces.Sums(answers=30.0, failures=10.0)
+    servers = [candidate("grey", failing, slots=6), candidate("good", None, "puget-b", slots=6)]
+    assert choices(servers, service=BOOK) == {"good": 200}
+
+
+def test_a_server_that_resets_is_left_alone_while_others_serve():
+    resets = candidate("rst0", avoided_until=3.0)
+    assert choices([resets, candidate("good", tokens=20_000)], **LONG) == {"good": 200}
+    assert choices([resets], **LONG) == {"rst0": 200}
+    assert choices([resets, candidate("good", tokens=20_000)], now=3.0, **LONG)["rst0"]
+
+
+def test_only_streams_with_a_target_for_pauses_are_long():
+    prompt = dialect.Prompt(3_000, 750, 600)
+    route = routes.Route("r", "h", "/", routes.RouteKind.STREAM, (("plan", 1),), 39.0, 1.8)
+    assert speeds.stream_s(prompt, route) == 0.0
+    with_target = routes.Route(
+        "r", "h", "/", routes.RouteKind.STREAM, (("plan", 1),), 39.0, 1.8, 0.18
+    )
+    assert speeds.stream_s(prompt, with_target) == pytest.approx(4.0)
+    assert speeds.stream_s(prompt, with_target, 700) == 0.0
