Pace: servers that read as fast stand for one whose streams were hardly seen

Change: the late share expected of a server is that of servers that read prompts about as fast; where reading differs, servers that read in time come first.

--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -38,10 +38,8 @@
 FAILURE_RATE_SMOOTHING = 0.1
 # Load added per unit of failure rate above the lowest rate among the servers considered.
 FAILURE_WEIGHT = 2.0
-# Load, and share of the target for the first event, up to which a server that keeps the target for
-# pauses is preferred to those that miss it.
+# Load up to which a server that keeps the target for pauses is preferred to those that miss it.
 PREFERRED_LOAD = 0.9
-PREFERRED_WAIT_SHARE = 0.6
 # Servers drawn from each distance: in this data centre, elsewhere in the region, in other regions.
 # Two are enough to avoid a loaded server; with more, hosts agree on the least loaded one again.
 SAMPLE_SIZE = 2
@@ -289,23 +287,26 @@
     candidates: list[Candidate], requirements: Requirements, compared: speeds.Speeds
 ) -> list[Candidate]:
     """Return the servers with room that keep a stream's targets; all where that makes none."""
+    if requirements.target_latency_s and compared.reading_differs:
+        candidates = [
+            candidate
+            for candidate in candidates
+            if compared.reads_in_time(
+                candidate.state.seen,
+                candidate.state.unread + candidate.state.other_unread + requirements.unread,
+                requirements.target_latency_s,
+            )
+        ] or candidates
     if not requirements.stream_s or not compared.differ:
         return candidates
     with_room = [
-        candidate for candidate in candidates if _has_spare(candidate, requirements, compared)
+        candidate
+        for candidate in candidates
+        if load_with_request(candidate, requirements) <= PREFERRED_LOAD
     ]
     return compared.keeping(with_room) or candidates
 
 
-def _has_spare(candidate: Candidate, requirements: Requirements, compared: speeds.Speeds) -> bool:
-    """Return whether a stream may begin in time at a server that is not full."""
-    state = candidate.state
-    tokens = state.unread + state.other_unread + requirements.unread
-    wait_s = compared.reading_s(state.seen, tokens)
-    in_time = wait_s <= PREFERRED_WAIT_SHARE * requirements.target_latency_s
-    return in_time and load_with_request(candidate, requirements) <= PREFERRED_LOAD
-
-
 def _sample(candidates: list[Candidate], location: Location) -> list[Candidate]:
     """Return some candidates of each distance, drawn at random and in random order."""
     by_distance: dict[float, list[Candidate]] = {}
--- a/src/ebonywheel/gateway/speeds.py
+++ b/src/ebonywheel/gateway/speeds.py
@@ -21,6 +21,11 @@
 # Ratios of speeds nearer to 1 than this, by their natural logarithm, may be chance.
 CHANCE_LOG_RATIO = 0.2
 MAX_RATIO = 3.0
+# Servers whose reading ratios differ by less, by their natural logarithm, stand for each other.
+ALIKE_LOG_RATIO = 0.4
+# Share of the target for the first event within which a server is expected to read the prompt, if
+# servers differ: reading takes longer while its machine has a slow time.
+PREFERRED_WAIT_SHARE = 0.6
 # Servers whose streams are late more often than those of the best one by this share miss the
 # target: one caller in five is worse off there.
 MISSED_SHARE = 0.2
@@ -64,9 +69,11 @@
         work_s: Seconds of an answer that is no stream, 0 when not known.
         stretch: What they state of the time that work takes, 0 when not known.
         stream_s: Expected length of the request's stream, 0 without a target for its pauses.
+        seen: What was seen of those with streams, with the logarithm of their reading ratio.
         lowest: Lowest chance that a stream is late at one of them.
         highest: Highest such chance.
         differ: Whether some keep the target for pauses and others miss it.
+        reading_differs: Whether some read prompts faster than others.
     """
 
     __slots__ = (
@@ -75,9 +82,11 @@
         "work_s",
         "stretch",
         "stream_s",
+        "seen",
         "lowest",
         "highest",
         "differ",
+        "reading_differs",
     )
 
     def __init__(self, seen: list[serverpaces.Sums], stream_s: float = 0.0):
@@ -90,22 +99,52 @@
         self.work_s = _ratio(total.work_s, total.works)
         self.stretch = _ratio(total.stretch, total.stretches)
         self.stream_s = stream_s
-        chances = [self.late_chance(sums) for sums in seen] if total.late_windows else [0.0]
-        self.lowest, self.highest = min(chances), max(chances)
-        self.differ = self.highest - self.lowest > MISSED_SHARE and self._is_proven(seen)
-
-    def _is_proven(self, seen: list[serverpaces.Sums]) -> bool:
-        """Return whether the late shares of the servers vary more than they would by chance."""
+        self.reading_differs = any(self.reading_ratio(sums) != 1.0 for sums in seen)
+        self.seen: list[tuple[float, serverpaces.Sums]] = []
+        self.lowest = self.highest = 0.0
+        self.differ = False
+        if 0.0 < self.late_share < 1.0:
+            self.seen = [(self._log_reading(sums), sums) for sums in seen if sums.windows]
+            chances = [self.late_chance(sums) for sums in seen]
+            self.lowest, self.highest = min(chances), max(chances)
+            self.differ = self.highest - self.lowest > MISSED_SHARE and self._is_proven()
+
+    def _is_proven(self) -> bool:
+        """Return whether late shares vary by server, or with reading, more than by chance."""
         share = self.late_share
+        variance = share * (1.0 - share)
         squares = sum(
-            (sums.late_windows - share * sums.windows) ** 2 / sums.windows
-            for sums in seen
-            if sums.windows > 0
+            (sums.late_windows - share * sums.windows) ** 2 / sums.windows for _, sums in self.seen
         )
-        observed = sum(sums.windows > 0 for sums in seen)
         # The sum follows a chi-square distribution where servers are alike.
-        most = observed + CHANCE_DEVIATIONS * math.sqrt(2.0 * observed)
-        return share < 1.0 and squares / (share * (1.0 - share)) > most
+        count = len(self.seen)
+        if squares / variance > count + CHANCE_DEVIATIONS * math.sqrt(2.0 * count):
+            return True
+        slower = [sums for log_reading, sums in self.seen if log_reading > 0.0]
+        faster = [sums for log_reading, sums in self.seen if log_reading <= 0.0]
+        if not slower or not faster:
+            return False
+        slower_windows = sum(sums.windows for sums in slower)
+        faster_windows = sum(sums.windows for sums in faster)
+        slower_share = sum(sums.late_windows for sums in slower) / slower_windows
+        faster_share = sum(sums.late_windows for sums in faster) / faster_windows
+        deviation = math.sqrt(variance * (1.0 / slower_windows + 1.0 / faster_windows))
+        return slower_share - faster_share > CHANCE_DEVIATIONS * deviation
+
+    def _log_reading(self, sums: serverpaces.Sums) -> float:
+        return math.log(self._raw_reading_ratio(sums)) if self.read_s else 0.0
+
+    def _expected_late_share(self, sums: serverpaces.Sums) -> float:
+        """Return the late share of servers that read about as fast: all have slow times alike."""
+        log_reading = self._log_reading(sums)
+        windows = PRIOR_WINDOWS
+        late = PRIOR_WINDOWS * self.late_share
+        for other_log_reading, other in self.seen:
+            weight = 1.0 - abs(other_log_reading - log_reading) / ALIKE_LOG_RATIO
+            if weight > 0.0:
+                windows += weight * other.windows
+                late += weight * other.late_windows
+        return late / windows
 
     def late_cost(self, sums: serverpaces.Sums) -> float:
         """Return the cost of missing the target for pauses, or of room that others need."""
@@ -124,26 +163,29 @@
         return [server for server, chance in zip(servers, chances, strict=True) if chance <= limit]
 
     def late_chance(self, sums: serverpaces.Sums) -> float:
-        """Return the chance that a stream is late at a server, as far as what was seen proves it.
+        """Return the chance that a stream is late at a server.
 
-        It is a low estimate: a server of which little is known counts as no worse than others.
+        Where little was seen of it, servers that read prompts about as fast stand for it.
         """
-        weight = sums.windows + PRIOR_WINDOWS
-        share = min(1.0, (sums.late_windows + PRIOR_WINDOWS * self.late_share) / weight)
-        proven = max(0.0, share - math.sqrt(share * (1.0 - share) / weight))
-        return 1.0 - (1.0 - proven) ** (self.stream_s or TYPICAL_STREAM_S)
+        if not self.late_share:
+            return 0.0
+        prior = PRIOR_WINDOWS * self._expected_late_share(sums)
+        share = min(1.0, (sums.late_windows + prior) / (sums.windows + PRIOR_WINDOWS))
+        return 1.0 - (1.0 - share) ** (self.stream_s or TYPICAL_STREAM_S)
 
     def reading_ratio(self, sums: serverpaces.Sums) -> float:
         """Return the time that a server takes to read a prompt, 1 for the typical time."""
-        if not self.read_s:
-            return 1.0
+        return _beyond_chance(self._raw_reading_ratio(sums)) if self.read_s else 1.0
+
+    def _raw_reading_ratio(self, sums: serverpaces.Sums) -> float:
         prior_s = PRIOR_READ_TOKENS * self.read_s
         per_token_s = (sums.read_s + prior_s) / (sums.read_tokens + PRIOR_READ_TOKENS)
-        return _beyond_chance(per_token_s / self.read_s)
+        return max(1.0 / MAX_RATIO, min(MAX_RATIO, per_token_s / self.read_s))
 
-    def reading_s(self, sums: serverpaces.Sums, tokens: int) -> float:
-        """Return the time that a server takes to read tokens, 0 when not known."""
-        return tokens * self.read_s * self.reading_ratio(sums)
+    def reads_in_time(self, sums: serverpaces.Sums, tokens: int, target_s: float) -> bool:
+        """Return whether a server reads tokens well within a target for the first event."""
+        wait_s = tokens * self.read_s * self.reading_ratio(sums)
+        return wait_s <= PREFERRED_WAIT_SHARE * target_s
 
     def working_ratio(self, sums: serverpaces.Sums) -> float:
         """Return the time that a server takes for an answer, 1 for the typical time.
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -200,8 +200,7 @@
             other_tokens=state.other_tokens,
             unread=state.unread + state.other_unread,
             report_age_ms=int(candidate.age_s * 1000),
-            windows=round(state.seen.windows, 1),
-            late_windows=round(state.seen.late_windows, 1),
+            seen=state.seen.summary(),
         )
 
     async def _read_body(self, context: inflight.RequestContext, reply: sender.Reply) -> bytes:
--- a/src/ebonywheel/serverpaces.py
+++ b/src/ebonywheel/serverpaces.py
@@ -71,6 +71,15 @@
             added = getattr(other, name) * 0.5 ** (age_s / half_life_s)
             setattr(self, name, getattr(self, name) + added)
 
+    def summary(self) -> str:
+        """Return the sums on which the choice of a server for a stream rests, for the log."""
+        read_ms = 1e6 * self.read_s / self.read_tokens if self.read_tokens else 0.0
+        stretch = self.stretch / self.stretches if self.stretches else 0.0
+        return (
+            f"late {self.late_windows:.1f}/{self.windows:.1f} s, "
+            f"{read_ms:.0f} ms for 1000 tokens, stretch {stretch:.2f}"
+        )
+
     def weight(self) -> float:
         """Return how much was seen."""
         return self.answers + self.windows + self.works
