--- a/src/ebonywheel/admission.py
+++ b/src/ebonywheel/admission.py
@@ -139,6 +139,8 @@
     Attributes:
         max_waiting: Bound on the number of waiting requests.
         fair: False for first come first served, whatever the priority and customer.
+        foretells: Whether requests that cannot be served in time by `rate` are refused; False where
+            the user of the queue has a forecast of its own.
         flows: Waiting requests by customer and kind, in order of arrival.
         finish_tags: Least start tag of the next request of each flow. A customer's share is divided
             evenly among its kinds, so that short requests of one kind do not wait behind long ones
@@ -148,9 +150,10 @@
         rate: Rate at which they get slots.
     """
 
-    def __init__(self, max_waiting: int, fair: bool = True):
+    def __init__(self, max_waiting: int, fair: bool = True, foretells: bool = True):
         self.max_waiting = max_waiting
         self.fair = fair
+        self.foretells = foretells
         self.flows: dict[tuple[str, str], collections.deque[Request]] = {}
         self.finish_tags: dict[tuple[str, str], float] = {}
         self.virtual_time = 0.0
@@ -172,7 +175,7 @@
         key = flow_key(request)
         request.queued = True
         request.start_tag = max(self.virtual_time, self.finish_tags.get(key, 0.0))
-        self.flows.setdefault(key, collections.deque()).append(request)
+        self._insert(self.flows.setdefault(key, collections.deque()), request)
         self.finish_tags[key] = (
             request.start_tag + request.cost * self._count_kinds(key[0]) / request.share
         )
@@ -180,6 +183,16 @@
         self.rate.waiting = True
         return evicted
 
+    def _insert(self, flow: collections.deque[Request], request: Request) -> None:
+        """Add a request to its flow, before those whose callers came later."""
+        index = len(flow)
+        while index and flow[index - 1].arrived_at > request.arrived_at:
+            index -= 1
+        if index < len(flow):
+            # It takes over the tag of the one that it goes before.
+            request.start_tag = flow[index].start_tag
+        flow.insert(index, request)
+
     def heads(self, running: collections.abc.Mapping[str, int]) -> list[Request]:
         """Return the first request of each flow that may run, best first.
 
@@ -244,6 +257,10 @@
         fair_cost = flow_cost * kinds * sum(shares.values()) / request.share
         return min(sum(self._backlogs().values()), fair_cost) / rate
 
+    def expected_tokens(self) -> float:
+        """Return the tokens that all waiting requests are expected to need."""
+        return sum(self._backlogs().values())
+
     def retry_after_s(self, request: Request) -> float:
         """Return after how many seconds a refused request may be tried again."""
         wait_s = self.expected_wait_s(request) or 0.0
@@ -253,7 +270,7 @@
         return not self.fair or running < request.max_running
 
     def _check_deadline(self, request: Request, now: float) -> None:
-        wait_s = self.expected_wait_s(request) if self.fair else None
+        wait_s = self.expected_wait_s(request) if self.fair and self.foretells else None
         if wait_s is not None and now + wait_s > request.deadline:
             raise exceptions.NotRunError(
                 "cannot be served in time",
--- a/src/ebonywheel/explain.py
+++ b/src/ebonywheel/explain.py
@@ -10,6 +10,7 @@
 
 REQUEST_EVENT = "request"
 START_EVENT = "started"
+WAIT_EVENT = "waited"
 # Server and routing changes this long before a request began may have caused its outcome.
 CONTEXT_WINDOW_MS = 10_000
 MOVE_EVENTS = ("run_copied", "run_resumed", "move_failed", "copy_failed")
@@ -163,6 +164,9 @@
         return _explain_broken(request_lines, context)
     if outcome == "answered":
         return _explain_answered(final_line)
+    waits = [line for line in request_lines if line.get("event") == WAIT_EVENT]
+    if waits and outcome.startswith("refused: no server with room"):
+        return _explain_wait(waits)
     if outcome == "caller left" and final_line.get("servers") and not final_line.get("first_ms"):
         waited = f"its caller left after {final_line.get('took_ms', 0)} ms"
         return f"{waited}; server {final_line['servers']} had sent nothing"
@@ -190,6 +194,17 @@
     return f"its server {server} left before the run's turn to be moved"
 
 
+def _explain_wait(waits: list[LogLine]) -> str:
+    waited_ms = sum(line.get("waited_ms", 0) for line in waits)
+    last = waits[-1]
+    forecast_ms = last.get("forecast_ms", -1)
+    foretold = "without a forecast" if forecast_ms < 0 else f"with {forecast_ms} ms foretold"
+    return (
+        "every engine was full or had too many prompts to read: "
+        f"it waited for {waited_ms} ms, {foretold}, among {last.get('waiting', 0)} others"
+    )
+
+
 def _explain_answered(final_line: LogLine) -> str:
     status = final_line.get("status", 0)
     if status >= 500:
--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -56,6 +56,7 @@
         parts = (core, self.sender, retry_budgets, self.crashes, permits)
         self.plain = plain.PlainForwarder(*parts)
         self.streams = streaming.StreamForwarder(*parts)
+        core.metrics.gauge("waiting_generations", self.streams.starts.line.count)
         self.mover = moves.Mover(core, self.sender, self.streams)
         entry_view.on_shutdown_notice.append(self.mover.start_evacuation)
         self.streams.on_late_run.append(self.mover.start_late_move)
--- /dev/null
+++ b/src/ebonywheel/gateway/line.py
@@ -0,0 +1,215 @@
+"""The line of generations that wait at an entry host until an engine has a place for them."""
+
+import random
+import typing
+
+import curio
+import msgspec
+
+from ebonywheel import admission, exceptions, kernel, policies
+from ebonywheel.gateway import balance, forecast, inflight, places, view
+
+# Requests that one host keeps waiting for a service. Each holds a caller's connection and prompt.
+MAX_WAITING = 64
+# The load of other hosts is reported every 0.1 s. Hosts ask again at times of their own, so that
+# they do not take the same place together.
+MIN_PAUSE_S = 0.02
+MAX_PAUSE_S = 0.06
+# Share of a caller's time after which its request is refused: the caller needs the rest.
+MAX_WAIT_SHARE = 0.5
+
+Choose = typing.Callable[[places.Places], balance.Candidate | None]
+
+
+class Outcome(msgspec.Struct):
+    """What became of a wait.
+
+    Attributes:
+        candidate: The server to send to, None when there was none in time.
+        forecast_s: The wait that was forecast at the start, None without a forecast.
+        waited_s: The wait.
+    """
+
+    candidate: balance.Candidate | None
+    forecast_s: float | None = None
+    waited_s: float = 0.0
+
+
+class Line:
+    """Lines of all services.
+
+    Attributes:
+        queues: Waiting requests by service.
+        kinds: How urgent the routes are.
+        run_times: How long runs take.
+    """
+
+    def __init__(self, core: kernel.Kernel, entry_view: view.EntryView):
+        self.core = core
+        self.view = entry_view
+        self.queues: dict[str, admission.WaitingQueue] = {}
+        self.kinds = places.Kinds()
+        self.run_times = forecast.RunTimes()
+
+    def count(self) -> int:
+        """Return the number of waiting requests."""
+        return sum(queue.count for queue in self.queues.values())
+
+    async def wait(
+        self, context: inflight.RequestContext, choose: Choose
+    ) -> balance.Candidate | None:
+        """Return a server with a place for a request, or None if there is none in time.
+
+        Args:
+            context: The request.
+            choose: Selects a server within the bounds given, or returns None.
+
+        Raises:
+            ElsewhereError: This host cannot reach the servers; another one may.
+        """
+        now = self.core.clock.monotonic()
+        queue = self.queues.setdefault(
+            context.service.name, admission.WaitingQueue(MAX_WAITING, foretells=False)
+        )
+        if not queue.count:
+            candidate = choose(self.places(context, now))
+            if candidate is not None or not self._may_wait(context):
+                return candidate
+        forecast_s = self.forecast_s(context, now, queue)
+        give_up_at = self._give_up_at(context)
+        if forecast_s is None or now + forecast_s > give_up_at:
+            self._log(context, Outcome(None, forecast_s))
+            return None
+        request = _queued(context, now, give_up_at)
+        try:
+            evicted = queue.push(request, now)
+        except exceptions.NotRunError as error:
+            context.reason = error.text
+            self._log(context, Outcome(None, forecast_s))
+            return None
+        if evicted is not None:
+            evicted.owner.reason = "too many waiting"
+        try:
+            candidate = await self._stand(context, queue, request, choose)
+        finally:
+            left_at = self.core.clock.monotonic()
+            if request.queued:
+                queue.remove(request, left_at)
+        self._log(context, Outcome(candidate, forecast_s, left_at - now))
+        return candidate
+
+    async def _stand(
+        self,
+        context: inflight.RequestContext,
+        queue: admission.WaitingQueue,
+        request: admission.Request,
+        choose: Choose,
+    ) -> balance.Candidate | None:
+        """Ask for a place whenever it is the request's turn, until its time is over."""
+        while True:
+            now = self.core.clock.monotonic()
+            if not request.queued or now >= request.deadline or not self._may_wait(context):
+                return None
+            if request in admission.eligible(queue, {}, now):
+                candidate = choose(self.places(context, now))
+                if candidate is not None:
+                    queue.take(request, now)
+                    return candidate
+            await curio.sleep(random.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+
+    def places(self, context: inflight.RequestContext, now: float) -> places.Places:
+        """Return the bounds for a request at a time."""
+        waiting = places.Waiting(
+            context.route,
+            context.service.engine,
+            context.request.prompt,
+            self.view.servers_each(context.service.name),
+            now - context.started_at + _earlier_s(context),
+        )
+        return places.places_for(waiting, self.kinds.find(self.view.table, context.route))
+
+    def forecast_s(
+        self,
+        context: inflight.RequestContext,
+        now: float,
+        queue: admission.WaitingQueue | None = None,
+    ) -> float | None:
+        """Return the wait that a request faces, None when no server may take it."""
+        bounds = self.places(context, now)
+        prompt = context.request.prompt
+        requirements = balance.Requirements(
+            context.service,
+            prompt.expected_memory_tokens(),
+            context.regions(),
+            max_load=bounds.max_load,
+            unread=prompt.tokens,
+            max_unread=bounds.max_unread,
+        )
+        ahead = queue.expected_tokens() if queue is not None else 0
+        return forecast.wait_s(
+            self.view.candidates(context.service.name),
+            requirements,
+            self.run_times.of(context.service.name),
+            int(ahead),
+        )
+
+    def _may_wait(self, context: inflight.RequestContext) -> bool:
+        """Return whether a request may wait here: not where another host should serve it."""
+        if self.view.cut_off or context.denied:
+            return False
+        return not (self.view.draining and context.request.prompt.is_long_running())
+
+    def _give_up_at(self, context: inflight.RequestContext) -> float:
+        """Return until when a request may wait, monotonic seconds."""
+        time_s = context.deadline_at - context.started_at
+        prompt = context.request.prompt
+        run_s = places.read_s(prompt.tokens)
+        if prompt.is_long_running():
+            run_s += self.run_times.of(context.service.name)
+        return min(context.started_at + MAX_WAIT_SHARE * time_s, context.deadline_at - run_s)
+
+    def _log(self, context: inflight.RequestContext, outcome: Outcome) -> None:
+        placed = outcome.candidate is not None
+        result = "placed" if placed else "refused"
+        self.core.metrics.observe(
+            "wait", outcome.waited_s, route=context.route.name, outcome=result
+        )
+        if outcome.forecast_s is not None and placed:
+            error_s = abs(outcome.waited_s - outcome.forecast_s)
+            self.core.metrics.observe("wait_forecast_error", error_s, route=context.route.name)
+        self.core.log.info(
+            "waited",
+            request=context.request.attempt,
+            route=context.route.name,
+            customer="" if context.customer is None else context.customer.name,
+            outcome=result,
+            waited_ms=int(outcome.waited_s * 1000),
+            forecast_ms=-1 if outcome.forecast_s is None else int(outcome.forecast_s * 1000),
+            earlier_ms=int(_earlier_s(context) * 1000),
+            waiting=self.count(),
+        )
+
+
+def _queued(context: inflight.RequestContext, now: float, give_up_at: float) -> admission.Request:
+    prompt = context.request.prompt
+    job = policies.Job(
+        context.route.name,
+        "" if context.customer is None else context.customer.name,
+        prompt.tokens,
+        # The queue serves higher numbers first, routes serve lower ones first.
+        priority=-context.route.priority,
+    )
+    return admission.Request(
+        job,
+        float(max(1, prompt.expected_memory_tokens())),
+        now - _earlier_s(context),
+        give_up_at,
+        restricted=bool(context.regions()),
+        owner=context,
+    )
+
+
+def _earlier_s(context: inflight.RequestContext) -> float:
+    """Return how long a caller has probably waited before this request: what its time lacks."""
+    time_s = context.caller_deadline_at - context.started_at
+    return min(max(0.0, context.route.timeout_s - time_s), context.route.target_latency_s)
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -11,7 +11,6 @@
 
 from ebonywheel import exceptions, http, kernel, messages
 from ebonywheel.gateway import (
-    balance,
     budgets,
     copies,
     crashes,
@@ -21,12 +20,9 @@
     refusals,
     relayedrun,
     sender,
+    starts,
 )
 
-# Load up to which a server gets new generations: the whole memory.
-MAX_ADMISSION_LOAD = 1.0
-# Prompt tokens that an engine reads per second while it also serves its running generations.
-PREFILL_TOKENS_PER_S = 7000.0
 MAX_SERVERS_TRIED = 3
 STATUS_OK = 200
 # Pause after which a stream counts as stalled, whatever bytes arrive that end no event. A preempted
@@ -41,6 +37,7 @@
 
     Attributes:
         copies: Copies of the runs at other servers.
+        starts: Selects the servers at which runs start.
         runs: Open runs by server id.
         on_late_run: Called with a run that began after its server's shutdown notice.
     """
@@ -60,6 +57,7 @@
         self.crashes = crash_reporter
         self.permits = permits
         self.copies = copies.Copies(core, request_sender)
+        self.starts = starts.Starts(core, request_sender.view)
         self.runs: dict[str, dict[str, relayedrun.Run]] = {}
         self.on_late_run: list[
             collections.abc.Callable[[relayedrun.Run], typing.Awaitable[None]]
@@ -87,6 +85,7 @@
             await exchange.start(reply.head.status, reply.head.headers)
             await self._notify_if_late(run)
             await self._relay(exchange, run)
+            self.starts.record_end(run)
             await exchange.end()
         finally:
             await self._close(run)
@@ -109,16 +108,15 @@
     # -- start -----------------------------------------------------------------------------
 
     async def _start_run(self, context: inflight.RequestContext) -> sender.Reply:
-        tokens = context.request.prompt.expected_memory_tokens()
         while len(context.tried) < MAX_SERVERS_TRIED and await self.crashes.admit(context):
-            candidate = self._choose_server(context, tokens)
+            candidate = await self.starts.find_server(context)
             if candidate is None:
                 break
             if not await self.permits.acquire(candidate.record):
                 context.denied.append(candidate.record.server)
                 continue
             context.tried.append(candidate.record.server)
-            self._log_choice(context, candidate, tokens)
+            self.starts.log_choice(context, candidate)
             try:
                 reply = await self._send(context, candidate.record, None)
             except exceptions.UpstreamError as error:
@@ -133,7 +131,7 @@
             await self._discard_answer(context, reply)
             if not self.budgets.take_retry(context.service.name):
                 break
-        raise refusals.not_run_error(context, refusals.retry_after_s(self.view, context))
+        raise refusals.not_run_error(context, self.starts.retry_after_s(context))
 
     async def _send(
         self,
@@ -161,44 +159,6 @@
             unread,
         )
 
-    def _choose_server(
-        self, context: inflight.RequestContext, tokens: int
-    ) -> balance.Candidate | None:
-        requirements = balance.Requirements(
-            context.service,
-            tokens,
-            context.regions(),
-            context.excluded_servers(),
-            MAX_ADMISSION_LOAD,
-            unread=context.request.prompt.tokens,
-            max_unread=PREFILL_TOKENS_PER_S * context.route.target_latency_s,
-            long_running=context.request.prompt.is_long_running(),
-        )
-        chosen = self.view.choose(requirements)
-        if chosen is None:
-            context.reason = context.reason or self.view.reason_without_server(
-                context, "no server with room"
-            )
-        else:
-            refusals.check_reach(self.view, context, chosen)
-        return chosen
-
-    def _log_choice(
-        self, context: inflight.RequestContext, candidate: balance.Candidate, tokens: int
-    ) -> None:
-        """Log the choice at the start, as this host may crash before it logs the outcome."""
-        state = candidate.state
-        self.core.log.info(
-            "server_chosen",
-            request=context.request.attempt,
-            server=candidate.record.server,
-            tokens=tokens,
-            own_tokens=state.tokens,
-            other_tokens=state.other_tokens,
-            unread=state.unread + state.other_unread,
-            report_age_ms=int(candidate.age_s * 1000),
-        )
-
     async def _read_body(self, context: inflight.RequestContext, reply: sender.Reply) -> bytes:
         """Read the body of an answer that is no stream, until the deadline; raises like `body`."""
         remaining_s = context.deadline_at - self.core.clock.monotonic()
