--- a/src/ebonywheel/gateway/line.py
+++ b/src/ebonywheel/gateway/line.py
@@ -21,6 +21,23 @@
 Choose = typing.Callable[[places.Places], balance.Candidate | None]
 
 
+class Ticket(msgspec.Struct, eq=False):
+    """What the line keeps with a waiting request.
+
+    Attributes:
+        choose: Selects a server for it.
+        candidate: The server that it got, None before.
+        error: Why it cannot be served here, None unless that is so.
+        called: Set once it has a server or cannot be served here.
+    """
+
+    context: inflight.RequestContext
+    choose: Choose
+    candidate: balance.Candidate | None = None
+    error: exceptions.EbonywheelError | None = None
+    called: curio.Event = msgspec.field(default_factory=curio.Event)
+
+
 class Outcome(msgspec.Struct):
     """What became of a wait.
 
@@ -80,7 +97,8 @@
         if forecast_s is None or now + forecast_s > give_up_at:
             self._log(context, Outcome(None, forecast_s))
             return None
-        request = _queued(context, now, give_up_at)
+        ticket = Ticket(context, choose)
+        request = _queued(ticket, now, give_up_at)
         try:
             evicted = queue.push(request, now)
         except exceptions.NotRunError as error:
@@ -88,9 +106,9 @@
             self._log(context, Outcome(None, forecast_s))
             return None
         if evicted is not None:
-            evicted.owner.reason = "too many waiting"
+            evicted.owner.context.reason = "too many waiting"
         try:
-            candidate = await self._stand(context, queue, request, choose)
+            candidate = await self._stand(ticket, queue, request)
         finally:
             left_at = self.core.clock.monotonic()
             if request.queued:
@@ -99,23 +117,39 @@
         return candidate
 
     async def _stand(
-        self,
-        context: inflight.RequestContext,
-        queue: admission.WaitingQueue,
-        request: admission.Request,
-        choose: Choose,
+        self, ticket: Ticket, queue: admission.WaitingQueue, request: admission.Request
     ) -> balance.Candidate | None:
-        """Ask for a place whenever it is the request's turn, until its time is over."""
-        while True:
+        """Wait until a request is called, or its time is over.
+
+        Raises:
+            ElsewhereError: This host cannot reach the servers; another one may.
+        """
+        while request.queued and self._may_wait(ticket.context):
             now = self.core.clock.monotonic()
-            if not request.queued or now >= request.deadline or not self._may_wait(context):
-                return None
-            if request in admission.eligible(queue, {}, now):
-                candidate = choose(self.places(context, now))
-                if candidate is not None:
-                    queue.take(request, now)
-                    return candidate
-            await curio.sleep(random.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+            if now >= request.deadline:
+                break
+            await self._call_first(queue, now)
+            async with curio.ignore_after(random.uniform(MIN_PAUSE_S, MAX_PAUSE_S)):
+                await ticket.called.wait()
+        if ticket.error is not None:
+            raise ticket.error
+        return ticket.candidate
+
+    async def _call_first(self, queue: admission.WaitingQueue, now: float) -> None:
+        """Call the first request in the order for which there is a place.
+
+        No more than one: its load counts only once it is sent.
+        """
+        for request in admission.eligible(queue, {}, now):
+            ticket: Ticket = request.owner
+            try:
+                ticket.candidate = ticket.choose(self.places(ticket.context, now))
+            except exceptions.ElsewhereError as error:
+                ticket.error = error
+            if ticket.candidate is not None or ticket.error is not None:
+                queue.take(request, now)
+                await ticket.called.set()
+                return
 
     def places(self, context: inflight.RequestContext, now: float) -> places.Places:
         """Return the bounds for a request at a time."""
@@ -190,7 +224,8 @@
         )
 
 
-def _queued(context: inflight.RequestContext, now: float, give_up_at: float) -> admission.Request:
+def _queued(ticket: Ticket, now: float, give_up_at: float) -> admission.Request:
+    context = ticket.context
     prompt = context.request.prompt
     job = policies.Job(
         context.route.name,
@@ -205,7 +240,7 @@
         now - _earlier_s(context),
         give_up_at,
         restricted=bool(context.regions()),
-        owner=context,
+        owner=ticket,
     )
 
 
