Starts at one engine are spaced over all hosts by the leader's permits

Change: permits by engine and priority at the rate of reading; waits end at twice the target; the forecast counts what goes before only.

--- a/src/ebonywheel/admission.py
+++ b/src/ebonywheel/admission.py
@@ -257,9 +257,14 @@
         fair_cost = flow_cost * kinds * sum(shares.values()) / request.share
         return min(sum(self._backlogs().values()), fair_cost) / rate
 
-    def expected_tokens(self) -> float:
-        """Return the tokens that all waiting requests are expected to need."""
-        return sum(self._backlogs().values())
+    def expected_tokens(self, priority: int) -> float:
+        """Return the tokens that waiting requests of at least a priority are expected to need."""
+        return sum(
+            request.cost
+            for flow in self.flows.values()
+            for request in flow
+            if request.job.priority >= priority
+        )
 
     def retry_after_s(self, request: Request) -> float:
         """Return after how many seconds a refused request may be tried again."""
--- a/src/ebonywheel/gateway/line.py
+++ b/src/ebonywheel/gateway/line.py
@@ -17,6 +17,8 @@
 MAX_PAUSE_S = 0.06
 # Share of a caller's time after which its request is refused: the caller needs the rest.
 MAX_WAIT_SHARE = 0.5
+# Wait after which callers have little use of a late answer, in targets of the route.
+MAX_WAIT_TARGETS = 2.0
 
 Choose = typing.Callable[[places.Places], balance.Candidate | None]
 
@@ -98,7 +100,7 @@
             self._log(context, Outcome(None, forecast_s))
             return None
         ticket = Ticket(context, choose)
-        request = _queued(ticket, now, give_up_at)
+        request = _queued(ticket, give_up_at)
         try:
             evicted = queue.push(request, now)
         except exceptions.NotRunError as error:
@@ -179,7 +181,7 @@
             unread=prompt.tokens,
             max_unread=bounds.max_unread,
         )
-        ahead = queue.expected_tokens() if queue is not None else 0
+        ahead = 0.0 if queue is None else queue.expected_tokens(-context.route.priority)
         return forecast.wait_s(
             self.view.candidates(context.service.name),
             requirements,
@@ -200,7 +202,8 @@
         run_s = places.read_s(prompt.tokens)
         if prompt.is_long_running():
             run_s += self.run_times.of(context.service.name)
-        return min(context.started_at + MAX_WAIT_SHARE * time_s, context.deadline_at - run_s)
+        wait_s = min(MAX_WAIT_SHARE * time_s, MAX_WAIT_TARGETS * context.route.target_latency_s)
+        return min(context.started_at + wait_s, context.deadline_at - run_s)
 
     def _log(self, context: inflight.RequestContext, outcome: Outcome) -> None:
         placed = outcome.candidate is not None
@@ -224,7 +227,7 @@
         )
 
 
-def _queued(ticket: Ticket, now: float, give_up_at: float) -> admission.Request:
+def _queued(ticket: Ticket, give_up_at: float) -> admission.Request:
     context = ticket.context
     prompt = context.request.prompt
     job = policies.Job(
@@ -237,7 +240,7 @@
     return admission.Request(
         job,
         float(max(1, prompt.expected_memory_tokens())),
-        now - _earlier_s(context),
+        context.started_at - _earlier_s(context),
         give_up_at,
         restricted=bool(context.regions()),
         owner=ticket,
--- a/src/ebonywheel/gateway/places.py
+++ b/src/ebonywheel/gateway/places.py
@@ -3,7 +3,7 @@
 Kinds of requests are routes. The most urgent kind of a service may fill an engine. Others leave
 memory for it, and long generations leave what neighbours need to take over the runs of an engine
 that leaves. The bounds widen while a request waits, so that it goes before later ones, also those
-at other hosts; they are the first bounds again once it cannot be in time any more.
+at other hosts. Once it cannot be in time any more, it has the first bound on memory again.
 """
 
 import msgspec
@@ -110,11 +110,8 @@
 
 
 def in_time_s(route: routes.Route, prompt: dialect.Prompt) -> float:
-    """Return how long a request may wait and still be in time at an engine that reads it at once.
-
-    A prompt that takes longer to read than the target allows may wait for no time.
-    """
-    return max(0.0, route.target_latency_s - read_s(prompt.tokens))
+    """Return how long a request may wait and still be in time behind one prompt like its own."""
+    return max(0.0, route.target_latency_s - 2.0 * read_s(prompt.tokens))
 
 
 def places_for(waiting: Waiting, kind: Kind) -> Places:
@@ -122,11 +119,13 @@
     first_load = 1.0 - _reserved_share(waiting, kind)
     target_s = waiting.route.target_latency_s
     in_time = in_time_s(waiting.route, waiting.prompt)
-    unread_s = FIRST_UNREAD_SHARE * target_s
+    unread_s = _longest_unread_s(target_s)
     load = first_load
     if waiting.waited_s < in_time:
         load += (1.0 - first_load) * waiting.waited_s / in_time
-        unread_s = min(unread_s + waiting.waited_s, target_s - waiting.waited_s)
+        unread_s = min(
+            FIRST_UNREAD_SHARE * target_s + waiting.waited_s, target_s - waiting.waited_s
+        )
     # An engine without unread prompts takes one of any length.
     unread_s = max(unread_s, read_s(waiting.prompt.tokens)) + kind.others_read_s
     return Places(load, unread_s * PREFILL_TOKENS_PER_S)
--- a/src/ebonywheel/gateway/starts.py
+++ b/src/ebonywheel/gateway/starts.py
@@ -6,7 +6,9 @@
     forecast,
     inflight,
     line,
+    permitclient,
     places,
+    readingpace,
     refusals,
     relayedrun,
     view,
@@ -21,11 +23,18 @@
 
     Attributes:
         line: Requests that wait for a place at a server.
+        pace: Spaces starts at one engine over all hosts.
     """
 
-    def __init__(self, core: kernel.Kernel, entry_view: view.EntryView):
+    def __init__(
+        self,
+        core: kernel.Kernel,
+        entry_view: view.EntryView,
+        permits: permitclient.PermitClient,
+    ):
         self.core = core
         self.view = entry_view
+        self.pace = readingpace.ReadingPace(core.clock, permits)
         self.line = line.Line(core, entry_view)
 
     async def find_server(self, context: inflight.RequestContext) -> balance.Candidate | None:
@@ -34,10 +43,14 @@
         Raises:
             ElsewhereError: This host cannot reach the servers; another one may.
         """
-        if places.waits_here(context.route, context.service.engine):
-            return await self.line.wait(context, lambda bounds: self._choose(context, bounds))
-        unread = places.PREFILL_TOKENS_PER_S * context.route.target_latency_s
-        return self._choose(context, places.Places(MAX_ADMISSION_LOAD, unread))
+        if not places.waits_here(context.route, context.service.engine):
+            unread = places.PREFILL_TOKENS_PER_S * context.route.target_latency_s
+            return self._choose(context, places.Places(MAX_ADMISSION_LOAD, unread))
+        while True:
+            candidate = await self.line.wait(context, lambda bounds: self._choose(context, bounds))
+            if candidate is None or await self.pace.acquire(context, candidate):
+                return candidate
+            self.core.metrics.count("starts_denied", route=context.route.name)
 
     def _choose(
         self, context: inflight.RequestContext, bounds: places.Places
@@ -47,7 +60,7 @@
             context.service,
             prompt.expected_memory_tokens(),
             context.regions(),
-            context.excluded_servers(),
+            context.excluded_servers() | self.pace.denied(context),
             bounds.max_load,
             unread=prompt.tokens,
             max_unread=bounds.max_unread,
