Prompts go where few long streams run, streams where few prompts arrive

Change: hosts tell of long streams in flight; the choice counts the streams that a prompt makes late, where streams are seen to be late at all. Measured: unit tests only so far.

--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -76,7 +76,8 @@
         """
         state = self.view.state_of(record)
         sent_at = None
-        reservation = inflight.Reservation(state, tokens, unread=unread)
+        streams = int(context.has_pause_target())
+        reservation = inflight.Reservation(state, tokens, unread=unread, streams=streams)
         tokens_to_read = state.unread + state.other_unread if unread else 0
         connection = None
         context.sent = False
--- a/src/ebonywheel/gateway/speeds.py
+++ b/src/ebonywheel/gateway/speeds.py
@@ -134,8 +134,10 @@
     def _log_reading(self, sums: serverpaces.Sums) -> float:
         return math.log(self._raw_reading_ratio(sums)) if self.read_s else 0.0
 
-    def _expected_late_share(self, sums: serverpaces.Sums) -> float:
+    def expected_late_share(self, sums: serverpaces.Sums) -> float:
         """Return the late share of servers that read about as fast: all have slow times alike."""
+        if not self.late_share:
+            return 0.0
         log_reading = self._log_reading(sums)
         windows = PRIOR_WINDOWS
         late = PRIOR_WINDOWS * self.late_share
@@ -169,7 +171,7 @@
         """
         if not self.late_share:
             return 0.0
-        prior = PRIOR_WINDOWS * self._expected_late_share(sums)
+        prior = PRIOR_WINDOWS * self.expected_late_share(sums)
         share = min(1.0, (sums.late_windows + prior) / (sums.windows + PRIOR_WINDOWS))
         return 1.0 - (1.0 - share) ** (self.stream_s or TYPICAL_STREAM_S)
 
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -37,8 +37,8 @@
 EPOCH_BITS = 48
 
 
-# Requests, tokens and unread tokens of one server.
-_Sums = tuple[int, int, int]
+# Requests, tokens, unread tokens and long streams of one server.
+_Sums = tuple[int, int, int, int]
 
 
 class HostUses(msgspec.Struct):
@@ -325,6 +325,11 @@
         if host == asking_host:
             continue
         for use in host_uses.uses:
-            requests, tokens, unread = sums.get(use.server, (0, 0, 0))
-            sums[use.server] = (requests + use.requests, tokens + use.tokens, unread + use.unread)
+            requests, tokens, unread, streams = sums.get(use.server, (0, 0, 0, 0))
+            sums[use.server] = (
+                requests + use.requests,
+                tokens + use.tokens,
+                unread + use.unread,
+                streams + use.streams,
+            )
     return sums
