--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -177,6 +177,7 @@
         without_cold: True when the server must not be in its cold start.
         target_latency_s: Target time to the first event, 0 for none.
         stream_s: Expected length of a stream with a target for its pauses, 0 for other requests.
+        size_bytes: Size of the request and its expected answer.
     """
 
     service: routes.Service
@@ -192,6 +193,7 @@
     without_cold: bool = False
     target_latency_s: float = 0.0
     stream_s: float = 0.0
+    size_bytes: int = 0
 
 
 def load_with_request(candidate: Candidate, requirements: Requirements) -> float:
--- a/src/ebonywheel/gateway/crossing.py
+++ b/src/ebonywheel/gateway/crossing.py
@@ -109,12 +109,14 @@
     Attributes:
         flows: Shares by service.
         places: Data centres with servers by service, as of the last update.
+        on_change: Called with the service when it begins or ceases to leave to a data centre.
     """
 
     def __init__(self, time_source: clock.Clock, home: balance.Location, charges: Charges):
         self.clock = time_source
         self.home = home
         self.charges = charges
+        self.on_change: collections.abc.Callable[[str], None] = lambda service: None
         self.flows: dict[str, Flow] = {}
         self.places: dict[str, dict[str, Place]] = {}
 
@@ -138,9 +140,11 @@
         if flow.is_due(now):
             self.places[service] = {place.location.data_centre: place for place in find_places()}
             places = self.places[service]
-            flow.update(
-                {name: self._gain_s(places, name) for name in self._open(places)}, target_s, now
-            )
+            before = flow.shares.keys()
+            gains = {name: self._gain_s(places, name) for name in self._open(places)}
+            flow.update(gains, target_s, now)
+            if flow.shares.keys() != before:
+                self.on_change(service)
         places = self.places[service]
         drawn = flow.draw(random.random())
         if drawn in places and self._gain_s(places, drawn) > self._size_charge_s(size_bytes):
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -112,7 +112,11 @@
             context.reason = context.reason or "deadline passed"
             return None
         requirements = balance.Requirements(
-            context.service, regions=context.regions(), excluded=context.excluded_servers()
+            context.service,
+            regions=context.regions(),
+            excluded=context.excluded_servers(),
+            target_latency_s=context.route.target_latency_s,
+            size_bytes=len(context.request.body),
         )
         chosen = self.view.choose(requirements)
         if chosen is None:
--- a/src/ebonywheel/gateway/starts.py
+++ b/src/ebonywheel/gateway/starts.py
@@ -17,6 +17,8 @@
 
 # Load up to which a server gets new generations where requests do not wait: the whole memory.
 MAX_ADMISSION_LOAD = 1.0
+# Size of an answer's token with its part of an event's framing.
+EVENT_BYTES_PER_TOKEN = 80
 
 
 class Starts:
@@ -68,6 +70,8 @@
             long_running=prompt.is_long_running(),
             target_latency_s=context.route.target_latency_s,
             stream_s=speeds.stream_s(prompt, context.route),
+            size_bytes=len(context.request.body)
+            + EVENT_BYTES_PER_TOKEN * prompt.expected_answer_tokens(),
         )
         chosen = self.view.choose(requirements)
         if chosen is None:
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -11,6 +11,7 @@
 from ebonywheel import directory, exceptions, kernel, link, messages
 from ebonywheel.gateway import (
     balance,
+    crossing,
     hostshare,
     inflight,
     limits,
@@ -18,6 +19,7 @@
     paces,
     quarantine,
     routes,
+    waits,
 )
 
 TableDecoder = typing.Callable[[bytes], result.Result[routes.Table, exceptions.DocumentError]]
@@ -55,6 +57,7 @@
         limits: Limits that servers stated.
         paces: How they answer, as all entry hosts saw it.
         notices: What else they said of themselves in answers.
+        crossings: Decides when requests leave the data centre; None where distance alone counts.
     """
 
     def __init__(
@@ -87,6 +90,7 @@
         self.paces = paces.Paces(core, self._state_for)
         self.notices = notices.Notices(core)
         self.fetch_lock = curio.Lock()
+        self.crossings: crossing.Crossings | None = None
 
     # -- watch -----------------------------------------------------------------------------
 
@@ -292,12 +296,66 @@
         if self.share.is_held() and self.share.held_s() < balance.COLD_RATE_PERIOD_S:
             # A process before this one may have used up this host's part of the rate.
             requirements = msgspec.structs.replace(requirements, without_cold=True)
+        candidates = self.candidates(requirements.service.name)
+        destination = "" if location is not None else self._destination(requirements, candidates)
+        chosen = None
+        if destination:
+            there = msgspec.structs.replace(requirements, data_centre=destination)
+            chosen = self._choose_among(candidates, there, self.location)
+        if chosen is None:
+            chosen = self._choose_among(candidates, requirements, location or self.location)
+        return chosen
+
+    def _choose_among(
+        self,
+        candidates: list[balance.Candidate],
+        requirements: balance.Requirements,
+        location: balance.Location,
+    ) -> balance.Candidate | None:
         return balance.choose(
-            self.candidates(requirements.service.name),
-            requirements,
-            location or self.location,
-            self.core.clock.monotonic(),
-            self.share.hosts,
+            candidates, requirements, location, self.core.clock.monotonic(), self.share.hosts
+        )
+
+    def decide_crossings(self, charges: crossing.Charges) -> None:
+        """Have requests leave the data centre when that pays, by the operator's charges."""
+        self.crossings = crossing.Crossings(self.core.clock, self.location, charges)
+        self.crossings.on_change = self._log_crossing
+
+    def _destination(
+        self, requirements: balance.Requirements, candidates: list[balance.Candidate]
+    ) -> str:
+        """Return the data centre to serve a request in, empty where distance alone counts."""
+        target_s = requirements.target_latency_s
+        if self.crossings is None or requirements.data_centre or not target_s:
+            return ""
+        if requirements.long_running and any(
+            candidate.without_neighbour and candidate.location() == self.location
+            for candidate in candidates
+        ):
+            # Its run may have to be moved to a neighbour of its server.
+            return ""
+        answer_s = self.notices.answer_s.get(requirements.service.name, 0.0)
+        service = requirements.service.name
+        destination = self.crossings.destination(
+            service,
+            lambda: waits.find_places(candidates, requirements, answer_s),
+            target_s,
+            requirements.size_bytes,
+        )
+        if destination != self.location.data_centre:
+            self.core.metrics.count("crossings", service=service, to=destination)
+        return destination
+
+    def _log_crossing(self, service: str) -> None:
+        """Log to which data centres requests of a service leave, and the waits that decide."""
+        places = self.crossings.places[service].values()
+        shares = self.crossings.flows[service].shares
+        self.core.log.info(
+            "crossing_changed",
+            service=service,
+            leaving=" ".join(f"{name}:{share:.2f}" for name, share in shares.items()),
+            waits=" ".join(f"{place.location.data_centre}:{place.wait_s:.2f}" for place in places),
+            loads=" ".join(f"{place.location.data_centre}:{place.load:.2f}" for place in places),
         )
 
     def reason_without_server(self, context: inflight.RequestContext, text: str) -> str:
