Pace: what a server states of its speed counts until its prompts were seen read

Change: the pace by which servers stand for each other is the mean of the reading ratio and, with bounded weight, of the stated one.

--- a/src/ebonywheel/gateway/speeds.py
+++ b/src/ebonywheel/gateway/speeds.py
@@ -17,11 +17,15 @@
 PRIOR_WINDOWS = 4.0
 PRIOR_WORKS = 4.0
 PRIOR_READ_TOKENS = 12_000.0
-PRIOR_STRETCHES = 10.0
+PRIOR_STRETCHES = 3.0
+# Weight of the time that work takes as stated in many answers, and of the typical time, in units of
+# `PRIOR_READ_TOKENS` read.
+STATED_WEIGHT = 1.5
+PRIOR_PACE_WEIGHT = 0.25
 # Ratios of speeds nearer to 1 than this, by their natural logarithm, may be chance.
 CHANCE_LOG_RATIO = 0.2
 MAX_RATIO = 3.0
-# Servers whose reading ratios differ by less, by their natural logarithm, stand for each other.
+# Servers whose paces differ by less, by their natural logarithm, stand for each other.
 ALIKE_LOG_RATIO = 0.4
 # Share of the target for the first event within which a server is expected to read the prompt, if
 # servers differ: reading takes longer while its machine has a slow time.
@@ -69,7 +73,7 @@
         work_s: Seconds of an answer that is no stream, 0 when not known.
         stretch: What they state of the time that work takes, 0 when not known.
         stream_s: Expected length of the request's stream, 0 without a target for its pauses.
-        seen: What was seen of those with streams, with the logarithm of their reading ratio.
+        seen: What was seen of those with streams, with the logarithm of their pace.
         lowest: Lowest chance that a stream is late at one of them.
         highest: Highest such chance.
         differ: Whether some keep the target for pauses and others miss it.
@@ -104,13 +108,13 @@
         self.lowest = self.highest = 0.0
         self.differ = False
         if 0.0 < self.late_share < 1.0:
-            self.seen = [(self._log_reading(sums), sums) for sums in seen if sums.windows]
+            self.seen = [(self._log_pace(sums), sums) for sums in seen if sums.windows]
             chances = [self.late_chance(sums) for sums in seen]
             self.lowest, self.highest = min(chances), max(chances)
             self.differ = self.highest - self.lowest > MISSED_SHARE and self._is_proven()
 
     def _is_proven(self) -> bool:
-        """Return whether late shares vary by server, or with reading, more than by chance."""
+        """Return whether late shares vary by server, or with pace, more than by chance."""
         share = self.late_share
         variance = share * (1.0 - share)
         squares = sum(
@@ -120,8 +124,8 @@
         count = len(self.seen)
         if squares / variance > count + CHANCE_DEVIATIONS * math.sqrt(2.0 * count):
             return True
-        slower = [sums for log_reading, sums in self.seen if log_reading > 0.0]
-        faster = [sums for log_reading, sums in self.seen if log_reading <= 0.0]
+        slower = [sums for log_pace, sums in self.seen if log_pace > 0.0]
+        faster = [sums for log_pace, sums in self.seen if log_pace <= 0.0]
         if not slower or not faster:
             return False
         slower_windows = sum(sums.windows for sums in slower)
@@ -131,16 +135,28 @@
         deviation = math.sqrt(variance * (1.0 / slower_windows + 1.0 / faster_windows))
         return slower_share - faster_share > CHANCE_DEVIATIONS * deviation
 
-    def _log_reading(self, sums: serverpaces.Sums) -> float:
-        return math.log(self._raw_reading_ratio(sums)) if self.read_s else 0.0
+    def _log_pace(self, sums: serverpaces.Sums) -> float:
+        """Return the logarithm of the time that a server takes for work, 0 for the typical time.
+
+        What it states of itself counts as a few prompts that were read, and no more.
+        """
+        weight = total = 0.0
+        if self.read_s:
+            weight = sums.read_tokens / PRIOR_READ_TOKENS
+            total = weight * math.log(_bounded(_ratio(sums.read_s, sums.read_tokens) / self.read_s))
+        if self.stretch and sums.stretches:
+            stated = STATED_WEIGHT * sums.stretches / (sums.stretches + PRIOR_STRETCHES)
+            weight += stated
+            total += stated * math.log(_bounded(sums.stretch / sums.stretches / self.stretch))
+        return total / (weight + PRIOR_PACE_WEIGHT)
 
     def _expected_late_share(self, sums: serverpaces.Sums) -> float:
-        """Return the late share of servers that read about as fast: all have slow times alike."""
-        log_reading = self._log_reading(sums)
+        """Return the late share of servers about as fast: all have slow times alike."""
+        log_pace = self._log_pace(sums)
         windows = PRIOR_WINDOWS
         late = PRIOR_WINDOWS * self.late_share
-        for other_log_reading, other in self.seen:
-            weight = 1.0 - abs(other_log_reading - log_reading) / ALIKE_LOG_RATIO
+        for other_log_pace, other in self.seen:
+            weight = 1.0 - abs(other_log_pace - log_pace) / ALIKE_LOG_RATIO
             if weight > 0.0:
                 windows += weight * other.windows
                 late += weight * other.late_windows
@@ -165,7 +181,7 @@
     def late_chance(self, sums: serverpaces.Sums) -> float:
         """Return the chance that a stream is late at a server.
 
-        Where little was seen of it, servers that read prompts about as fast stand for it.
+        Where little was seen of it, servers about as fast stand for it.
         """
         if not self.late_share:
             return 0.0
@@ -180,7 +196,7 @@
     def _raw_reading_ratio(self, sums: serverpaces.Sums) -> float:
         prior_s = PRIOR_READ_TOKENS * self.read_s
         per_token_s = (sums.read_s + prior_s) / (sums.read_tokens + PRIOR_READ_TOKENS)
-        return max(1.0 / MAX_RATIO, min(MAX_RATIO, per_token_s / self.read_s))
+        return _bounded(per_token_s / self.read_s)
 
     def reads_in_time(self, sums: serverpaces.Sums, tokens: int, target_s: float) -> bool:
         """Return whether a server reads tokens well within a target for the first event."""
@@ -230,4 +246,8 @@
     """Return a ratio of speeds, 1 where it may be chance."""
     if abs(math.log(max(ratio, 1e-9))) < CHANCE_LOG_RATIO:
         return 1.0
+    return _bounded(ratio)
+
+
+def _bounded(ratio: float) -> float:
     return min(MAX_RATIO, max(1.0 / MAX_RATIO, ratio))
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -91,6 +91,22 @@
     assert counts["read"] and not counts["dull"] and not counts["slow"]
 
 
+def test_a_new_server_states_that_work_is_fast_there():
+    def stating(sums, stretch):
+        sums.stretches = 8.0
+        sums.stretch = 8.0 * stretch
+        return sums
+
+    servers = [candidate(f"slow{n}", stating(streams(20, 0.3), 1.2)) for n in range(6)]
+    servers += [candidate("fast", stating(streams(20, 0.0), 0.6), tokens=21_500)]
+    servers.append(candidate("newf", stating(serverpaces.Sums(), 0.6)))
+    servers.append(candidate("news", stating(serverpaces.Sums(), 1.3)))
+    assert choices(servers, **LONG) == {"newf": 200}
+    # Seen to be slow, it is believed no more.
+    servers[-2].state.seen = stating(streams(30, 0.3, read_s=0.0003), 0.6)
+    assert choices(servers, **LONG)["newf"] < 50
+
+
 def test_alike_servers_are_chosen_as_if_nothing_were_known():
     """Seeds as seen: what a few windows of each show by chance changes no choice."""
     rng = random.Random(3)
