Starts are spaced without a leader, too, and never refused for their pace

Change: without a leader a start waits for a random moment; a denial alone does not refuse; limits by the time of a run only once one has been seen.

--- a/src/ebonywheel/gateway/forecast.py
+++ b/src/ebonywheel/gateway/forecast.py
@@ -11,7 +11,7 @@
 
 # Weight of the latest run in the time that runs of a service take.
 RUN_TIME_SMOOTHING = 0.1
-# Time that a run takes until one has been seen.
+# Assumed time that a run takes, for the forecast.
 DEFAULT_RUN_S = 5.0
 # Retry-After times are drawn between the forecast and this many times it, so that callers that were
 # refused together do not return together.
@@ -40,10 +40,10 @@
             product + RUN_TIME_SMOOTHING * (tokens * seconds - product),
         )
 
-    def of(self, service: str) -> float:
-        """Return how long a run takes."""
+    def of(self, service: str, default_s: float = DEFAULT_RUN_S) -> float:
+        """Return how long a run takes, `default_s` until one has been seen."""
         memory, product = self.sums.get(service, (0.0, 0.0))
-        return product / memory if memory and product else DEFAULT_RUN_S
+        return product / memory if memory and product else default_s
 
 
 def wait_s(
--- a/src/ebonywheel/gateway/line.py
+++ b/src/ebonywheel/gateway/line.py
@@ -201,7 +201,7 @@
         prompt = context.request.prompt
         run_s = places.read_s(prompt.tokens)
         if prompt.is_long_running():
-            run_s += self.run_times.of(context.service.name)
+            run_s += self.run_times.of(context.service.name, 0.0)
         wait_s = min(MAX_WAIT_SHARE * time_s, MAX_WAIT_TARGETS * context.route.target_latency_s)
         return min(context.started_at + wait_s, context.deadline_at - run_s)
 
--- a/src/ebonywheel/gateway/readingpace.py
+++ b/src/ebonywheel/gateway/readingpace.py
@@ -2,11 +2,15 @@
 
 Hosts learn of each other's requests after some tenths of a second. An engine that is new, or the
 only one with a place, would get the requests of all hosts in that time. The leader grants starts at
-the rate at which the engine reads prompts. Without a leader the hosts go by their views alone.
+the rate at which the engine reads prompts. Without a leader the hosts go by
+their views, at moments drawn at random.
 """
 
+import random
 import typing
 
+import curio
+
 from ebonywheel import clock, messages
 from ebonywheel.gateway import balance, inflight, places
 
@@ -14,6 +18,8 @@
 # priorities are counted apart, as an engine reads the more urgent ones first.
 PREFIX = "read"
 MAX_WAIT_S = 2.0
+# Pause before another engine is asked for.
+DENIED_PAUSE_S = 0.02
 
 
 class Grants(typing.Protocol):
@@ -23,6 +29,22 @@
         """Return how long to wait for a permit, 0 if it is granted, None if no leader answers."""
 
 
+class Pacing:
+    """How one request is held back.
+
+    Attributes:
+        denied: True once a start has been denied.
+        go_at: When it goes by this host's view if no leader answers, monotonic seconds; 0 before
+            none did.
+    """
+
+    __slots__ = ("denied", "go_at")
+
+    def __init__(self):
+        self.denied = False
+        self.go_at = 0.0
+
+
 class ReadingPace:
     """Obtains starts from the leader.
 
@@ -45,8 +67,20 @@
         priority = context.route.priority
         return frozenset(server for level, server in self.denied_until if level == priority)
 
-    async def acquire(self, context: inflight.RequestContext, candidate: balance.Candidate) -> bool:
-        """Return whether a generation may start at a server now."""
+    async def acquire(
+        self, context: inflight.RequestContext, candidate: balance.Candidate, pacing: Pacing
+    ) -> bool:
+        """Return whether a generation may start at a server now; pause if not."""
+        pause_s = await self._ask(context, candidate, pacing)
+        if pause_s > 0:
+            pacing.denied = True
+            await curio.sleep(pause_s)
+        return pause_s <= 0
+
+    async def _ask(
+        self, context: inflight.RequestContext, candidate: balance.Candidate, pacing: Pacing
+    ) -> float:
+        """Return how long to pause before the next choice, 0 if a generation may start."""
         record = candidate.record
         priority = context.route.priority
         own_s = places.read_s(max(1, context.request.prompt.tokens))
@@ -59,8 +93,14 @@
                 max(1.0, queued_s / own_s),
             )
         )
-        if not wait_s:
-            return True
-        until = self.clock.monotonic() + min(wait_s, MAX_WAIT_S)
-        self.denied_until[priority, record.server] = until
-        return False
+        now = self.clock.monotonic()
+        if wait_s is None:
+            # Others lost the leader at the same moment: they go one after the other, and see each
+            # other's starts.
+            pacing.go_at = pacing.go_at or now + random.uniform(0.0, queued_s)
+            return pacing.go_at - now
+        if wait_s:
+            until = now + min(wait_s, MAX_WAIT_S)
+            self.denied_until[priority, record.server] = until
+            return DENIED_PAUSE_S
+        return 0.0
--- a/src/ebonywheel/gateway/starts.py
+++ b/src/ebonywheel/gateway/starts.py
@@ -45,22 +45,30 @@
         """
         if not places.waits_here(context.route, context.service.engine):
             unread = places.PREFILL_TOKENS_PER_S * context.route.target_latency_s
-            return self._choose(context, places.Places(MAX_ADMISSION_LOAD, unread))
+            return self._choose(context, places.Places(MAX_ADMISSION_LOAD, unread), paced=False)
+        pacing = readingpace.Pacing()
         while True:
             candidate = await self.line.wait(context, lambda bounds: self._choose(context, bounds))
-            if candidate is None or await self.pace.acquire(context, candidate):
+            if candidate is None and pacing.denied:
+                # It is not refused for its pace alone.
+                bounds = self.line.places(context, self.core.clock.monotonic())
+                return self._choose(context, bounds, paced=False)
+            if candidate is None or await self.pace.acquire(context, candidate, pacing):
                 return candidate
             self.core.metrics.count("starts_denied", route=context.route.name)
 
     def _choose(
-        self, context: inflight.RequestContext, bounds: places.Places
+        self,
+        context: inflight.RequestContext,
+        bounds: places.Places,
+        paced: bool = True,
     ) -> balance.Candidate | None:
         prompt = context.request.prompt
         requirements = balance.Requirements(
             context.service,
             prompt.expected_memory_tokens(),
             context.regions(),
-            context.excluded_servers() | self.pace.denied(context),
+            context.excluded_servers() | (self.pace.denied(context) if paced else frozenset()),
             bounds.max_load,
             unread=prompt.tokens,
             max_unread=bounds.max_unread,
