--- a/src/ebonywheel/gateway/line.py
+++ b/src/ebonywheel/gateway/line.py
@@ -40,18 +40,16 @@
     called: curio.Event = msgspec.field(default_factory=curio.Event)
 
 
-class Outcome(msgspec.Struct):
-    """What became of a wait.
+class Wait(msgspec.Struct):
+    """What is known of one request's wait, for the log.
 
     Attributes:
-        candidate: The server to send to, None when there was none in time.
-        forecast_s: The wait that was forecast at the start, None without a forecast.
-        waited_s: The wait.
+        began_at: When it found no place first, monotonic seconds; 0 before.
+        forecast_s: The wait that was forecast then, None without a forecast.
     """
 
-    candidate: balance.Candidate | None
+    began_at: float = 0.0
     forecast_s: float | None = None
-    waited_s: float = 0.0
 
 
 class Line:
@@ -75,13 +73,14 @@
         return sum(queue.count for queue in self.queues.values())
 
     async def wait(
-        self, context: inflight.RequestContext, choose: Choose
+        self, context: inflight.RequestContext, choose: Choose, wait: Wait
     ) -> balance.Candidate | None:
         """Return a server with a place for a request, or None if there is none in time.
 
         Args:
             context: The request.
             choose: Selects a server within the bounds given, or returns None.
+            wait: Takes the beginning and the forecast of the wait, if there is one.
 
         Raises:
             ElsewhereError: This host cannot reach the servers; another one may.
@@ -95,9 +94,10 @@
             if candidate is not None or not self._may_wait(context):
                 return candidate
         forecast_s = self.forecast_s(context, now, queue)
+        if not wait.began_at:
+            wait.began_at, wait.forecast_s = now, forecast_s
         give_up_at = self._give_up_at(context)
         if forecast_s is None or now + forecast_s > give_up_at:
-            self._log(context, Outcome(None, forecast_s))
             return None
         ticket = Ticket(context, choose)
         request = _queued(ticket, give_up_at)
@@ -105,18 +105,14 @@
             evicted = queue.push(request, now)
         except exceptions.NotRunError as error:
             context.reason = error.text
-            self._log(context, Outcome(None, forecast_s))
             return None
         if evicted is not None:
             evicted.owner.context.reason = "too many waiting"
         try:
-            candidate = await self._stand(ticket, queue, request)
+            return await self._stand(ticket, queue, request)
         finally:
-            left_at = self.core.clock.monotonic()
             if request.queued:
-                queue.remove(request, left_at)
-        self._log(context, Outcome(candidate, forecast_s, left_at - now))
-        return candidate
+                queue.remove(request, self.core.clock.monotonic())
 
     async def _stand(
         self, ticket: Ticket, queue: admission.WaitingQueue, request: admission.Request
@@ -205,23 +201,26 @@
         wait_s = min(MAX_WAIT_SHARE * time_s, MAX_WAIT_TARGETS * context.route.target_latency_s)
         return min(context.started_at + wait_s, context.deadline_at - run_s)
 
-    def _log(self, context: inflight.RequestContext, outcome: Outcome) -> None:
-        placed = outcome.candidate is not None
-        result = "placed" if placed else "refused"
-        self.core.metrics.observe(
-            "wait", outcome.waited_s, route=context.route.name, outcome=result
-        )
-        if outcome.forecast_s is not None and placed:
-            error_s = abs(outcome.waited_s - outcome.forecast_s)
-            self.core.metrics.observe("wait_forecast_error", error_s, route=context.route.name)
+    def log(
+        self, context: inflight.RequestContext, wait: Wait, candidate: balance.Candidate | None
+    ) -> None:
+        """Log a wait, if there was one, and measure the error of its forecast."""
+        if not wait.began_at:
+            return
+        waited_s = self.core.clock.monotonic() - wait.began_at
+        route, outcome = context.route.name, "refused" if candidate is None else "placed"
+        self.core.metrics.observe("wait", waited_s, route=route, outcome=outcome)
+        if wait.forecast_s is not None and candidate is not None:
+            error_s = abs(waited_s - wait.forecast_s)
+            self.core.metrics.observe("wait_forecast_error", error_s, route=route)
         self.core.log.info(
             "waited",
             request=context.request.attempt,
-            route=context.route.name,
+            route=route,
             customer="" if context.customer is None else context.customer.name,
-            outcome=result,
-            waited_ms=int(outcome.waited_s * 1000),
-            forecast_ms=-1 if outcome.forecast_s is None else int(outcome.forecast_s * 1000),
+            outcome=outcome,
+            waited_ms=int(waited_s * 1000),
+            forecast_ms=-1 if wait.forecast_s is None else int(wait.forecast_s * 1000),
             earlier_ms=int(_earlier_s(context) * 1000),
             waiting=self.count(),
         )
--- a/src/ebonywheel/gateway/starts.py
+++ b/src/ebonywheel/gateway/starts.py
@@ -46,15 +46,27 @@
         if not places.waits_here(context.route, context.service.engine):
             unread = places.PREFILL_TOKENS_PER_S * context.route.target_latency_s
             return self._choose(context, places.Places(MAX_ADMISSION_LOAD, unread), paced=False)
+        wait = line.Wait()
+        candidate = await self._find_place(context, wait)
+        self.line.log(context, wait, candidate)
+        return candidate
+
+    async def _find_place(
+        self, context: inflight.RequestContext, wait: line.Wait
+    ) -> balance.Candidate | None:
         pacing = readingpace.Pacing()
         while True:
-            candidate = await self.line.wait(context, lambda bounds: self._choose(context, bounds))
+            candidate = await self.line.wait(
+                context, lambda bounds: self._choose(context, bounds), wait
+            )
+            asked_at = self.core.clock.monotonic()
             if candidate is None and pacing.denied:
                 # It is not refused for its pace alone.
-                bounds = self.line.places(context, self.core.clock.monotonic())
+                bounds = self.line.places(context, asked_at)
                 return self._choose(context, bounds, paced=False)
             if candidate is None or await self.pace.acquire(context, candidate, pacing):
                 return candidate
+            wait.began_at = wait.began_at or asked_at
             self.core.metrics.count("starts_denied", route=context.route.name)
 
     def _choose(
