No memory is left for moves; spacing of starts is looser

Change: that share is taken out; half of a target may begin at an engine at one moment; six denials end the spacing.

--- a/src/ebonywheel/gateway/line.py
+++ b/src/ebonywheel/gateway/line.py
@@ -155,7 +155,6 @@
             context.route,
             context.service.engine,
             context.request.prompt,
-            self.view.servers_each(context.service.name),
             now - context.started_at + _earlier_s(context),
         )
         return places.places_for(waiting, self.kinds.find(self.view.table, context.route))
--- a/src/ebonywheel/gateway/readingpace.py
+++ b/src/ebonywheel/gateway/readingpace.py
@@ -18,6 +18,10 @@
 # priorities are counted apart, as an engine reads the more urgent ones first.
 PREFIX = "read"
 MAX_WAIT_S = 2.0
+# Share of its target for which a request may stand behind others that began at one moment.
+QUEUED_SHARE = 0.5
+# Denials after which a request goes by its host's view: when so many engines deny, none is better.
+MAX_DENIALS = 6
 # Pause before another engine is asked for.
 DENIED_PAUSE_S = 0.02
 
@@ -33,15 +37,15 @@
     """How one request is held back.
 
     Attributes:
-        denied: True once a start has been denied.
+        denials: How often a start was denied.
         go_at: When it goes by this host's view if no leader answers, monotonic seconds; 0 before
             none did.
     """
 
-    __slots__ = ("denied", "go_at")
+    __slots__ = ("denials", "go_at")
 
     def __init__(self):
-        self.denied = False
+        self.denials = 0
         self.go_at = 0.0
 
 
@@ -73,7 +77,7 @@
         """Return whether a generation may start at a server now; pause if not."""
         pause_s = await self._ask(context, candidate, pacing)
         if pause_s > 0:
-            pacing.denied = True
+            pacing.denials += 1
             await curio.sleep(pause_s)
         return pause_s <= 0
 
@@ -81,10 +85,12 @@
         self, context: inflight.RequestContext, candidate: balance.Candidate, pacing: Pacing
     ) -> float:
         """Return how long to pause before the next choice, 0 if a generation may start."""
+        if pacing.denials >= MAX_DENIALS:
+            return 0.0
         record = candidate.record
         priority = context.route.priority
         own_s = places.read_s(max(1, context.request.prompt.tokens))
-        queued_s = places.FIRST_UNREAD_SHARE * context.route.target_latency_s
+        queued_s = QUEUED_SHARE * context.route.target_latency_s
         wait_s = await self.grants.request(
             messages.PermitRequest(
                 f"{PREFIX}{priority}:{record.server}",
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -232,13 +232,6 @@
             candidate.without_neighbour = server_counts[candidate.record.data_centre] == 1
         return candidates
 
-    def servers_each(self, service: str) -> float:
-        """Return the servers of a service for each data centre that has any, 0 without any."""
-        counts = collections.Counter(
-            candidate.record.data_centre for candidate in self.candidates(service)
-        )
-        return counts.total() / len(counts) if counts else 0.0
-
     def quarantined_s(self, context: inflight.RequestContext) -> float:
         """Return how long a request is refused as it crashes servers, 0 if it is not."""
         if self.quarantine.is_empty():
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -35,8 +35,7 @@
             table=test_places.TABLE,
             cut_off=False,
             draining=False,
-            servers_each=lambda service: 4.0,
-            candidates=lambda service: [test_places.candidate(tokens=24_000)],
+            candidates=lambda service: [test_places.candidate(tokens=28_000)],
         )
         self.core = types.SimpleNamespace(
             clock=clock.SystemClock(), metrics=metrics.Metrics(), log=Log()
