--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -44,7 +44,7 @@
 # Two are enough to avoid a loaded server; with more, hosts agree on the least loaded one again.
 SAMPLE_SIZE = 2
 # The same where prompts disturb streams: one that runs none is rarer than one that is not loaded.
-LARGE_SAMPLE_SIZE = 4
+LARGE_SAMPLE_SIZE = 8
 # Reports come every 1.2 s. One late report is tolerated, two in a row are not.
 MAX_REPORT_AGE_S = 3.6
 # Time over which the rate of a server in its cold start counts.
--- a/src/ebonywheel/gateway/disturbance.py
+++ b/src/ebonywheel/gateway/disturbance.py
@@ -8,7 +8,7 @@
 import typing
 
 # Cost of a stream that is made late for certain, as a share of a server's capacity.
-LATE_STREAM_COST = 1.0
+LATE_STREAM_COST = 3.0
 # Requests of other kinds that an engine gets while a long stream runs there, for each that it has
 # in flight now: they take a fraction of the stream's time.
 LATER_REQUESTS = 4.0
