Interface of roll-outs

A share is leased: only the leader states rollouts_lease_ms, counted from when the request was sent, and it covers the shares at rollouts_index of the same reply.

--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -531,6 +531,7 @@
         cold_ms: Milliseconds from the report until it is no longer cold.
         age_ms: Milliseconds since the report was received.
         version: Version of the weights that it has loaded, 0 when it has none.
+        software: Version of its software, empty when it states none.
     """
 
     server: str = ""
@@ -545,6 +546,7 @@
     cold_ms: int = 0
     age_ms: int = 0
     version: int = 0
+    software: str = ""
 
 
 class ServerUse(msgspec.Struct):
@@ -592,6 +594,58 @@
     refused_ms: int = 0
 
 
+class RolloutView(msgspec.Struct):
+    """The latest roll-out of a service: which versions of its servers get its requests.
+
+    Attributes:
+        index: Log index of the order.
+        target: Version to which the service's requests are moved.
+        phase: ``proving`` while the target gets a share of the new requests; ``shifting`` when it
+            gets all new ones, and runs at servers of other versions are moved or finished;
+            ``completed`` or ``rolled_back`` when it has ended.
+        share: Share of the service's new requests that may go to the target, from 0 to 1.
+        barred: Versions that get no request in any phase: those that were rolled back and, once
+            the roll-out is completed, those that the target replaces.
+    """
+
+    service: str = ""
+    index: int = 0
+    target: str = ""
+    phase: str = ""
+    share: float = 0.0
+    barred: list[str] = []
+
+
+class RolloutEvidence(msgspec.Struct):
+    """What one process of an entry host has seen of a roll-out on one route since its order.
+
+    Counts are cumulative, except where an attribute says "at present".
+
+    Attributes:
+        index: Log index of the order.
+        route: Name of the route, empty for what concerns the whole service.
+        on_target: Whether it was seen at servers of the target, as opposed to all other versions.
+        requests: Requests that were sent.
+        answers: Requests that have ended, with or without success, and those whose answer has begun
+            if it is a stream.
+        failures: Those of `answers` that failed by the server's fault.
+        delays: Delays of `answers` by the buckets of `rolloutdelays`.
+        waiting: Requests at present without an answer, by how long they have waited, in the same
+            buckets.
+        in_flight_old: Runs of this host at present at servers of other versions, on one entry only.
+    """
+
+    index: int = 0
+    route: str = ""
+    on_target: bool = False
+    requests: int = 0
+    answers: int = 0
+    failures: int = 0
+    delays: list[int] = []
+    waiting: list[int] = []
+    in_flight_old: int = 0
+
+
 class WatchRequest(msgspec.Struct):
     """Ask a control host for the changes since its last reply, and wait for one if there are none.
 
@@ -614,6 +668,9 @@
         limits: What servers stated to the sender about their limits, if any stated one lately.
         may_relay: True when the sender reaches the backend servers, and may relay requests for
             hosts that do not.
+        rollouts_wanted: True to get the roll-outs when they have changed.
+        rollouts_index: Log index of those that the sender has.
+        evidence: What the sender has seen of the roll-outs that have not ended.
     """
 
     host: str = ""
@@ -633,6 +690,9 @@
     suspects_index: int = 0
     limits: list[ServerLimit] = []
     may_relay: bool = False
+    rollouts_wanted: bool = False
+    rollouts_index: int = 0
+    evidence: list[RolloutEvidence] = []
 
 
 class WatchReply(msgspec.Struct):
@@ -654,6 +714,10 @@
         suspects: All suspect fingerprints, if wanted and newer than those that the sender has.
         limits: What servers stated to any entry host, if `uses` were requested. Without
             `uses_complete`, only what is newer than the reply that the request names.
+        rollouts_index: Log index of the last change of a roll-out in force here, 0 for none.
+        rollouts: The latest roll-out of each service, if wanted and newer than those of the sender.
+        rollouts_lease_ms: Milliseconds since the request was sent for which the shares at
+            `rollouts_index` may be used; 0 if this host does not know, as it does not lead.
     """
 
     epoch: int = 0
@@ -671,6 +735,9 @@
     suspects_index: int = 0
     suspects: list[SuspectFingerprint] = []
     limits: list[ServerLimit] = []
+    rollouts_index: int = 0
+    rollouts: list[RolloutView] = []
+    rollouts_lease_ms: int = 0
 
 
 class RoutingRequest(msgspec.Struct):
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -309,6 +309,7 @@
   coldMs @9 :UInt64;
   ageMs @10 :UInt64;
   version @11 :UInt64;
+  software @12 :Text;
 }
 
 struct ServerUse {
@@ -332,6 +333,27 @@
   refusedMs @2 :UInt64;
 }
 
+struct RolloutView {
+  service @0 :Text;
+  index @1 :UInt64;
+  target @2 :Text;
+  phase @3 :Text;
+  share @4 :Float64;
+  barred @5 :List(Text);
+}
+
+struct RolloutEvidence {
+  index @0 :UInt64;
+  route @1 :Text;
+  onTarget @2 :Bool;
+  requests @3 :UInt64;
+  answers @4 :UInt64;
+  failures @5 :UInt64;
+  delays @6 :List(UInt64);
+  waiting @7 :List(UInt64);
+  inFlightOld @8 :UInt64;
+}
+
 struct WatchRequest {
   host @0 :Text;
   incarnation @1 :UInt64;
@@ -350,6 +372,9 @@
   suspectsIndex @14 :UInt64;
   limits @15 :List(ServerLimit);
   mayRelay @16 :Bool;
+  rolloutsWanted @17 :Bool;
+  rolloutsIndex @18 :UInt64;
+  evidence @19 :List(RolloutEvidence);
 }
 
 struct WatchReply {
@@ -368,6 +393,9 @@
   suspectsIndex @12 :UInt64;
   suspects @13 :List(SuspectFingerprint);
   limits @14 :List(ServerLimit);
+  rolloutsIndex @15 :UInt64;
+  rollouts @16 :List(RolloutView);
+  rolloutsLeaseMs @17 :UInt64;
 }
 
 struct RoutingRequest {
