Roll-outs at the entry hosts: versions, exposure, lease, evidence

Runs leave versions that get no more requests. The software's version is decoded from reports.

Tests: the stand-ins of test_streaming and test_watcher follow the changed signatures (abandon, record_events, update); what they check is the same.

Result: test_streaming, test_watcher, test_sender, test_watchserver, test_reach, test_notices and test_moves pass.

--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -304,7 +304,11 @@
         return 0.0
 
     async def update(
-        self, request: messages.WatchRequest, reply: messages.WatchReply, connection: link.Link
+        self,
+        request: messages.WatchRequest,
+        reply: messages.WatchReply,
+        connection: link.Link,
+        asked_at: float,
     ) -> None:
         """Add the records that another control host received."""
         for record in reply.records:
--- a/src/ebonywheel/directory.py
+++ b/src/ebonywheel/directory.py
@@ -211,6 +211,7 @@
         server=record.server,
         service=record.service,
         address=record.address,
+        software=record.software,
         gone=record.gone,
         draining=record.draining,
         born_ms=record.born_ms,
@@ -242,5 +243,6 @@
         record.data_centre,
         record.slots,
         record.version,
+        record.software,
         record.cold_ms > 0,
     )
--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -278,7 +278,7 @@
     candidate: Candidate, requirements: Requirements, now: float, entry_hosts: int
 ) -> bool:
     state = candidate.state
-    if candidate.record.server in requirements.excluded or not _is_allowed(candidate, requirements):
+    if candidate.record.server in requirements.excluded or not is_allowed(candidate, requirements):
         return False
     if state.leaving or _takes_nothing_now(candidate, requirements, now, entry_hosts):
         return False
@@ -294,7 +294,7 @@
     )
 
 
-def _is_allowed(candidate: Candidate, requirements: Requirements) -> bool:
+def is_allowed(candidate: Candidate, requirements: Requirements) -> bool:
     """Return whether a request may go to a server's data centre and region."""
     if requirements.data_centre and candidate.record.data_centre != requirements.data_centre:
         return False
@@ -325,7 +325,7 @@
     return (
         _is_available(candidate, now)
         and not candidate.state.leaving
-        and _is_allowed(candidate, requirements)
+        and is_allowed(candidate, requirements)
         and _takes_nothing_now(candidate, requirements, now, entry_hosts)
     )
 
--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -58,6 +58,7 @@
         self.streams = streaming.StreamForwarder(*parts)
         self.mover = moves.Mover(core, self.sender, self.streams)
         entry_view.on_shutdown_notice.append(self.mover.start_evacuation)
+        entry_view.on_version_leaving.append(self.mover.start_version_change)
         self.streams.on_late_run.append(self.mover.start_late_move)
         self.relays = relays.Relays(core, entry_view, self.watcher)
         self.relay_server = relayserver.RelayServer(core, self)
@@ -328,6 +329,7 @@
             await curio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.view.prune()
             await self.sender.pool.prune()
+            await self.mover.repeat_version_changes()
             self._apply_limits()
 
     def _apply_limits(self) -> None:
--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -34,6 +34,9 @@
 # Pause before the next attempt to copy a run that its engine has not started.
 NOT_STARTED_RETRY_S = 0.1
 RETRY_PAUSE_S = 0.05
+# Runs that stay at a server whose version gets no more requests are planned for again after this
+# time. Each plan asks the server for a report.
+VERSION_CHANGE_RETRY_S = 3.0
 
 
 class ShutdownNotice(msgspec.Struct):
@@ -55,6 +58,8 @@
     Attributes:
         notices: Shutdown notices by server id.
         evacuating: Ids of the servers whose runs are being moved by a plan.
+        version_changes: When such a plan was made last for a server whose version gets no more
+            requests, monotonic seconds.
         moving: Runs that are being moved, by request id and by the server that they leave.
     """
 
@@ -69,6 +74,7 @@
         self.copies = streams.copies
         self.notices: dict[str, ShutdownNotice] = {}
         self.evacuating: set[str] = set()
+        self.version_changes: dict[str, float] = {}
         self.moving: set[tuple[str, str]] = set()
 
     async def start_evacuation(self, server: str) -> None:
@@ -79,6 +85,29 @@
             self.evacuating.add(server)
             await self.core.spawn(self._evacuate(server))
 
+    async def start_version_change(self, server: str) -> None:
+        """Start to move all runs off a server whose version gets no more requests.
+
+        It has not said that it shuts down; a notice of that still counts from its own time.
+        """
+        if server not in self.evacuating and self.streams.runs.get(server):
+            self.evacuating.add(server)
+            self.version_changes[server] = self.core.clock.monotonic()
+            await self.core.spawn(self._evacuate(server))
+
+    async def repeat_version_changes(self) -> None:
+        """Start again to move runs that stayed, or began later, at servers that they leave."""
+        now = self.core.clock.monotonic()
+        self.version_changes = {
+            server: at
+            for server, at in self.version_changes.items()
+            if now - at < VERSION_CHANGE_RETRY_S
+        }
+        for server, runs in list(self.streams.runs.items()):
+            record = next(iter(runs.values())).record
+            if server not in self.version_changes and self.view.rollouts.is_leaving(record):
+                await self.start_version_change(server)
+
     async def start_late_move(self, run: relayedrun.Run) -> None:
         """Start to move a run whose answer began after its server's shutdown notice."""
         notice = self.notices.get(run.record.server)
@@ -92,14 +121,14 @@
         }
 
     async def _evacuate(self, server: str) -> None:
-        notice = self.notices[server]
+        notice = self.notices.get(server)
         started_at = self.core.clock.monotonic()
         try:
             runs = {run.attempt(): run for run in self._movable_runs(server)}
             if not runs:
                 return
             moves = await self._plan_moves(list(runs.values()))
-            if moves:
+            if moves and notice is not None:
                 notice.hand_over_at = started_at + max(move.hand_over_s for move in moves)
             async with curio.TaskGroup() as group:
                 for move in moves:
@@ -148,7 +177,8 @@
         """Return the free memory of the neighbours of a run's server, in tokens."""
         memory = run.context.service.engine.memory_tokens
         room = 0
-        for candidate in self.view.candidates(run.record.service):
+        destinations = self.view.destinations(run.record)
+        for candidate in next(filter(None, destinations), []):
             if candidate.record.data_centre == run.record.data_centre:
                 used = candidate.state.tokens + candidate.state.other_tokens
                 room += max(0, int(memory * MAX_DESTINATION_LOAD) - used)
@@ -278,7 +308,7 @@
             long_running=True,
             data_centre=run.record.data_centre if move.near else "",
         )
-        return self.view.choose(requirements, self.view.location_of(run.record))
+        return self.view.choose(requirements, run.record)
 
 
 def _to_engine_run(run: relayedrun.Run) -> dialect.EngineRun:
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -176,8 +176,8 @@
                 if len(body) > BUFFER_BYTES:
                     return False
             await self.sender.confirm_end(reply)
-        except BaseException:
-            await self.sender.abandon(reply)
+        except BaseException as error:
+            await self.sender.abandon(reply, error)
             raise
         reply_failed = reply.head.status >= sender.STATUS_SERVER_ERROR and not reply.head.not_run
         self.view.state_of(reply.record).record_answer(reply_failed)
@@ -194,8 +194,8 @@
                 await exchange.write(chunk)
             await self.sender.confirm_end(reply)
             await exchange.end()
-        except BaseException:
-            await self.sender.abandon(reply)
+        except BaseException as error:
+            await self.sender.abandon(reply, error)
             raise
         await self.sender.finish(reply)
 
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from ebonywheel import exceptions, httpclient, kernel, messages
-from ebonywheel.gateway import balance, dialect, inflight, pool, reach, view
+from ebonywheel.gateway import balance, dialect, evidence, inflight, pool, reach, routes, view
 
 # Answers to other requests are skipped. After more than this many in a row the connection is
 # considered broken.
@@ -16,6 +16,8 @@
 MAX_ENGINE_ANSWER_BYTES = 256 * 1024
 # Lowest status that counts as a failure of the server.
 STATUS_SERVER_ERROR = 500
+# Step of the error for a request that was not sent, as its server's version gets no more requests.
+VERSION_STEP = "check version"
 
 
 class Reply(msgspec.Struct):
@@ -24,6 +26,7 @@
     Attributes:
         reservation: Counts the request as load of the server until released.
         sent_at: When the request was sent, monotonic seconds.
+        observation: The request as one of a roll-out, None without one.
     """
 
     record: messages.DirectoryRecord
@@ -31,6 +34,7 @@
     head: dialect.AnswerHead
     reservation: inflight.Reservation
     sent_at: float = 0.0
+    observation: evidence.Observation | None = None
 
 
 class Sender:
@@ -74,16 +78,27 @@
         """
         state = self.view.state_of(record)
         sent_at = None
+        observation = None
         reservation = inflight.Reservation(state, tokens, unread=unread)
         connection = None
         context.sent = False
         try:
             connection = await self.pool.acquire(record, timeout_s)
             now = self.core.clock.monotonic()
+            # This host may have paused since it chose the server. A run that is resumed has been
+            # copied there before.
+            if sending.resume is None and not self.view.rollouts.may_send(record):
+                raise exceptions.UpstreamError(
+                    "its version gets no more requests", VERSION_STEP, record.address
+                )
             if state.cold_until > now:
                 state.cold_request_times.append(now)
             request = context.request
             headers = self.dialect.encode_headers(request, sending)
+            if sending.resume is None:
+                observation = self.view.rollouts.observe_sent(
+                    record, context.route.name, not context.sent_to, state.cold_until > now
+                )
             context.sent = True
             context.sent_to.append(record.server)
             sent_at = now
@@ -94,12 +109,17 @@
             head = await self._read_matching_head(connection, request.attempt, timeout_s)
         except exceptions.UpstreamError as error:
             reservation.release()
+            if observation is not None:
+                observation.record_failure(self.core.clock.monotonic())
             self._record_failure(record, state, error)
             if connection is not None:
                 await connection.close()
             raise
         except BaseException:
             reservation.release()
+            if observation is not None:
+                # Its caller did not wait any longer.
+                observation.record_answer(self.core.clock.monotonic())
             if connection is not None:
                 await connection.close()
             raise
@@ -109,7 +129,20 @@
         self.reach.heard(state)
         self.view.limits.observe_answer(record, head.limit_per_s)
         self.view.notices.observe_answer(record, state, head, self.view.share.hosts)
-        return Reply(record, connection, head, reservation, sent_at)
+        reply = Reply(record, connection, head, reservation, sent_at, observation)
+        self._observe_head(reply, context.route.kind is routes.RouteKind.STREAM)
+        return reply
+
+    def _observe_head(self, reply: Reply, is_stream: bool) -> None:
+        if reply.observation is None:
+            return
+        now = self.core.clock.monotonic()
+        if reply.head.not_run:
+            reply.observation.withdraw()
+        elif reply.head.status >= STATUS_SERVER_ERROR:
+            reply.observation.record_failure(now)
+        elif not is_stream:
+            reply.observation.record_answer(now)
 
     async def _read_matching_head(
         self, connection: httpclient.ClientConnection, attempt: str, timeout_s: float
@@ -136,6 +169,8 @@
         state: balance.ServerState,
         error: exceptions.UpstreamError,
     ) -> None:
+        if error.step == VERSION_STEP:
+            return
         if error.step != "connect" and not error.timed_out:
             state.record_unreachable(self.core.clock.monotonic())
         state.record_answer(failed=True)
@@ -165,17 +200,36 @@
         if reply.reservation.state is not None:
             self.reach.heard(reply.reservation.state)
 
+    def record_events(self, reply: Reply) -> None:
+        """Record that events of a stream have arrived."""
+        reply.reservation.mark_answer_begun()
+        if reply.observation is not None:
+            reply.observation.record_answer(self.core.clock.monotonic())
+
     async def finish(self, reply: Reply) -> None:
         """Return the connection to the pool after the whole answer has been read."""
         reply.reservation.release()
+        if reply.observation is not None:
+            reply.observation.record_answer(self.core.clock.monotonic())
         if reply.head.status < STATUS_SERVER_ERROR and not reply.head.not_run:
             elapsed_s = self.core.clock.monotonic() - reply.sent_at
             self.view.notices.record_answer_time(reply.record.service, elapsed_s)
         await self.pool.release(reply.record, reply.connection, reply.head.keep_alive_s)
 
-    async def abandon(self, reply: Reply) -> None:
-        """Close the connection during an answer, which cancels the work at the server."""
+    async def abandon(self, reply: Reply, error: BaseException | None = None) -> None:
+        """Close the connection during an answer, which cancels the work at the server.
+
+        Args:
+            reply: The answer.
+            error: What ended it, a failure of its server if it is an `UpstreamError`.
+        """
         reply.reservation.release()
+        if reply.observation is not None:
+            now = self.core.clock.monotonic()
+            if isinstance(error, exceptions.UpstreamError):
+                reply.observation.record_failure(now)
+            else:
+                reply.observation.record_answer(now)
         await reply.connection.close()
 
     async def call_engine(
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -218,8 +218,8 @@
         try:
             body = await self._read_body(context, reply)
             await self.sender.confirm_end(reply)
-        except BaseException:
-            await self.sender.abandon(reply)
+        except BaseException as error:
+            await self.sender.abandon(reply, error)
             raise
         server_failed = reply.head.status >= sender.STATUS_SERVER_ERROR
         self.view.state_of(reply.record).record_answer(server_failed)
@@ -244,7 +244,8 @@
                 await self.crashes.record_success(run.context)
                 return
             except exceptions.UpstreamError as error:
-                await self.sender.abandon(run.reply)
+                # A run that is handed over was broken off by this host.
+                await self.sender.abandon(run.reply, error if run.move_finished is None else None)
                 await self._record_broken(run.context, run.record, error, run.splitter.count)
                 if self.view.remains_in_service(run.record):
                     self.view.state_of(run.record).record_answer(failed=True)
@@ -331,7 +332,7 @@
             self.sender.record_heard(run.reply)
             whole_events = run.splitter.feed(chunk)
             if whole_events:
-                run.reply.reservation.mark_answer_begun()
+                self.sender.record_events(run.reply)
                 run.context.record_events(self.core.clock.monotonic())
                 await self.crashes.record_progress(run.context)
                 await exchange.write(whole_events)
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -9,7 +9,16 @@
 import result
 
 from ebonywheel import directory, exceptions, kernel, link, messages
-from ebonywheel.gateway import balance, hostshare, inflight, limits, notices, quarantine, routes
+from ebonywheel.gateway import (
+    balance,
+    hostshare,
+    inflight,
+    limits,
+    notices,
+    quarantine,
+    rollouts,
+    routes,
+)
 
 TableDecoder = typing.Callable[[bytes], result.Result[routes.Table, exceptions.DocumentError]]
 FETCH_TIMEOUT_S = 2.0
@@ -42,9 +51,12 @@
         cut_off: True while this host can reach none of the servers, though they run.
         draining: True once this host is about to end.
         on_shutdown_notice: Called with the id of a server that shuts down or has left.
+        on_version_leaving: Called with the id of a server whose runs should go on at another one,
+            as its version gets no more requests.
         quarantine: Fingerprints of requests that crash servers, or may do so.
         limits: Limits that servers stated.
         notices: What else they said of themselves in answers.
+        rollouts: Which versions of the servers get requests.
     """
 
     def __init__(
@@ -69,9 +81,11 @@
         self.states: dict[directory.IncarnationKey, balance.ServerState] = {}
         self.other_uses: dict[str, messages.ServerUse] = {}
         self.share = hostshare.HostShare(core.clock)
+        self.rollouts = rollouts.Rollouts(core, self.directory, self.share)
         self.cut_off = False
         self.draining = False
         self.on_shutdown_notice: list[collections.abc.Callable[[str], typing.Awaitable[None]]] = []
+        self.on_version_leaving: list[collections.abc.Callable[[str], typing.Awaitable[None]]] = []
         self.quarantine = quarantine.Quarantine()
         self.limits = limits.ServerLimits(core, self._state_for)
         self.notices = notices.Notices(core)
@@ -98,6 +112,9 @@
             suspects_index=self.quarantine.index,
             limits=self.limits.reports(),
             may_relay=not (self.cut_off or self.draining),
+            rollouts_wanted=True,
+            rollouts_index=self.rollouts.index,
+            evidence=self.rollouts.report(self.states),
         )
 
     def distance(self, data_centre: str) -> float:
@@ -113,15 +130,30 @@
         ]
 
     async def update(
-        self, request: messages.WatchRequest, reply: messages.WatchReply, connection: link.Link
+        self,
+        request: messages.WatchRequest,
+        reply: messages.WatchReply,
+        connection: link.Link,
+        asked_at: float = float("-inf"),
     ) -> None:
         """Apply a control host's answer to a watch request.
 
+        Args:
+            request: The request.
+            reply: The answer.
+            connection: Link to the control host.
+            asked_at: When the request was sent, monotonic seconds; without it no lease is taken.
+
         Raises:
             LinkError: Newer routing content could not be fetched.
         """
+        # Before the servers, as those of a new version come with its order.
+        leaving = self.rollouts.update(reply, asked_at)
         for record in reply.records:
             await self._observe(record)
+        for record in leaving:
+            for callback in self.on_version_leaving:
+                await callback(record.server)
         if reply.out_index > self.out_index:
             self.out_index = reply.out_index
             self.out_of_service = frozenset(reply.out)
@@ -170,6 +202,7 @@
     async def _observe(self, record: messages.DirectoryRecord) -> None:
         if not self.directory.observe(record):
             return
+        self.rollouts.observe(record)
         state = self.state_of(record)
         now = self.core.clock.monotonic()
         state.cold_until = now + max(0, record.cold_ms - record.age_ms) / 1000
@@ -215,6 +248,7 @@
                 record.service != service
                 or record.draining
                 or record.data_centre in self.out_of_service
+                or self.rollouts.is_barred(record)
             ):
                 continue
             candidates.append(
@@ -251,6 +285,7 @@
             entry.record.gone
             or entry.record.draining
             or entry.record.data_centre in self.out_of_service
+            or self.rollouts.is_barred(entry.record)
         )
 
     def location_of(self, record: messages.DirectoryRecord) -> balance.Location:
@@ -258,26 +293,41 @@
         return balance.Location(record.data_centre, self.regions.get(record.data_centre, ""))
 
     def choose(
-        self, requirements: balance.Requirements, location: balance.Location | None = None
+        self,
+        requirements: balance.Requirements,
+        source: messages.DirectoryRecord | None = None,
     ) -> balance.Candidate | None:
         """Return the best server for a request, or None when none can take it.
 
         Args:
             requirements: What the request needs.
-            location: Location that the server should be near; this host's by default.
+            source: Server that its run is to leave, None for a new request. The other one should
+                be near that, and near this host for a new request.
         """
         if self.notices.is_brittle(requirements.service.name):
             requirements = msgspec.structs.replace(requirements, without_wait=True)
         if self.share.is_held() and self.share.held_s() < balance.COLD_RATE_PERIOD_S:
             # A process before this one may have used up this host's part of the rate.
             requirements = msgspec.structs.replace(requirements, without_cold=True)
-        return balance.choose(
-            self.candidates(requirements.service.name),
-            requirements,
-            location or self.location,
-            self.core.clock.monotonic(),
-            self.share.hosts,
-        )
+        location = self.location if source is None else self.location_of(source)
+        now = self.core.clock.monotonic()
+        if source is None:
+            candidates = self.candidates(requirements.service.name)
+            lists = self.rollouts.lists_for_request(requirements, candidates)
+        else:
+            lists = self.destinations(source)
+        for candidates in lists:
+            chosen = balance.choose(candidates, requirements, location, now, self.share.hosts)
+            if chosen is not None:
+                if source is None:
+                    self.rollouts.record_chosen(chosen.record)
+                return chosen
+        return None
+
+    def destinations(self, source: messages.DirectoryRecord) -> list[list[balance.Candidate]]:
+        """Return lists of servers that a run may be moved to, the preferred one first."""
+        stays = self.remains_in_service(source)
+        return self.rollouts.lists_for_move(source, stays, self.candidates(source.service))
 
     def reason_without_server(self, context: inflight.RequestContext, text: str) -> str:
         """Return why no server was chosen: a text, or that servers are at their limits."""
@@ -302,6 +352,7 @@
         self.directory.prune()
         self.limits.prune()
         self.notices.prune()
+        self.rollouts.prune()
         known = {
             (entry.record.server, entry.record.born_ms) for entry in self.directory.entries.values()
         }
--- a/src/ebonywheel/watcher.py
+++ b/src/ebonywheel/watcher.py
@@ -37,9 +37,16 @@
         """Return the distance to a data centre, on any scale."""
 
     async def update(
-        self, request: messages.WatchRequest, reply: messages.WatchReply, connection: link.Link
+        self,
+        request: messages.WatchRequest,
+        reply: messages.WatchReply,
+        connection: link.Link,
+        asked_at: float,
     ) -> None:
-        """Apply the answer to a request; further requests may be made over its connection."""
+        """Apply the answer to a request that was sent at `asked_at`, monotonic seconds.
+
+        Further requests may be made over its connection.
+        """
 
 
 class WatchPosition:
@@ -154,9 +161,10 @@
         request.uses_number = position.uses_number
         # While a control host is unreachable, the others relay the records that it received.
         request.relayed = request.relayed or not self.all_connected()
+        asked_at = self.core.clock.monotonic()
         try:
             reply = await connection.call(request, request.wait_ms / 1000 + ANSWER_MARGIN_S)
-            await self.view.update(request, reply, connection)
+            await self.view.update(request, reply, connection, asked_at)
         except Exception as error:
             if not isinstance(error, exceptions.LinkError):
                 # The other control hosts are still followed.
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -71,7 +71,10 @@
     async def confirm_end(self, reply):
         return
 
-    async def abandon(self, reply):
+    def record_events(self, reply):
+        return
+
+    async def abandon(self, reply, error=None):
         return
 
 
@@ -87,7 +90,6 @@
         record=messages.DirectoryRecord("s", address="10.0.0.1:80"),
         head=types.SimpleNamespace(headers=[("content-type", "text/event-stream")]),
         connection=ScriptedConnection(parts),
-        reservation=types.SimpleNamespace(mark_answer_begun=lambda: None),
     )
     exchange = Exchange()
     curio.run(forwarder._relay_events, exchange, relayedrun.Run(Context(core.clock), reply))
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -24,7 +24,7 @@
     def distance(self, data_centre):
         return 0.0
 
-    async def update(self, request, reply, connection):
+    async def update(self, request, reply, connection, asked_at):
         if self.error is not None:
             error, self.error = self.error, None
             raise error
