Roll-outs in the replicated state, in watches and in the platform's calls

Nobody judges yet, so a roll-out stays at a share of 0.

Result: test_rolloutstate, test_settings, test_formats, test_watchserver, test_ordersequence pass.

--- a/src/ebonywheel/admin.py
+++ b/src/ebonywheel/admin.py
@@ -20,6 +20,8 @@
     | commands.IssueOrder
     | commands.AddMember
     | commands.RemoveMember
+    | commands.StartRollout
+    | commands.EndRollout
 )
 
 
--- a/src/ebonywheel/commands.py
+++ b/src/ebonywheel/commands.py
@@ -302,6 +302,56 @@
     age_ms: int
 
 
+class StartRollout(Command):
+    """Move a service's traffic to the servers of one version within a time.
+
+    Attributes:
+        target: Version that is to get the traffic.
+        duration_ms: Time from this command on within which the roll-out is to end.
+        known_index: For an order without an operation id, the log index that the host that received
+            it knew when it arrived; 0 if not stated. The same order at a later index is this one.
+    """
+
+    service: str
+    target: str
+    duration_ms: int
+    known_index: int = 0
+
+
+class AdvanceRollout(Command):
+    """Change the share of new requests that the target of a running roll-out gets.
+
+    Attributes:
+        rollout: Log index of the order.
+        phase: ``proving`` or ``shifting``.
+        share: Share of the service's new requests that may go to the target, from 0 to 1.
+        reason: Why, for operators.
+    """
+
+    service: str
+    rollout: int
+    phase: typing.Literal["proving", "shifting"]
+    share: float
+    reason: str = ""
+
+
+class EndRollout(Command):
+    """End a running roll-out; sent by the leader, or for an operator who cancels it.
+
+    Attributes:
+        rollout: Log index of the order.
+        completed: Whether the target has all traffic, as opposed to none.
+        reason: Why, for operators.
+        replaced: If completed, the versions that the target replaces.
+    """
+
+    service: str
+    rollout: int
+    completed: bool
+    reason: str = ""
+    replaced: list[str] = []
+
+
 AnyCommand = (
     Noop
     | ApplyDocument
@@ -322,6 +372,9 @@
     | SetServing
     | ReportServerCrash
     | ReportSuccess
+    | StartRollout
+    | AdvanceRollout
+    | EndRollout
 )
 
 
--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -29,6 +29,7 @@
     replica,
     settings,
     state,
+    statedata,
     storage,
     turns,
     watcher,
@@ -203,6 +204,25 @@
         command = commands.SetServing(actor="operator", data_centre=data_centre, out=out)
         return await self._submit_command(command)
 
+    async def start_rollout(
+        self, service: str, target: str, duration_ms: int
+    ) -> commands.AnyOutcome:
+        """Order that a service's traffic be moved to a version; raises like `publish_routing`."""
+        known_index = self._known_index()
+        command = commands.StartRollout(
+            actor="operator",
+            service=service,
+            target=target,
+            duration_ms=duration_ms,
+            known_index=known_index,
+        )
+        return await self._submit_command(command)
+
+    async def read_rollout(self, service: str) -> statedata.RolloutRecord | None:
+        """Return a service's latest roll-out or None; as fresh, and raises, as `read_routing`."""
+        await self._await_read_index()
+        return self.state_machine.data.rollouts.get(service)
+
     async def leave(self, server: str) -> None:
         """Mark a backend server as gone; the call names no incarnation.
 
@@ -220,8 +240,11 @@
 
     async def submit_order(self, command: commands.Command) -> messages.SubmitReply:
         """Propose an operator's command that has just been received; raises like `submit`."""
-        known_index = max(ordersequence.FIRST_INDEX, self.pauses.earliest_arrival().known_index)
-        return await self.submit(messages.Submit(commands.encode(command), known_index))
+        return await self.submit(messages.Submit(commands.encode(command), self._known_index()))
+
+    def _known_index(self) -> int:
+        """Return the log index that this host knew when what it reads now arrived."""
+        return max(ordersequence.FIRST_INDEX, self.pauses.earliest_arrival().known_index)
 
     async def read_routing(self) -> messages.RoutingReply:
         """Return routing content at least as new as any acknowledged before the call.
@@ -230,6 +253,11 @@
             NotLeaderError: No quorum-backed leader could be asked, or this host is behind it.
             LinkError: The leader did not answer.
         """
+        await self._await_read_index()
+        return self.watches.routing()
+
+    async def _await_read_index(self) -> None:
+        """Wait until this host has applied all that was acknowledged before the call."""
         if self.replica.role is replica.Role.LEADER:
             index = self._read_index().index
         else:
@@ -238,7 +266,7 @@
             index = reply.index
         async with curio.ignore_after(READ_TIMEOUT_S):
             await self._wait_applied(index)
-            return self.watches.routing()
+            return
         raise exceptions.NotLeaderError("behind the leader", "read", self.core.host.name)
 
     def _read_index(self) -> messages.ReadIndexReply:
--- a/src/ebonywheel/ordersequence.py
+++ b/src/ebonywheel/ordersequence.py
@@ -12,7 +12,15 @@
 import curio
 import msgspec
 
-from ebonywheel import commands, exceptions, orderstate, replica, state, statedata
+from ebonywheel import (
+    commands,
+    exceptions,
+    orderstate,
+    replica,
+    rolloutstate,
+    state,
+    statedata,
+)
 
 STATUS_SUPERSEDED = 503
 # Each log begins with an entry of its first leader, which is no order. A host that has applied
@@ -106,4 +114,10 @@
                 return Target(f"server {key}", 0, False)
             same = (record.kind, record.argument) == (command.kind, command.argument)
             return Target(f"server {key}", record.sequence, same)
+        case commands.StartRollout(service=name):
+            rollout = data.rollouts.get(name)
+            if rollout is None:
+                return Target(f"roll-out {name}", 0, False)
+            same = rolloutstate.is_same_order(rollout, command)
+            return Target(f"roll-out {name}", rollout.index, same)
     return None
--- a/src/ebonywheel/registry.py
+++ b/src/ebonywheel/registry.py
@@ -15,6 +15,7 @@
     "ebonywheel.crashstate",
     "ebonywheel.orderstate",
     "ebonywheel.routingstate",
+    "ebonywheel.rolloutstate",
     "ebonywheel.ordertypes",
     "ebonywheel.policies",
     "ebonywheel.services",
--- a/src/ebonywheel/settings.py
+++ b/src/ebonywheel/settings.py
@@ -74,6 +74,21 @@
     link_delay_ms: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
+class RolloutSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """What callers bear of a version of a service that may turn out bad.
+
+    Attributes:
+        exposure_share: Share of the service's requests that the version may get from the order to
+            the deadline of a roll-out before it is proved, over all entry hosts together.
+        exposure_slack: Further requests that it may get in that time.
+        rollback_s: Time after its fiftieth bad answer from which it gets no requests.
+    """
+
+    exposure_share: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+    exposure_slack: typing.Annotated[float, msgspec.Meta(ge=0)] = 50.0
+    rollback_s: PositiveSeconds = 5.0
+
+
 class ControlSettings(msgspec.Struct, forbid_unknown_fields=True):
     """Settings of ``ebonywheel-control``.
 
@@ -90,6 +105,7 @@
         key_horizon_s: How long the outcomes of non-repeatable calls are kept.
         quarantine_s: How long a poison request stays quarantined.
         link_delay_ms: One-way delay added to each link, to measure slow links on one host.
+        rollout: Bounds of roll-outs.
     """
 
     host: HostSettings
@@ -104,6 +120,7 @@
     key_horizon_s: PositiveSeconds = 86_400.0
     quarantine_s: PositiveSeconds = 3600.0
     link_delay_ms: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    rollout: RolloutSettings = msgspec.field(default_factory=RolloutSettings)
 
 
 class OperatorSettings(msgspec.Struct, forbid_unknown_fields=True):
--- a/src/ebonywheel/statedata.py
+++ b/src/ebonywheel/statedata.py
@@ -181,6 +181,38 @@
     succeeded_ms: dict[bytes, int] = {}
 
 
+class RolloutRecord(msgspec.Struct):
+    """The latest roll-out of a service.
+
+    Attributes:
+        index: Log index of the order.
+        target: Version that is to get the traffic.
+        started_ms: Replicated time of the order.
+        duration_ms: Time within which it is to end.
+        phase: ``proving``, ``shifting``, ``completed`` or ``rolled_back``.
+        share: Share of new requests that may go to the target, from 0 to 1.
+        changed_index: Log index of the last change of any attribute.
+        changed_ms: Replicated time of the last change of the phase.
+        reason: Why it has this phase and share.
+        actor: Operator who ordered it.
+        operation: Operation id of the order, empty for none.
+        barred: Versions that get no request in any phase, oldest first.
+    """
+
+    index: int
+    target: str
+    started_ms: int
+    duration_ms: int
+    phase: str = "proving"
+    share: float = 0.0
+    changed_index: int = 0
+    changed_ms: int = 0
+    reason: str = ""
+    actor: str = ""
+    operation: str = ""
+    barred: list[str] = []
+
+
 class StateData(msgspec.Struct):
     """The whole replicated state.
 
@@ -197,6 +229,8 @@
         crashes: Reported deaths by environment, backend server and incarnation.
         quarantine: What gateways refuse because it crashes backend servers.
         serving_orders: Log index of the last `SetServing` by data centre, oldest first.
+        rollouts: The latest roll-out by service, in the order in which they were ordered.
+        rollouts_index: Log index of the last change of `rollouts`.
     """
 
     at_ms: int = 0
@@ -215,6 +249,8 @@
     routing: RoutingState = msgspec.field(default_factory=RoutingState)
     quarantine: QuarantineState = msgspec.field(default_factory=QuarantineState)
     serving_orders: dict[str, int] = {}
+    rollouts: dict[str, RolloutRecord] = {}
+    rollouts_index: int = 0
 
     def put(self, key: str, index: int, value: bytes) -> None:
         """Set a configuration item, unless it has this value already."""
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -19,11 +19,15 @@
     link,
     messages,
     replica,
+    rolloutevidence,
+    rolloutstate,
     state,
     statedlimits,
 )
 
 MAX_WAIT_MS = 2000
+# While a roll-out shifts all traffic, the leader answers soon, to get the next evidence.
+SHIFTING_WAIT_MS = 150
 # Work in flight reported longer ago is ignored, as its host is gone or partitioned: watches are
 # renewed far more often.
 USES_MAX_AGE_S = 3.0
@@ -34,6 +38,8 @@
 MAX_RELAY_HOSTS = 8
 PRUNE_INTERVAL_S = 5.0
 EPOCH_BITS = 48
+# How long a host may use a share of a roll-out from when it asked.
+DEFAULT_SHARE_LEASE_MS = 2000
 
 
 # Requests, tokens and unread tokens of one server.
@@ -73,10 +79,18 @@
         suspects: Fingerprints that may crash servers, with the time of the last crash.
         suspects_index: Log index of the evidence from which they were derived.
         cleared_index: Log index of the last evidence that cleared one of them.
+        evidence: What entry hosts have seen of the roll-outs.
+        share_lease_ms: How long a share may be used from when a host asked, in milliseconds.
         changed: Notified each time that they are woken.
     """
 
-    def __init__(self, core: kernel.Kernel, consensus: replica.Replica, state_machine: state.State):
+    def __init__(
+        self,
+        core: kernel.Kernel,
+        consensus: replica.Replica,
+        state_machine: state.State,
+        share_lease_ms: int = DEFAULT_SHARE_LEASE_MS,
+    ):
         self.core = core
         self.replica = consensus
         self.state_machine = state_machine
@@ -88,6 +102,8 @@
         self.suspects: dict[bytes, int] = {}
         self.suspects_index = 0
         self.cleared_index = 0
+        self.evidence = rolloutevidence.EvidenceBook(core.clock)
+        self.share_lease_ms = share_lease_ms
         self.state_version = self._state_version()
         self.changed = curio.Condition()
 
@@ -132,6 +148,8 @@
         if request.uses_wanted or request.uses_reported:
             self._record_uses(request, now)
             self.uses[request.host].relay_host = _relay_host(request, peer)
+        if request.evidence:
+            self.evidence.merge(request, self.state_machine.data.rollouts)
         if request.epoch == self.epoch and not self._has_newer_state(request):
             await self._wait(request)
         return self._reply(request)
@@ -162,19 +180,32 @@
 
     async def _wait(self, request: messages.WatchRequest) -> None:
         initial_count = self.wake_count
-        async with curio.ignore_after(min(request.wait_ms, MAX_WAIT_MS) / 1000):
+        async with curio.ignore_after(self._wait_ms(request) / 1000):
             async with self.changed:
                 while self.wake_count == initial_count:
                     await self.changed.wait()
 
+    def _wait_ms(self, request: messages.WatchRequest) -> int:
+        wait_ms = min(request.wait_ms, MAX_WAIT_MS)
+        rollouts = self.state_machine.data.rollouts.values()
+        shifting = any(record.phase == rolloutstate.SHIFTING for record in rollouts)
+        if request.rollouts_wanted and shifting and self.replica.has_lease():
+            return min(wait_ms, SHIFTING_WAIT_MS)
+        return wait_ms
+
     def _has_newer_state(self, request: messages.WatchRequest) -> bool:
         routing = self.state_machine.data.routing
         return (
             routing.index > request.routing_index
             or routing.out_index > request.out_index
             or self._has_newer_quarantine(request)
+            or self._has_newer_rollouts(request)
         )
 
+    def _has_newer_rollouts(self, request: messages.WatchRequest) -> bool:
+        index = self.state_machine.data.rollouts_index
+        return request.rollouts_wanted and index > request.rollouts_index
+
     def _has_newer_quarantine(self, request: messages.WatchRequest) -> bool:
         index = max(self.state_machine.data.quarantine.entries_index, self.cleared_index)
         return request.suspects_wanted and index > request.suspects_index
@@ -201,11 +232,23 @@
         if request.suspects_wanted and quarantine.index > request.suspects_index:
             reply.suspects_index = quarantine.index
             reply.suspects = self._suspects()
+        self._tell_rollouts(request, reply)
         if request.uses_wanted:
             self._tell_uses(request, reply, recent_uses)
             self._tell_limits(request, reply)
         return reply
 
+    def _tell_rollouts(self, request: messages.WatchRequest, reply: messages.WatchReply) -> None:
+        data = self.state_machine.data
+        reply.rollouts_index = data.rollouts_index
+        if not request.rollouts_wanted or not data.rollouts_index:
+            return
+        if data.rollouts_index > request.rollouts_index:
+            reply.rollouts = rolloutstate.views(data)
+        # Only under its lease does this host know that no leader has taken a share back.
+        if self.replica.has_lease():
+            reply.rollouts_lease_ms = self.share_lease_ms
+
     def _suspects(self) -> list[messages.SuspectFingerprint]:
         data = self.state_machine.data
         # A control host that has not heard a leader yet knows only the time of the last command.
@@ -285,7 +328,7 @@
             self.state_version = version
             await self.wake()
 
-    def _state_version(self) -> tuple[int, int, int, int]:
+    def _state_version(self) -> tuple[int, ...]:
         self._update_suspects()
         data = self.state_machine.data
         return (
@@ -293,6 +336,7 @@
             data.routing.out_index,
             data.quarantine.entries_index,
             self.cleared_index,
+            data.rollouts_index,
         )
 
     async def _prune(self) -> None:
@@ -301,6 +345,7 @@
             self.directory.prune()
             self.limits.prune()
             self.uses = self._recent_uses()
+            self.evidence.prune(self.state_machine.data.rollouts)
 
 
 def _relay_host(
