--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -177,10 +177,11 @@
         engine_calls: Method and name of each engine call.
         crashed: True once the server has crashed.
         slots: Requests that it reports to run at once.
+        version: Version of its software that it reports.
         script: Called with the handler and the request to answer it; tests replace it.
     """
 
-    def __init__(self, name, service, zone):
+    def __init__(self, name, service, zone, version="v1"):
         self.name = name
         self.service = service
         self.zone = zone
@@ -191,6 +192,7 @@
         self.script = answer_plainly
         self.crashed = False
         self.slots = 24
+        self.version = version
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.runs = []
@@ -206,7 +208,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "cold-remaining-ms": 0,
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -123,6 +123,17 @@
     def test_a_report_with_an_invalid_value_is_refused(self, change):
         assert reports.decode("i-1", json.dumps({**REPORT, **change}).encode()).is_err()
 
+    @pytest.mark.parametrize(
+        ("version", "software"),
+        [("v2", "v2"), ("", ""), (2, ""), (None, ""), (["v2"], ""), ("v\n2", ""), ("v" * 300, "")],
+    )
+    def test_a_version_that_is_none_counts_as_left_out(self, version, software):
+        record = reports.decode("i-1", json.dumps({**REPORT, "version": version}).encode())
+        assert record.unwrap().software == software
+
+    def test_a_report_need_not_state_a_version(self):
+        assert not reports.decode("i-1", json.dumps(REPORT).encode()).unwrap().software
+
     @pytest.mark.parametrize("missing", ["service", "address", "zone", "state", "sequence"])
     def test_a_report_without_a_field_is_refused(self, missing):
         incomplete = {name: value for name, value in REPORT.items() if name != missing}
