--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -27,6 +27,7 @@
     queries,
     registry,
     replica,
+    rollouts,
     settings,
     state,
     statedata,
@@ -77,7 +78,12 @@
         core.exit_stack.callback(self.audit.close)
         self.queries = queries.Queries(self.replica, self.state_machine, self.feed, self.audit)
         self.formation = formation.Formation(core, self.store, loaded, self.delay_s)
-        self.watches = watchserver.WatchServer(core, self.replica, self.state_machine)
+        self.watches = watchserver.WatchServer(
+            core, self.replica, self.state_machine, rollouts.lease_ms(loaded.rollout)
+        )
+        self.rollouts = rollouts.Rollouts(
+            core, self.replica, self.state_machine, self.watches, loaded.rollout
+        )
         self.watcher = watcher.Watcher(core, PeerView(core, self.watches), core.host.link)
         self.member_manager = membermanager.MemberManager(core, self.replica)
         self.permits = permits.Permits(core.clock, self.replica.require_lease)
@@ -95,6 +101,7 @@
         await self.feed.start()
         await self.orders.start()
         await self.watches.start()
+        await self.core.spawn(self.rollouts.run(), essential=True)
         self.replica.on_applied.append(self.audit.wake)
         await self.core.spawn(self.audit.run(self.core.log), essential=True)
         if not self.formation.belongs_to_cluster() and not self.settings.join:
