--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -76,11 +76,13 @@
         self.orders = orders.OrderSender(core, self.replica, self.state_machine, self.feed)
         self.audit = auditlog.AuditLog(loaded.data_folder, self.state_machine)
         core.exit_stack.callback(self.audit.close)
-        self.queries = queries.Queries(self.replica, self.state_machine, self.feed, self.audit)
         self.formation = formation.Formation(core, self.store, loaded, self.delay_s)
         self.watches = watchserver.WatchServer(
             core, self.replica, self.state_machine, rollouts.lease_ms(loaded.rollout)
         )
+        self.queries = queries.Queries(
+            self.replica, self.state_machine, self.feed, self.audit, self.watches.evidence
+        )
         self.rollouts = rollouts.Rollouts(
             core, self.replica, self.state_machine, self.watches, loaded.rollout
         )
--- a/src/ebonywheel/operator.py
+++ b/src/ebonywheel/operator.py
@@ -20,6 +20,7 @@
     exceptions,
     explain,
     memberchange,
+    operatorrollouts,
     program,
     screens,
     settings,
@@ -70,6 +71,7 @@
     order.add_argument("server")
     order.add_argument("kind")
     order.add_argument("argument")
+    operatorrollouts.add_parser(actions)
     actions.add_parser("status", help="show the whole system in one screen")
     audit = actions.add_parser("audit", help="show the audit trail")
     audit.add_argument("--after", type=int, help="entries after this index, 0 for the oldest")
@@ -229,6 +231,15 @@
     async def _status(self) -> int:
         return self._print_result(await self.client.read("status"), screens.status)
 
+    async def _rollout(self) -> int:
+        action = operatorrollouts.RolloutAction(
+            self.arguments, self.client, self.operation, self._print_result
+        )
+        try:
+            return await action.run()
+        except exceptions.UnknownOutcomeError as error:
+            return self._print_unknown_outcome(error, action.resend_options())
+
     async def _audit(self) -> int:
         argument = {"limit": str(self.arguments.limit)}
         if self.arguments.after is not None:
--- a/src/ebonywheel/queries.py
+++ b/src/ebonywheel/queries.py
@@ -4,7 +4,17 @@
 
 import msgspec
 
-from ebonywheel import auditlog, configuration, exceptions, feedserver, replica, state, statedata
+from ebonywheel import (
+    auditlog,
+    configuration,
+    exceptions,
+    feedserver,
+    replica,
+    rolloutevidence,
+    rolloutstatus,
+    state,
+    statedata,
+)
 
 MAX_AUDIT_LIMIT = 1000
 DEFAULT_AUDIT_LIMIT = 200
@@ -82,11 +92,13 @@
         state_machine: state.State,
         feed: feedserver.FeedServer,
         audit_log: auditlog.AuditLog,
+        evidence: rolloutevidence.EvidenceBook,
     ):
         self.consensus = consensus
         self.state_machine = state_machine
         self.feed = feed
         self.audit_log = audit_log
+        self.evidence = evidence
         self.handlers: dict[str, typing.Callable[[dict[str, str]], typing.Any]] = {
             "status": self._status,
             "audit": self._audit,
@@ -94,6 +106,7 @@
             "members": self._members,
             "quarantine": self._quarantine,
             "operation": self._operation,
+            "rollouts": self._rollouts,
         }
 
     def answer(self, name: str, argument: dict[str, str]) -> typing.Any:
@@ -191,6 +204,12 @@
             for name, value in self._items_under(prefix).items()
         }
 
+    def _rollouts(self, argument: dict[str, str]) -> list[rolloutstatus.RolloutStatus]:
+        now_ms = self.consensus.proposals.replicated_clock.now_ms()
+        return rolloutstatus.statuses(
+            self.state_machine.data.rollouts, self.evidence, now_ms, argument.get("service")
+        )
+
     def _operation(self, argument: dict[str, str]) -> typing.Any:
         record = self.state_machine.data.operations.get(argument.get("id", ""))
         if record is None:
--- a/src/ebonywheel/screens.py
+++ b/src/ebonywheel/screens.py
@@ -126,6 +126,21 @@
     return table(rows)
 
 
+def rollouts(records: list[dict[str, typing.Any]]) -> str:
+    """Return one line for each service's latest roll-out."""
+    rows: Rows = [
+        ["SERVICE", "ROLL-OUT", "TO", "PHASE", "SHARE", "LEFT S", "SEEN", "FAILED", "OTHERS"]
+        + ["FAILED", "OLD RUNS", "WHY"]
+    ]
+    for record in records:
+        seen, others = record["target_seen"], record["others_seen"]
+        row = [record[name] for name in ("service", "index", "target", "phase")]
+        row += [f"{record['share']:.3f}", f"{record['left_ms'] / 1000:.1f}"]
+        row += [seen["answers"], seen["failures"], others["answers"], others["failures"]]
+        rows.append([*row, record["in_flight_old"], record["reason"]])
+    return table(rows)
+
+
 def table(rows: Rows) -> str:
     """Return rows as text in aligned columns."""
     text_rows = [[str(cell) for cell in row] for row in rows]
