--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -11,7 +11,9 @@
     consensus.core = server.core
     consensus.members = []
     consensus.leader_host = lambda: "control-1"
-    status = queries.Queries(consensus, server.state_machine, server, None, None).answer("status", {})
+    status = queries.Queries(consensus, server.state_machine, server, None, None).answer(
+        "status", {}
+    )
     return msgspec.json.decode(msgspec.json.encode(status))
 
 
