--- a/src/ebonywheel/operatorrollouts.py
+++ b/src/ebonywheel/operatorrollouts.py
@@ -136,7 +136,7 @@
         service = self.arguments.service
         found = await self.client.read("rollouts", service=service)
         if not found:
-            raise exceptions.HttpError("no roll-out of this service", "read", service, 404)
+            raise exceptions.DocumentError("no roll-out of this service", "read", service)
         return found[0]
 
 
