--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from ebonywheel import exceptions, httpclient, kernel, messages
-from ebonywheel.gateway import balance, dialect, inflight, pool, reach, view
+from ebonywheel.gateway import balance, dialect, evidence, inflight, pool, reach, routes, view
 
 # Answers to other requests are skipped. After more than this many in a row the connection is
 # considered broken.
@@ -16,6 +16,8 @@
 MAX_ENGINE_ANSWER_BYTES = 256 * 1024
 # Lowest status that counts as a failure of the server.
 STATUS_SERVER_ERROR = 500
+# Step of the error for a request that was not sent, as its server's version gets no more requests.
+VERSION_STEP = "check version"
 
 
 class Reply(msgspec.Struct):
@@ -25,6 +27,7 @@
         reservation: Counts the request as load of the server until released.
         sent_at: When the request was sent, monotonic seconds.
         tokens_to_read: Prompt tokens, with those in front of it, that the server had to read then.
+        observation: The request as one of a roll-out, None without one.
     """
 
     record: messages.DirectoryRecord
@@ -33,6 +36,7 @@
     reservation: inflight.Reservation
     sent_at: float = 0.0
     tokens_to_read: int = 0
+    observation: evidence.Observation | None = None
 
 
 class Sender:
@@ -60,6 +64,7 @@
         timeout_s: float,
         tokens: int = 0,
         unread: int = 0,
+        streams: int = 0,
     ) -> Reply:
         """Send a request and read the head of the answer.
 
@@ -70,13 +75,14 @@
             timeout_s: Longest time to wait for the head of the answer.
             tokens: Memory that the request is expected to need at the server, in tokens.
             unread: Prompt tokens that the server has to read.
+            streams: 1 for a long stream with a target for its pauses, else 0.
 
         Raises:
             UpstreamError: No answer arrived; its `sent` is true when the request may have run.
         """
         state = self.view.state_of(record)
         sent_at = None
-        streams = int(context.has_pause_target())
+        observation = None
         reservation = inflight.Reservation(state, tokens, unread=unread, streams=streams)
         tokens_to_read = state.unread + state.other_unread if unread else 0
         connection = None
@@ -84,10 +90,20 @@
         try:
             connection = await self.pool.acquire(record, timeout_s)
             now = self.core.clock.monotonic()
+            # This host may have paused since it chose the server. A run that is resumed has been
+            # copied there before.
+            if sending.resume is None and not self.view.rollouts.may_send(record):
+                raise exceptions.UpstreamError(
+                    "its version gets no more requests", VERSION_STEP, record.address
+                )
             if state.cold_until > now:
                 state.cold_request_times.append(now)
             request = context.request
             headers = self.dialect.encode_headers(request, sending)
+            if sending.resume is None:
+                observation = self.view.rollouts.observe_sent(
+                    record, context.route.name, not context.sent_to, state.cold_until > now
+                )
             context.sent = True
             context.sent_to.append(record.server)
             sent_at = now
@@ -98,12 +114,17 @@
             head = await self._read_matching_head(connection, request.attempt, timeout_s)
         except exceptions.UpstreamError as error:
             reservation.release()
+            if observation is not None:
+                observation.record_failure(self.core.clock.monotonic())
             self._record_failure(record, state, error)
             if connection is not None:
                 await connection.close()
             raise
         except BaseException:
             reservation.release()
+            if observation is not None:
+                # Its caller did not wait any longer.
+                observation.record_answer(self.core.clock.monotonic())
             if connection is not None:
                 await connection.close()
             raise
@@ -114,7 +135,20 @@
         self.view.limits.observe_answer(record, head.limit_per_s)
         self.view.notices.observe_answer(record, state, head, self.view.share.hosts)
         self.view.paces.observe_head(record, head)
-        return Reply(record, connection, head, reservation, sent_at, tokens_to_read)
+        reply = Reply(record, connection, head, reservation, sent_at, tokens_to_read, observation)
+        self._observe_head(reply, context.route.kind is routes.RouteKind.STREAM)
+        return reply
+
+    def _observe_head(self, reply: Reply, is_stream: bool) -> None:
+        if reply.observation is None:
+            return
+        now = self.core.clock.monotonic()
+        if reply.head.not_run:
+            reply.observation.withdraw()
+        elif reply.head.status >= STATUS_SERVER_ERROR:
+            reply.observation.record_failure(now)
+        elif not is_stream:
+            reply.observation.record_answer(now)
 
     async def _read_matching_head(
         self, connection: httpclient.ClientConnection, attempt: str, timeout_s: float
@@ -141,6 +175,8 @@
         state: balance.ServerState,
         error: exceptions.UpstreamError,
     ) -> None:
+        if error.step == VERSION_STEP:
+            return
         if error.step != "connect":
             if not error.timed_out:
                 state.record_unreachable(self.core.clock.monotonic())
@@ -172,9 +208,17 @@
         if reply.reservation.state is not None:
             self.reach.heard(reply.reservation.state)
 
+    def record_events(self, reply: Reply) -> None:
+        """Record that events of a stream have arrived."""
+        reply.reservation.mark_answer_begun()
+        if reply.observation is not None:
+            reply.observation.record_answer(self.core.clock.monotonic())
+
     async def finish(self, reply: Reply) -> None:
         """Return the connection to the pool after the whole answer has been read."""
         reply.reservation.release()
+        if reply.observation is not None:
+            reply.observation.record_answer(self.core.clock.monotonic())
         elapsed_s = self.core.clock.monotonic() - reply.sent_at
         server_failed = reply.head.status >= STATUS_SERVER_ERROR
         if not reply.head.not_run:
@@ -184,9 +228,20 @@
             self.view.notices.record_answer_time(reply.record.service, elapsed_s)
         await self.pool.release(reply.record, reply.connection, reply.head.keep_alive_s)
 
-    async def abandon(self, reply: Reply) -> None:
-        """Close the connection during an answer, which cancels the work at the server."""
+    async def abandon(self, reply: Reply, error: BaseException | None = None) -> None:
+        """Close the connection during an answer, which cancels the work at the server.
+
+        Args:
+            reply: The answer.
+            error: What ended it, a failure of its server if it is an `UpstreamError`.
+        """
         reply.reservation.release()
+        if reply.observation is not None:
+            now = self.core.clock.monotonic()
+            if isinstance(error, exceptions.UpstreamError):
+                reply.observation.record_failure(now)
+            else:
+                reply.observation.record_answer(now)
         await reply.connection.close()
 
     async def call_engine(
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -11,15 +11,15 @@
 from ebonywheel import directory, exceptions, kernel, link, messages
 from ebonywheel.gateway import (
     balance,
-    crossing,
     hostshare,
     inflight,
+    leaving,
     limits,
     notices,
     paces,
     quarantine,
+    rollouts,
     routes,
-    waits,
 )
 
 TableDecoder = typing.Callable[[bytes], result.Result[routes.Table, exceptions.DocumentError]]
@@ -53,11 +53,14 @@
         cut_off: True while this host can reach none of the servers, though they run.
         draining: True once this host is about to end.
         on_shutdown_notice: Called with the id of a server that shuts down or has left.
+        on_version_leaving: Called with the id of a server whose runs should go on at another one,
+            as its version gets no more requests.
         quarantine: Fingerprints of requests that crash servers, or may do so.
         limits: Limits that servers stated.
         paces: How they answer, as all entry hosts saw it.
         notices: What else they said of themselves in answers.
-        crossings: Decides when requests leave the data centre; None where distance alone counts.
+        leaving: Decides when requests leave the data centre; None where distance alone counts.
+        rollouts: Which versions of the servers get requests.
     """
 
     def __init__(
@@ -82,15 +85,17 @@
         self.states: dict[directory.IncarnationKey, balance.ServerState] = {}
         self.other_uses: dict[str, messages.ServerUse] = {}
         self.share = hostshare.HostShare(core.clock)
+        self.rollouts = rollouts.Rollouts(core, self.directory, self.share)
         self.cut_off = False
         self.draining = False
         self.on_shutdown_notice: list[collections.abc.Callable[[str], typing.Awaitable[None]]] = []
+        self.on_version_leaving: list[collections.abc.Callable[[str], typing.Awaitable[None]]] = []
         self.quarantine = quarantine.Quarantine()
         self.limits = limits.ServerLimits(core, self._state_for)
         self.paces = paces.Paces(core, self._state_for)
         self.notices = notices.Notices(core)
         self.fetch_lock = curio.Lock()
-        self.crossings: crossing.Crossings | None = None
+        self.leaving: leaving.Leaving | None = None
 
     # -- watch -----------------------------------------------------------------------------
 
@@ -114,6 +119,9 @@
             limits=self.limits.reports(),
             may_relay=not (self.cut_off or self.draining),
             paces=self.paces.reports(),
+            rollouts_wanted=True,
+            rollouts_index=self.rollouts.index,
+            evidence=self.rollouts.report(self.states),
         )
 
     def distance(self, data_centre: str) -> float:
@@ -129,15 +137,30 @@
         ]
 
     async def update(
-        self, request: messages.WatchRequest, reply: messages.WatchReply, connection: link.Link
+        self,
+        request: messages.WatchRequest,
+        reply: messages.WatchReply,
+        connection: link.Link,
+        asked_at: float = float("-inf"),
     ) -> None:
         """Apply a control host's answer to a watch request.
 
+        Args:
+            request: The request.
+            reply: The answer.
+            connection: Link to the control host.
+            asked_at: When the request was sent, monotonic seconds; without it no lease is taken.
+
         Raises:
             LinkError: Newer routing content could not be fetched.
         """
+        # Before the servers, as those of a new version come with its order.
+        leaving = self.rollouts.update(reply, asked_at)
         for record in reply.records:
             await self._observe(record)
+        for record in leaving:
+            for callback in self.on_version_leaving:
+                await callback(record.server)
         if reply.out_index > self.out_index:
             self.out_index = reply.out_index
             self.out_of_service = frozenset(reply.out)
@@ -188,6 +211,7 @@
     async def _observe(self, record: messages.DirectoryRecord) -> None:
         if not self.directory.observe(record):
             return
+        self.rollouts.observe(record)
         state = self.state_of(record)
         now = self.core.clock.monotonic()
         state.cold_until = now + max(0, record.cold_ms - record.age_ms) / 1000
@@ -233,6 +257,7 @@
                 record.service != service
                 or record.draining
                 or record.data_centre in self.out_of_service
+                or self.rollouts.is_barred(record)
             ):
                 continue
             candidates.append(
@@ -269,6 +294,7 @@
             entry.record.gone
             or entry.record.draining
             or entry.record.data_centre in self.out_of_service
+            or self.rollouts.is_barred(entry.record)
         )
 
     def location_of(self, record: messages.DirectoryRecord) -> balance.Location:
@@ -276,80 +302,56 @@
         return balance.Location(record.data_centre, self.regions.get(record.data_centre, ""))
 
     def choose(
-        self, requirements: balance.Requirements, location: balance.Location | None = None
+        self,
+        requirements: balance.Requirements,
+        source: messages.DirectoryRecord | None = None,
     ) -> balance.Candidate | None:
         """Return the best server for a request, or None when none can take it.
 
         Args:
             requirements: What the request needs.
-            location: Location that the server should be near; this host's by default.
+            source: Server that its run is to leave, None for a new request. The other one should
+                be near that, and near this host for a new request.
         """
         if self.notices.is_brittle(requirements.service.name):
             requirements = msgspec.structs.replace(requirements, without_wait=True)
         if self.share.is_held() and self.share.held_s() < balance.COLD_RATE_PERIOD_S:
             # A process before this one may have used up this host's part of the rate.
             requirements = msgspec.structs.replace(requirements, without_cold=True)
-        candidates = self.candidates(requirements.service.name)
-        destination = "" if location is not None else self._destination(requirements, candidates)
-        chosen = None
-        if destination:
-            there = msgspec.structs.replace(requirements, data_centre=destination)
-            chosen = self._choose_among(candidates, there, self.location)
-        if chosen is None:
-            chosen = self._choose_among(candidates, requirements, location or self.location)
-        return chosen
+        location = self.location if source is None else self.location_of(source)
+        if source is None:
+            candidates = self.candidates(requirements.service.name)
+            lists = self.rollouts.lists_for_request(requirements, candidates)
+        else:
+            lists = self.destinations(source)
+        for candidates in lists:
+            chosen = self._choose_among(candidates, requirements, location, source is None)
+            if chosen is not None:
+                if source is None:
+                    self.rollouts.record_chosen(chosen.record)
+                return chosen
+        return None
 
     def _choose_among(
         self,
         candidates: list[balance.Candidate],
         requirements: balance.Requirements,
         location: balance.Location,
+        may_leave: bool,
     ) -> balance.Candidate | None:
-        return balance.choose(
-            candidates, requirements, location, self.core.clock.monotonic(), self.share.hosts
-        )
-
-    def decide_crossings(self, charges: crossing.Charges) -> None:
-        """Have requests leave the data centre when that pays, by the operator's charges."""
-        self.crossings = crossing.Crossings(self.core.clock, self.location, charges)
-        self.crossings.on_change = self._log_crossing
-
-    def _destination(
-        self, requirements: balance.Requirements, candidates: list[balance.Candidate]
-    ) -> str:
-        """Return the data centre to serve a request in, empty where distance alone counts."""
-        target_s = requirements.target_latency_s
-        if self.crossings is None or requirements.data_centre or not target_s:
-            return ""
-        if requirements.long_running and any(
-            candidate.without_neighbour and candidate.location() == self.location
-            for candidate in candidates
-        ):
-            # Its run may have to be moved to a neighbour of its server.
-            return ""
-        answer_s = self.notices.answer_s.get(requirements.service.name, 0.0)
-        service = requirements.service.name
-        destination = self.crossings.destination(
-            service,
-            lambda: waits.find_places(candidates, requirements, answer_s),
-            target_s,
-            requirements.size_bytes,
-        )
-        if destination != self.location.data_centre:
-            self.core.metrics.count("crossings", service=service, to=destination)
-        return destination
-
-    def _log_crossing(self, service: str) -> None:
-        """Log to which data centres requests of a service leave, and the waits that decide."""
-        places = self.crossings.places[service].values()
-        shares = self.crossings.flows[service].shares
-        self.core.log.info(
-            "crossing_changed",
-            service=service,
-            leaving=" ".join(f"{name}:{share:.2f}" for name, share in shares.items()),
-            waits=" ".join(f"{place.location.data_centre}:{place.wait_s:.2f}" for place in places),
-            loads=" ".join(f"{place.location.data_centre}:{place.load:.2f}" for place in places),
-        )
+        now = self.core.clock.monotonic()
+        if may_leave and self.leaving is not None:
+            answer_s = self.notices.answer_s.get(requirements.service.name, 0.0)
+            there = self.leaving.narrow(requirements, candidates, answer_s)
+            chosen = balance.choose(candidates, there, location, now, self.share.hosts)
+            if chosen is not None or there is requirements:
+                return chosen
+        return balance.choose(candidates, requirements, location, now, self.share.hosts)
+
+    def destinations(self, source: messages.DirectoryRecord) -> list[list[balance.Candidate]]:
+        """Return lists of servers that a run may be moved to, the preferred one first."""
+        stays = self.remains_in_service(source)
+        return self.rollouts.lists_for_move(source, stays, self.candidates(source.service))
 
     def reason_without_server(self, context: inflight.RequestContext, text: str) -> str:
         """Return why no server was chosen: a text, or that servers are at their limits."""
@@ -375,6 +377,7 @@
         self.limits.prune()
         self.paces.prune()
         self.notices.prune()
+        self.rollouts.prune()
         known = {
             (entry.record.server, entry.record.born_ms) for entry in self.directory.entries.values()
         }
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -72,7 +72,10 @@
     async def confirm_end(self, reply):
         return
 
-    async def abandon(self, reply):
+    def record_events(self, reply):
+        return
+
+    async def abandon(self, reply, error=None):
         return
 
 
@@ -88,7 +91,6 @@
         record=messages.DirectoryRecord("s", address="10.0.0.1:80"),
         head=types.SimpleNamespace(headers=[("content-type", "text/event-stream")]),
         connection=ScriptedConnection(parts),
-        reservation=types.SimpleNamespace(mark_answer_begun=lambda: None),
         tokens_to_read=0,
     )
     exchange = Exchange()
