--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from ebonywheel import messages, serverpaces
-from ebonywheel.gateway import disturbance, routes, speeds
+from ebonywheel.gateway import routes, speeds
 
 # Cost of a server elsewhere, as a share of its capacity. Traffic between regions is paid for and
 # adds two one-way delays.
@@ -43,8 +43,6 @@
 # Servers drawn from each distance: in this data centre, elsewhere in the region, in other regions.
 # Two are enough to avoid a loaded server; with more, hosts agree on the least loaded one again.
 SAMPLE_SIZE = 2
-# The same where prompts disturb streams: one that runs none is rarer than one that is not loaded.
-LARGE_SAMPLE_SIZE = 8
 # Reports come every 1.2 s. One late report is tolerated, two in a row are not.
 MAX_REPORT_AGE_S = 3.6
 # Time over which the rate of a server in its cold start counts.
@@ -68,11 +66,9 @@
         requests: Requests in flight from this host.
         tokens: Memory that requests in flight from this host are expected to need, in tokens.
         unread: Prompt tokens of this host's requests whose answers have not begun.
-        streams: Requests of this host that are long streams with a target for their pauses.
         other_requests: Requests in flight from all other hosts, as last reported.
         other_tokens: Expected tokens of all other hosts' requests, as last reported.
         other_unread: Unread prompt tokens of all other hosts, as last reported.
-        other_streams: Such streams of all other hosts, as last reported.
         failure_rate: Moving average of the share of answers that were failures.
         unreachable: True from a failed connection until one can be opened.
         heard_at: When it sent anything or accepted a connection last, monotonic seconds.
@@ -96,11 +92,9 @@
     requests: int = 0
     tokens: int = 0
     unread: int = 0
-    streams: int = 0
     other_requests: int = 0
     other_tokens: int = 0
     other_unread: int = 0
-    other_streams: int = 0
     failure_rate: float = 0.0
     unreachable: bool = False
     heard_at: float = 0.0
@@ -283,19 +277,12 @@
             + limit_cost
             + unread_load(candidate, requirements) * compared.reading_ratio(state.seen)
             + compared.late_cost(state.seen)
-            + disturbance.cost(
-                state,
-                compared.expected_late_share(state.seen),
-                requirements.unread,
-                bool(requirements.stream_s) and requirements.long_running,
-            )
             + location_cost
             + failure_cost
             + neighbour_cost
         )
 
-    size = SAMPLE_SIZE if compared.late_share < disturbance.MIN_LATE_SHARE else LARGE_SAMPLE_SIZE
-    return min(_sample(considered, location, size), key=cost)
+    return min(_sample(considered, location), key=cost)
 
 
 def _preferred(
@@ -322,14 +309,14 @@
     return compared.keeping(with_room) or candidates
 
 
-def _sample(candidates: list[Candidate], location: Location, size: int) -> list[Candidate]:
+def _sample(candidates: list[Candidate], location: Location) -> list[Candidate]:
     """Return some candidates of each distance, drawn at random and in random order."""
     by_distance: dict[float, list[Candidate]] = {}
     for candidate in candidates:
         by_distance.setdefault(distance_cost(candidate.location(), location), []).append(candidate)
     sample = []
     for group in by_distance.values():
-        sample += random.sample(group, min(size, len(group)))
+        sample += random.sample(group, min(SAMPLE_SIZE, len(group)))
     random.shuffle(sample)
     return sample
 
--- a/src/ebonywheel/gateway/inflight.py
+++ b/src/ebonywheel/gateway/inflight.py
@@ -15,28 +15,18 @@
         tokens: Memory that it is expected to need, in tokens.
         requests: Number of requests: 1, or 0 for a copy.
         unread: Prompt tokens that the server has not read, 0 once the answer has begun.
-        streams: 1 for a long stream with a target for its pauses, else 0.
     """
 
-    __slots__ = ("state", "tokens", "requests", "unread", "streams")
+    __slots__ = ("state", "tokens", "requests", "unread")
 
-    def __init__(
-        self,
-        state: balance.ServerState,
-        tokens: int,
-        requests: int = 1,
-        unread: int = 0,
-        streams: int = 0,
-    ):
+    def __init__(self, state: balance.ServerState, tokens: int, requests: int = 1, unread: int = 0):
         self.state: balance.ServerState | None = state
         self.tokens = tokens
         self.requests = requests
         self.unread = unread
-        self.streams = streams
         state.requests += requests
         state.tokens += tokens
         state.unread += unread
-        state.streams += streams
 
     def mark_answer_begun(self) -> None:
         """Count the prompt as read, since the answer has begun."""
@@ -50,7 +40,6 @@
             self.mark_answer_begun()
             self.state.requests -= self.requests
             self.state.tokens -= self.tokens
-            self.state.streams -= self.streams
             self.state = None
 
 
@@ -102,11 +91,6 @@
         """Return the ids of the servers that must not be chosen any more."""
         return frozenset(self.tried) | frozenset(self.denied)
 
-    def has_pause_target(self) -> bool:
-        """Return whether the request is a long stream with a target for its pauses."""
-        prompt = self.request.prompt
-        return self.route.max_gap_s > 0 and prompt is not None and prompt.is_long_running()
-
     def fingerprints(self) -> tuple[bytes, ...]:
         """Return the digests of what the request may have in common with others."""
         customer = "" if self.customer is None else self.customer.name
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -64,7 +64,6 @@
         timeout_s: float,
         tokens: int = 0,
         unread: int = 0,
-        streams: int = 0,
     ) -> Reply:
         """Send a request and read the head of the answer.
 
@@ -75,7 +74,6 @@
             timeout_s: Longest time to wait for the head of the answer.
             tokens: Memory that the request is expected to need at the server, in tokens.
             unread: Prompt tokens that the server has to read.
-            streams: 1 for a long stream with a target for its pauses, else 0.
 
         Raises:
             UpstreamError: No answer arrived; its `sent` is true when the request may have run.
@@ -83,7 +81,7 @@
         state = self.view.state_of(record)
         sent_at = None
         observation = None
-        reservation = inflight.Reservation(state, tokens, unread=unread, streams=streams)
+        reservation = inflight.Reservation(state, tokens, unread=unread)
         tokens_to_read = state.unread + state.other_unread if unread else 0
         connection = None
         context.sent = False
--- a/src/ebonywheel/gateway/speeds.py
+++ b/src/ebonywheel/gateway/speeds.py
@@ -150,10 +150,8 @@
             total += stated * math.log(_bounded(sums.stretch / sums.stretches / self.stretch))
         return total / (weight + PRIOR_PACE_WEIGHT)
 
-    def expected_late_share(self, sums: serverpaces.Sums) -> float:
+    def _expected_late_share(self, sums: serverpaces.Sums) -> float:
         """Return the late share of servers about as fast: all have slow times alike."""
-        if not self.late_share:
-            return 0.0
         log_pace = self._log_pace(sums)
         windows = PRIOR_WINDOWS
         late = PRIOR_WINDOWS * self.late_share
@@ -187,7 +185,7 @@
         """
         if not self.late_share:
             return 0.0
-        prior = PRIOR_WINDOWS * self.expected_late_share(sums)
+        prior = PRIOR_WINDOWS * self._expected_late_share(sums)
         share = min(1.0, (sums.late_windows + prior) / (sums.windows + PRIOR_WINDOWS))
         return 1.0 - (1.0 - share) ** (self.stream_s or TYPICAL_STREAM_S)
 
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -157,7 +157,6 @@
             context.deadline_at - now,
             prompt.expected_memory_tokens(),
             unread,
-            int(context.has_pause_target()),
         )
 
     async def _read_body(self, context: inflight.RequestContext, reply: sender.Reply) -> bytes:
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -131,7 +131,7 @@
 
     def _own_uses(self) -> list[messages.ServerUse]:
         return [
-            messages.ServerUse(server, state.requests, state.tokens, state.unread, state.streams)
+            messages.ServerUse(server, state.requests, state.tokens, state.unread)
             for (server, _), state in self.states.items()
             if state.requests or state.tokens
         ]
@@ -206,7 +206,6 @@
         state.other_requests = use.requests
         state.other_tokens = use.tokens
         state.other_unread = use.unread
-        state.other_streams = use.streams
 
     async def _observe(self, record: messages.DirectoryRecord) -> None:
         if not self.directory.observe(record):
--- a/src/ebonywheel/messages.py
+++ b/src/ebonywheel/messages.py
@@ -556,14 +556,12 @@
         requests: Requests in flight.
         tokens: Tokens of memory that they are expected to need.
         unread: Prompt tokens of the requests whose answer has not begun.
-        streams: Requests in flight that are long streams with a target for their pauses.
     """
 
     server: str = ""
     requests: int = 0
     tokens: int = 0
     unread: int = 0
-    streams: int = 0
 
 
 class ServerLimit(msgspec.Struct):
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -43,8 +43,8 @@
 DEFAULT_SHARE_LEASE_MS = 2000
 
 
-# Requests, tokens, unread tokens and long streams of one server.
-_Sums = tuple[int, int, int, int]
+# Requests, tokens and unread tokens of one server.
+_Sums = tuple[int, int, int]
 
 
 class HostUses(msgspec.Struct):
@@ -370,11 +370,6 @@
         if host == asking_host:
             continue
         for use in host_uses.uses:
-            requests, tokens, unread, streams = sums.get(use.server, (0, 0, 0, 0))
-            sums[use.server] = (
-                requests + use.requests,
-                tokens + use.tokens,
-                unread + use.unread,
-                streams + use.streams,
-            )
+            requests, tokens, unread = sums.get(use.server, (0, 0, 0))
+            sums[use.server] = (requests + use.requests, tokens + use.tokens, unread + use.unread)
     return sums
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -317,7 +317,6 @@
   requests @1 :UInt64;
   tokens @2 :UInt64;
   unread @3 :UInt64;
-  streams @4 :UInt64;
 }
 
 struct ServerLimit {
