--- a/src/ebonywheel/gateway/speeds.py
+++ b/src/ebonywheel/gateway/speeds.py
@@ -35,6 +35,8 @@
 MISSED_SHARE = 0.2
 # Standard deviations by which the late shares of servers must vary more than by chance.
 CHANCE_DEVIATIONS = 2.0
+# Servers whose paces differ by more, by their natural logarithm, are of different kinds.
+FAR_LOG_RATIO = 0.7
 # Successes that count with the answers seen of a server, so that one failure says little.
 PRIOR_ANSWERS = 4.0
 # Cost of a server that makes a stream late for certain, beside one that never does, as a share of a
@@ -114,7 +116,10 @@
             self.differ = self.highest - self.lowest > MISSED_SHARE and self._is_proven()
 
     def _is_proven(self) -> bool:
-        """Return whether late shares vary by server, or with pace, more than by chance."""
+        """Return whether paces are far apart, or late shares vary by more than by chance."""
+        paces = [log_pace for log_pace, _ in self.seen]
+        if max(paces) - min(paces) > FAR_LOG_RATIO:
+            return True
         share = self.late_share
         variance = share * (1.0 - share)
         squares = sum(
--- a/tests/test_herding.py
+++ b/tests/test_herding.py
@@ -7,7 +7,7 @@
 import heapq
 import random
 
-from ebonywheel import messages, watcher
+from ebonywheel import messages, serverpaces, watcher
 from ebonywheel.gateway import balance, routes
 
 ENGINE = routes.Engine(24, 34_000, supports_moves=True)
@@ -20,14 +20,18 @@
 RUN_S = 5.0
 TARGET_S = 1.5
 ARRIVAL, REPORT, PROMPT_READ, END = range(4)
+# How much longer a server takes to read, and what all hosts have seen of it.
+FAST = (1.0, serverpaces.Sums(windows=20, read_tokens=40_000, read_s=5.6))
+SLOW = (2.0, serverpaces.Sums(windows=20, late_windows=8, read_tokens=40_000, read_s=11.2))
 
 
 class Server:
     """An engine: reads prompts in order; its loads are known to all hosts at the last report."""
 
-    def __init__(self, number, data_centre):
+    def __init__(self, number, data_centre, slowness=1.0, seen=None):
+        self.read_s = READ_S * slowness
         self.record = messages.DirectoryRecord(f"s{number}", 1, data_centre=data_centre, slots=24)
-        self.state = balance.ServerState()
+        self.state = balance.ServerState(seen=seen or serverpaces.Sums())
         self.free_at = 0.0
         self.unread = 0
         self.tokens = 0
@@ -41,7 +45,7 @@
 
     def start(self, now):
         """Queue a prompt and return when it has been read."""
-        self.free_at = max(now, self.free_at) + READ_S
+        self.free_at = max(now, self.free_at) + self.read_s
         self.unread += PROMPT_TOKENS
         self.tokens += MEMORY_TOKENS
         self.requests += 1
@@ -55,12 +59,19 @@
         self.requests -= 1
 
 
-def first_event_times(servers_per_data_centre, requests_per_s, report_interval_s, duration_s=60.0):
-    """Return the seconds to the first event of each request, and the share that left its region."""
+def first_event_times(
+    servers_per_data_centre, requests_per_s, report_interval_s, duration_s=60.0, slow_share=0.0
+):
+    """Return the seconds to the first event of each request, and the share that left its region.
+
+    With a share of slow servers, the share at these is returned in its place. They read half as
+    fast, all hosts have seen that, and streams have a target for pauses that they miss.
+    """
     rng = random.Random(5)
     random.seed(5)
+    slow_numbers = range(round(slow_share * servers_per_data_centre))
     servers = [
-        Server(f"{data_centre}-{number}", data_centre)
+        Server(f"{data_centre}-{number}", data_centre, *(SLOW if number in slow_numbers else FAST))
         for data_centre in DATA_CENTRES
         for number in range(servers_per_data_centre)
     ]
@@ -81,6 +92,9 @@
     requirements = balance.Requirements(
         SERVICE, MEMORY_TOKENS, unread=PROMPT_TOKENS, max_load=1.0, max_unread=12_000
     )
+    if slow_share:
+        requirements.target_latency_s, requirements.stream_s = TARGET_S, RUN_S
+    slow = 0
     while events:
         now, kind, _, server = heapq.heappop(events)
         if kind == ARRIVAL:
@@ -95,6 +109,7 @@
             # Each request comes to another host, which has no other request in flight.
             chosen = balance.choose(candidates, requirements, location, now, 195)
             far += chosen.region != location.region
+            slow += by_id[chosen.record.server].read_s > READ_S
             server = by_id[chosen.record.server]
             read_at = server.start(now)
             times.append(read_at - now)
@@ -108,7 +123,7 @@
             server.finish_reading()
         else:
             server.end()
-    return times, far / len(times)
+    return times, (slow if slow_share else far) / len(times)
 
 
 def late_share(times):
@@ -126,3 +141,15 @@
         """Two engines in each data centre, half of their time spent on reading prompts."""
         times, _ = first_event_times(2, 17.0, watcher.NEAREST_WAIT_MS / 1000)
         assert late_share(times) < 0.02
+
+    def test_many_hosts_know_the_fast_servers_and_do_not_overrun_them(self):
+        """Three of five engines are half as fast; the fast ones have room for most streams."""
+        times, slow = first_event_times(5, 12.0, watcher.NEAREST_WAIT_MS / 1000, slow_share=0.6)
+        assert slow < 0.1
+        assert late_share(times) < 0.02
+
+    def test_what_the_fast_servers_cannot_read_in_time_goes_to_the_slow_ones(self):
+        """The fast ones alone would need all of their time for reading."""
+        times, slow = first_event_times(5, 30.0, watcher.NEAREST_WAIT_MS / 1000, slow_share=0.6)
+        assert 0.2 < slow < 0.7
+        assert late_share(times) < 0.1
