Without a leader only requests that have waited are put off

Cause: a cut core would have delayed each start by up to half of its target. Change: a request that found a place at once goes by its host's view then.

--- a/src/ebonywheel/gateway/readingpace.py
+++ b/src/ebonywheel/gateway/readingpace.py
@@ -2,8 +2,8 @@
 
 Hosts learn of each other's requests after some tenths of a second. An engine that is new, or the
 only one with a place, would get the requests of all hosts in that time. The leader grants starts at
-the rate at which the engine reads prompts. Without a leader the hosts go by
-their views, at moments drawn at random.
+the rate at which the engine reads prompts. Without a leader the hosts go by their views, and
+requests that have waited at moments drawn at random.
 """
 
 import random
@@ -38,14 +38,16 @@
 
     Attributes:
         denials: How often a start was denied.
+        waited: True once it found no place, or a start was denied: others wait, too.
         go_at: When it goes by this host's view if no leader answers, monotonic seconds; 0 before
             none did.
     """
 
-    __slots__ = ("denials", "go_at")
+    __slots__ = ("denials", "waited", "go_at")
 
     def __init__(self):
         self.denials = 0
+        self.waited = False
         self.go_at = 0.0
 
 
@@ -100,6 +102,8 @@
             )
         )
         now = self.clock.monotonic()
+        if wait_s is None and not pacing.waited:
+            return 0.0
         if wait_s is None:
             # Others lost the leader at the same moment: they go one after the other, and see each
             # other's starts.
--- a/src/ebonywheel/gateway/starts.py
+++ b/src/ebonywheel/gateway/starts.py
@@ -64,6 +64,7 @@
                 # It is not refused for its pace alone.
                 bounds = self.line.places(context, asked_at)
                 return self._choose(context, bounds, paced=False)
+            pacing.waited = wait.began_at > 0
             if candidate is None or await self.pace.acquire(context, candidate, pacing):
                 return candidate
             wait.began_at = wait.began_at or asked_at
--- a/tests/test_readingpace.py
+++ b/tests/test_readingpace.py
@@ -88,6 +88,8 @@
     time_source, leader, hosts = make_hosts(40)
     leader.answers = False
     pacings = [readingpace.Pacing() for _ in hosts]
+    for pacing in pacings:
+        pacing.waited = True
     pauses = []
     for host, pacing in zip(hosts, pacings, strict=True):
         pauses.append(curio.run(host._ask, make_context(), make_candidate(), pacing))
@@ -96,3 +98,9 @@
     assert all(
         ask(host, make_context(), pacing) for host, pacing in zip(hosts, pacings, strict=True)
     )
+
+
+def test_without_a_leader_what_has_not_waited_starts_at_once():
+    _, leader, (host,) = make_hosts(1)
+    leader.answers = False
+    assert ask(host, make_context())
