Memory is left for moves again, starts are spaced strictly, limits are not waited for

Change: the share for moves and the strict spacing are back; what is beyond a stated limit is refused.

--- a/src/ebonywheel/gateway/line.py
+++ b/src/ebonywheel/gateway/line.py
@@ -155,6 +155,7 @@
             context.route,
             context.service.engine,
             context.request.prompt,
+            self.view.servers_each(context.service.name),
             now - context.started_at + _earlier_s(context),
         )
         return places.places_for(waiting, self.kinds.find(self.view.table, context.route))
@@ -185,8 +186,8 @@
         )
 
     def _may_wait(self, context: inflight.RequestContext) -> bool:
-        """Return whether a request may wait here: not where another host should serve it."""
-        if self.view.cut_off or context.denied:
+        """Return whether a request may wait here: not for a limit, nor where another host should."""
+        if self.view.cut_off or self.view.is_at_limit(context):
             return False
         return not (self.view.draining and context.request.prompt.is_long_running())
 
--- a/src/ebonywheel/gateway/places.py
+++ b/src/ebonywheel/gateway/places.py
@@ -1,7 +1,8 @@
 """How much of a model engine a request may take now, given what else needs it.
 
 Kinds of requests are routes. The most urgent kind of a service may fill an engine. Others leave
-memory for it. The bounds widen while a request waits, so that it goes before later ones, also those
+memory for it, and long generations leave what neighbours need to take over the runs of an engine
+that leaves. The bounds widen while a request waits, so that it goes before later ones, also those
 at other hosts. Once it cannot be in time any more, it has the first bound on memory again.
 """
 
@@ -14,6 +15,9 @@
 PREFILL_TOKENS_PER_S = 7000.0
 # Share of its target for which a request lets other prompts stand before it from the start.
 FIRST_UNREAD_SHARE = 0.25
+# Largest share of an engine's memory that is left to the runs of neighbours that leave. Generations
+# are counted at their expected end, so engines have some more room than the counts say.
+MAX_MOVE_SHARE = 0.2
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -44,12 +48,14 @@
     """A request that needs a place.
 
     Attributes:
+        servers_each: Servers of its service for each data centre that has any.
         waited_s: Time since its caller asked, as far as known.
     """
 
     route: routes.Route
     engine: routes.Engine
     prompt: dialect.Prompt
+    servers_each: float
     waited_s: float = 0.0
 
 
@@ -128,6 +134,9 @@
 def _reserved_share(waiting: Waiting, kind: Kind) -> float:
     """Return the share of an engine's memory that a request has to leave when it arrives."""
     share = 0.0 if kind.most_urgent else memorygate.RESERVED_FRACTION
+    moves = waiting.engine.supports_moves and waiting.prompt.is_long_running()
+    if moves and waiting.servers_each > 1.0:
+        share += min(MAX_MOVE_SHARE, 1.0 / waiting.servers_each)
     # An empty engine takes a request of any size that it can hold.
     needed = waiting.prompt.expected_memory_tokens() / waiting.engine.memory_tokens
     return min(share, max(0.0, 1.0 - needed))
--- a/src/ebonywheel/gateway/readingpace.py
+++ b/src/ebonywheel/gateway/readingpace.py
@@ -18,12 +18,8 @@
 # priorities are counted apart, as an engine reads the more urgent ones first.
 PREFIX = "read"
 MAX_WAIT_S = 2.0
-# Share of its target for which a request may stand behind others that began at one moment.
-QUEUED_SHARE = 0.5
-# Denials after which a request goes by its host's view: when so many engines deny, none is better.
-MAX_DENIALS = 6
 # Pause before another engine is asked for.
-DENIED_PAUSE_S = 0.02
+DENIED_PAUSE_S = 0.001
 
 
 class Grants(typing.Protocol):
@@ -37,16 +33,16 @@
     """How one request is held back.
 
     Attributes:
-        denials: How often a start was denied.
+        denied: True once a start has been denied.
         waited: True once it found no place, or a start was denied: others wait, too.
         go_at: When it goes by this host's view if no leader answers, monotonic seconds; 0 before
             none did.
     """
 
-    __slots__ = ("denials", "waited", "go_at")
+    __slots__ = ("denied", "waited", "go_at")
 
     def __init__(self):
-        self.denials = 0
+        self.denied = False
         self.waited = False
         self.go_at = 0.0
 
@@ -79,7 +75,7 @@
         """Return whether a generation may start at a server now; pause if not."""
         pause_s = await self._ask(context, candidate, pacing)
         if pause_s > 0:
-            pacing.denials += 1
+            pacing.denied = True
             await curio.sleep(pause_s)
         return pause_s <= 0
 
@@ -87,12 +83,10 @@
         self, context: inflight.RequestContext, candidate: balance.Candidate, pacing: Pacing
     ) -> float:
         """Return how long to pause before the next choice, 0 if a generation may start."""
-        if pacing.denials >= MAX_DENIALS:
-            return 0.0
         record = candidate.record
         priority = context.route.priority
         own_s = places.read_s(max(1, context.request.prompt.tokens))
-        queued_s = QUEUED_SHARE * context.route.target_latency_s
+        queued_s = places.FIRST_UNREAD_SHARE * context.route.target_latency_s
         wait_s = await self.grants.request(
             messages.PermitRequest(
                 f"{PREFIX}{priority}:{record.server}",
--- a/src/ebonywheel/gateway/starts.py
+++ b/src/ebonywheel/gateway/starts.py
@@ -60,7 +60,7 @@
                 context, lambda bounds: self._choose(context, bounds), wait
             )
             asked_at = self.core.clock.monotonic()
-            if candidate is None and pacing.denials:
+            if candidate is None and pacing.denied:
                 # It is not refused for its pace alone.
                 bounds = self.line.places(context, asked_at)
                 return self._choose(context, bounds, paced=False)
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -232,6 +232,13 @@
             candidate.without_neighbour = server_counts[candidate.record.data_centre] == 1
         return candidates
 
+    def servers_each(self, service: str) -> float:
+        """Return the servers of a service for each data centre that has any, 0 without any."""
+        counts = collections.Counter(
+            candidate.record.data_centre for candidate in self.candidates(service)
+        )
+        return counts.total() / len(counts) if counts else 0.0
+
     def quarantined_s(self, context: inflight.RequestContext) -> float:
         """Return how long a request is refused as it crashes servers, 0 if it is not."""
         if self.quarantine.is_empty():
@@ -279,13 +286,16 @@
             self.share.hosts,
         )
 
-    def reason_without_server(self, context: inflight.RequestContext, text: str) -> str:
-        """Return why no server was chosen: a text, or that servers are at their limits."""
+    def is_at_limit(self, context: inflight.RequestContext) -> bool:
+        """Return whether a server is at a limit that it stated, so that it takes no request now."""
         now = self.core.clock.monotonic()
-        at_limit = context.denied or any(
+        return bool(context.denied) or any(
             candidate.state.is_denied(now) for candidate in self.candidates(context.service.name)
         )
-        return "servers are at their limits" if at_limit else text
+
+    def reason_without_server(self, context: inflight.RequestContext, text: str) -> str:
+        """Return why no server was chosen: a text, or that servers are at their limits."""
+        return "servers are at their limits" if self.is_at_limit(context) else text
 
     def retry_after_s(self, service: str) -> float | None:
         """Return when the first server of a service wants requests again; None if any wants now."""
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -35,6 +35,8 @@
             table=test_places.TABLE,
             cut_off=False,
             draining=False,
+            is_at_limit=lambda context: False,
+            servers_each=lambda service: 4.0,
             candidates=lambda service: [test_places.candidate(tokens=28_000)],
         )
         self.core = types.SimpleNamespace(
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -30,8 +30,8 @@
 TABLE = routes.Table(1, [URGENT, DRAFT], {"plan": SERVICE}, None, None)
 
 
-def places_of(route, prompt, waited_s=0.0):
-    waiting = places.Waiting(route, ENGINE, prompt, waited_s)
+def places_of(route, prompt, waited_s=0.0, servers_each=4.0, engine=ENGINE):
+    waiting = places.Waiting(route, engine, prompt, servers_each, waited_s)
     return places.places_for(waiting, places.Kinds().find(TABLE, route))
 
 
@@ -43,6 +43,16 @@
         assert places_of(URGENT, SHORT).max_load == 1.0
         assert places_of(DRAFT, LONG).max_load <= 1.0 - memorygate.RESERVED_FRACTION
 
+    def test_runs_of_an_engine_that_leaves_find_room_at_its_neighbours(self):
+        with_neighbours = places_of(DRAFT, LONG, servers_each=5.0).max_load
+        alone = places_of(DRAFT, LONG, servers_each=1.0).max_load
+        assert with_neighbours == pytest.approx(alone - places.MAX_MOVE_SHARE)
+
+    def test_engines_without_moves_are_filled_but_for_the_urgent_kind(self):
+        engine = routes.Engine(24, 30_000)
+        expected = 1.0 - memorygate.RESERVED_FRACTION
+        assert places_of(DRAFT, LONG, engine=engine).max_load == expected
+
     def test_one_that_waited_goes_before_one_that_arrives_at_another_host(self):
         waits_s = [0.0, 0.5, 1.0, 2.0, 3.0]
         loads = [places_of(DRAFT, LONG, waited_s).max_load for waited_s in waits_s]
--- a/tests/test_readingpace.py
+++ b/tests/test_readingpace.py
@@ -50,7 +50,7 @@
     ask(hosts[0], make_context())
     time_source.advance(10.0)
     started = sum(ask(host, make_context()) for host in hosts)
-    assert 1 <= started <= 1 + readingpace.QUEUED_SHARE * TARGET_S / READ_S
+    assert 1 <= started <= 1 + readingpace.places.FIRST_UNREAD_SHARE * TARGET_S / READ_S
 
 
 def test_starts_follow_the_rate_of_reading():
@@ -94,7 +94,7 @@
     for host, pacing in zip(hosts, pacings, strict=True):
         pauses.append(curio.run(host._ask, make_context(), make_candidate(), pacing))
     assert sum(pause < 0.1 for pause in pauses) <= 12
-    time_source.advance(readingpace.QUEUED_SHARE * TARGET_S)
+    time_source.advance(readingpace.places.FIRST_UNREAD_SHARE * TARGET_S)
     assert all(
         ask(host, make_context(), pacing) for host, pacing in zip(hosts, pacings, strict=True)
     )
