--- a/src/ebonywheel/gateway/starts.py
+++ b/src/ebonywheel/gateway/starts.py
@@ -63,10 +63,11 @@
                 context, lambda bounds: self._choose(context, bounds), wait
             )
             asked_at = self.core.clock.monotonic()
-            if candidate is None and pacing.denials:
+            if candidate is None and pacing.denied:
                 # It is not refused for its pace alone.
                 bounds = self.line.places(context, asked_at)
                 return self._choose(context, bounds, paced=False)
+            pacing.waited = wait.began_at > 0
             if candidate is None or await self.pace.acquire(context, candidate, pacing):
                 return candidate
             wait.began_at = wait.began_at or asked_at
