--- a/src/ebonywheel/gateway/rollouts.py
+++ b/src/ebonywheel/gateway/rollouts.py
@@ -63,16 +63,19 @@
         known_since: When this host heard of the order, monotonic seconds.
         exposure: What this host may send to the target while it is proved.
         reachable: Whether a request could have gone to the target when the last one was sent.
+        only_target: Whether no server of another version was left when a request was last to be
+            sent while traffic shifts; the target then needs no lease.
         evidence: What this host has seen of it.
     """
 
-    __slots__ = ("view", "known_since", "exposure", "reachable", "evidence")
+    __slots__ = ("view", "known_since", "exposure", "reachable", "only_target", "evidence")
 
     def __init__(self, view: messages.RolloutView, now: float):
         self.view = view
         self.known_since = now
         self.exposure = Exposure()
         self.reachable = False
+        self.only_target = False
         self.evidence = evidence.Evidence(view.index)
 
     def is_running(self) -> bool:
@@ -205,8 +208,10 @@
         target, others = _split(rollout, candidates)
         others = self._without_unannounced(service, others)
         if rollout.view.phase == SHIFTING:
-            if not others:
-                return [target]
+            # A completion that this host has not heard of stops all of them at once.
+            rollout.only_target = all(candidate.state.unreachable for candidate in others)
+            if rollout.only_target:
+                return [target, others]
             return [_reachable(target), others] if self.has_lease() else [others]
         if not others and self._is_alone(rollout):
             return [target]
@@ -288,13 +293,7 @@
             return False
         if not rollout.is_running() or not rollout.is_target(record) or self.has_lease():
             return True
-        # Without a lease the target serves only if there is no other version.
-        return rollout.view.phase == SHIFTING and not any(
-            entry.record.service == record.service
-            and not rollout.is_target(entry.record)
-            and not entry.record.draining
-            for entry in self.directory.live()
-        )
+        return rollout.view.phase == SHIFTING and rollout.only_target
 
     def observe_sent(
         self, record: messages.DirectoryRecord, route: str, is_first: bool, is_cold: bool
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import signal
 import threading
 import time
 
@@ -218,3 +219,25 @@
     assert 0 < len(arrivals) <= EXPOSED_SHARE * sent + EXPOSED_SLACK
     assert max(arrivals) < ended_at + 1.0
     assert len(fleet.failures) <= len(arrivals)
+
+
+# Guards against a host that wakes up from a pause and goes on with what it knew before.
+def test_a_host_that_was_frozen_during_the_roll_back_exposes_nothing_after_it(fleet):
+    frozen = fleet.system.entries[2].process
+    fleet.order("v2")
+    new = fleet.start("v2")
+    platformsystem.wait_for(lambda: any(server.arrivals for server in new), "an exposed request")
+    frozen.send_signal(signal.SIGSTOP)
+    try:
+        for server in new:
+            server.fault = "failing"
+        state = fleet.follow(DURATION_S)
+        ended_at = time.monotonic()
+        # Callers go on to connect to it, and their requests wait there.
+        time.sleep(2.0)
+    finally:
+        frozen.send_signal(signal.SIGCONT)
+    time.sleep(ROLL_BACK_S)
+    fleet.close()
+    assert state == "rolled_back"
+    assert max(at for server in new for at in server.arrivals) < ended_at + 1.0
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -118,6 +118,22 @@
             host.view.state_of(record).paused_until = host.clock.now + 1.0
         assert set(host.versions()) == {"v1"}
 
+    # Guards against cold servers that get all the traffic at once as they come with the shift.
+    def test_cold_servers_get_no_more_than_they_bear_while_traffic_shifts(self):
+        host = Host()
+        # A process that has just started sends nothing to cold servers.
+        host.clock.advance(1.5)
+        host.order("shifting")
+        service = routes.Service("book", cold_per_s=2.0)
+        for record in host.records[3:]:
+            host.view.state_of(record).cold_until = host.clock.now + 5.0
+        chosen = collections.Counter()
+        for _ in range(100):
+            candidate = host.view.choose(balance.Requirements(service))
+            candidate.state.cold_request_times.append(host.clock.now)
+            chosen[candidate.record.server] += 1
+        assert [chosen[record.server] for record in host.records[3:]] == [2, 2, 2]
+
     def test_after_its_end_servers_of_further_versions_serve(self):
         host = Host(versions=("v1", "v2", "v3"))
         host.order("completed", barred=["v1"])
@@ -152,6 +168,15 @@
         host.clock.advance(LEASE_MS / 1000)
         assert set(host.versions()) == {"v1"}
 
+    def test_without_it_the_target_serves_once_no_other_can_be_reached(self):
+        host = Host()
+        host.order("shifting")
+        host.clock.advance(LEASE_MS / 1000)
+        for record in host.records[:3]:
+            host.view.state_of(record).unreachable = True
+        assert set(host.versions()) == {"v2"}
+        assert host.view.rollouts.may_send(host.records[3])
+
     def test_an_answer_that_lay_in_the_socket_during_a_pause_gives_none(self):
         host = Host()
         host.order(share=0.5)
