--- a/tests/platformsystem.py
+++ b/tests/platformsystem.py
@@ -96,8 +96,9 @@
 class Node:
     """One process of a control host or an entry host."""
 
-    def __init__(self, folder, role, number, zone, prefix="127.0"):
+    def __init__(self, folder, role, number, zone, prefix="127.0", limits=None):
         self.role = role
+        self.limits = limits or {}
         self.ip = f"{prefix}.{1 if role == 'control' else 2}.{number}"
         self.name = f"{role}-{number}"
         self.folder = folder / self.name
@@ -137,6 +138,7 @@
             self.role, f'front = "{self.ip}:{FRONT_PORT}"\nready = "{self.ip}:{READY_PORT}"'
         )
         zones = "\n".join(f'{zone} = "{region}"' for zone, region in ZONES.items())
+        limits = "\n".join(f"{name} = {value}" for name, value in self.limits.items())
         (self.folder / "boot.toml").write_text(f"""
 node-name = "{self.name}"
 role = "{self.role}"
@@ -152,6 +154,8 @@
 {zones}
 [listen]
 {listen}
+[limits]
+{limits}
 [bounds]
 retry-budget-ratio = 0.2
 retry-budget-slack = 50
@@ -206,15 +210,18 @@
         controls=3,
         fillable=False,
         program=PROGRAM,
+        limits=None,
     ):
         zones = list(ZONES)
         prefix = loopback_prefix()
         self.folder = folder
         self.controls = [
-            Node(folder, "control", n + 1, zones[n % len(zones)], prefix) for n in range(controls)
+            Node(folder, "control", n + 1, zones[n % len(zones)], prefix, limits)
+            for n in range(controls)
         ]
         self.entries = [
-            Node(folder, "entry", n + 1, zones[n % len(zones)], prefix) for n in range(entries)
+            Node(folder, "entry", n + 1, zones[n % len(zones)], prefix, limits)
+            for n in range(entries)
         ]
         self.entry_turns = itertools.cycle(self.entries)
         self.seeds = [f"{node.ip}:{CONTROL_PORT}" for node in self.controls[:3]]
