A deadline ends a loop that never waits

Cause: a timeout that comes due while its task is ready to run is kept as pending; when the task then enters and leaves a timeout of its own without having waited, the event loop drops it, for good. Streams that are saturated read each part under a timeout, so their deadlines were lost. Change: a task that gives way raises what is pending. Result: the new test fails before (0 of 6 loops end), passes now (6 of 6).

--- a/src/ebonywheel/turns.py
+++ b/src/ebonywheel/turns.py
@@ -64,6 +64,9 @@
 async def give_way() -> None:
     """Let other tasks and due timers run; a cancellation or timeout that is due is raised."""
     await curio.sleep(0)
+    # One that came due while this task was ready to run is raised here: the kernel would forget it
+    # when the task leaves a timeout of its own without having waited.
+    await curio.check_cancellation()
     current.begin(time.perf_counter())
 
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -101,6 +101,34 @@
     assert max(counts) < 3 * min(counts)
 
 
+# Guards against a deadline that passes while its task is ready to run, and is forgotten as the task
+# leaves a timeout of its own without having waited.
+def test_a_deadline_ends_a_loop_of_short_timeouts_that_never_waits():
+    ended = []
+
+    async def read(sock):
+        while True:
+            async with curio.timeout_after(10.0):
+                await sock.recv(65536)
+            if turns.current.is_over(sock):
+                await turns.give_way()
+
+    async def read_until_deadline():
+        with pytest.raises(curio.TaskTimeout):
+            async with curio.timeout_after(0.1):
+                await read(sockets.Socket(Endless()))
+        ended.append(1)
+
+    async def run():
+        tasks = [await curio.spawn(read_until_deadline) for _ in range(6)]
+        await curio.sleep(1.0)
+        for task in tasks:
+            await task.cancel()
+
+    curio.run(run, activations=[turns.Monitor(1.0)], selector=turns.Selector())
+    assert len(ended) == 6
+
+
 # Guards against parsers that go through thousands of parts of one read without a pause.
 @pytest.mark.parametrize("method", ["http", "httpclient"])
 def test_small_parts_of_one_read_are_bounded_too(method):
