One account of the memory that a host holds for its callers

Cause: heads, bodies and answers were bounded one by one only. Change: accounts in the kernel (a quarter of the machine's memory), shares, shedding of peers without progress, a check of the head before a large body is read, an outbox for slow readers, blocks given back by the allocator.

--- a/src/ebonywheel/admin.py
+++ b/src/ebonywheel/admin.py
@@ -47,6 +47,14 @@
         self.control = control
         self.identity: typing.Any = None
 
+    def check_head(self, request: http.Request) -> http.HeadTerms:
+        """Decide whether the body of a request is read; raises `HttpError` if it is of no use."""
+        if request.path != OPERATIONS_PATH or request.method != "POST":
+            raise exceptions.HttpError(
+                f"no body for {request.method} {request.path}", "route", request.peer, 404
+            )
+        return http.HeadTerms((f"operator {self._authenticate(request)}",))
+
     async def handle(self, exchange: http.Exchange) -> None:
         """Answer one HTTP request."""
         request = exchange.request
--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -89,7 +89,11 @@
         turns.current.max_s = MAX_TURN_S
         await self.core.spawn(self.pauses.run(), essential=True)
         await link.LinkServer(self.core, self.handle, self.delay_s).start()
-        await self.serve(self.core.host.http, self.admin.handle, MAX_BODY_BYTES)
+        server = http.Server(
+            self.core, self.core.host.http, self.admin.handle, MAX_BODY_BYTES, self.core.operators
+        )
+        server.check_head = self.admin.check_head
+        await self.serve(server)
         await self.replica.start()
         await self.feed.start()
         await self.orders.start()
@@ -101,9 +105,8 @@
         if self.settings.membership == "automatic":
             await self._start_membership()
 
-    async def serve(self, address: str, handler: http.ExchangeHandler, max_body_bytes: int) -> None:
-        """Serve HTTP at an address until this host stops."""
-        server = http.Server(self.core, address, handler, max_body_bytes)
+    async def serve(self, server: http.Server) -> None:
+        """Serve HTTP until this host stops."""
         await server.start()
         self.servers.append(server)
 
--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -63,6 +63,7 @@
         self.relay_server = relayserver.RelayServer(core, self)
         self.http = http.Server(core, address, self.handle, DEFAULT_MAX_BODY_BYTES)
         self.http.limits.body_s = BODY_TIMEOUT_S
+        self.http.check_head = self.check_head
         self.shutdown = shutdown.Shutdown(core, self.http, self.relay_server)
 
     async def start(self, seeds: list[str]) -> None:
@@ -85,6 +86,24 @@
 
     # -- requests --------------------------------------------------------------------------
 
+    def check_head(self, request: http.Request) -> http.HeadTerms:
+        """Decide whether a request can be served, before its body is read; raises like `_admit`.
+
+        The body may take as long as the caller and the route wait for the answer.
+        """
+        now = self.core.clock.monotonic()
+        try:
+            context = self._admit(self.dialect.decode_request(request), now)
+        except (exceptions.HttpError, exceptions.NotRunError) as error:
+            attempt = self.dialect.attempt_id(request)
+            self.core.metrics.count("refused_by_head", status=str(error.status))
+            self.core.log.info("refused_by_head", request=attempt, path=request.path, error=error)
+            raise
+        groups = [f"route {context.route.name}"]
+        if context.customer is not None:
+            groups.append(f"customer {context.customer.name}")
+        return http.HeadTerms(tuple(groups), min(BODY_TIMEOUT_S, context.deadline_at - now))
+
     async def handle(self, exchange: http.Exchange) -> None:
         """Answer one request, or cancel its work when the caller disconnects."""
         async with curio.TaskGroup(wait=any) as group:
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -3,7 +3,7 @@
 import curio
 import msgspec
 
-from ebonywheel import exceptions, http, kernel
+from ebonywheel import exceptions, heldmemory, http, kernel
 from ebonywheel.gateway import (
     balance,
     budgets,
@@ -153,7 +153,7 @@
         try:
             async with curio.timeout_after(remaining_s):
                 reply = await self.sender.send(context, candidate.record, sending, remaining_s)
-                complete = await self._read_answer(reply, body)
+                complete = await self._read_answer(reply, body, exchange.held)
         except curio.TaskTimeout as error:
             self.view.state_of(candidate.record).record_answer(failed=True)
             text, step = ("no answer", "wait") if context.sent else ("no connection", "connect")
@@ -168,12 +168,17 @@
             await self._relay_rest(exchange, reply, bytes(body))
         return None
 
-    async def _read_answer(self, reply: sender.Reply, body: bytearray) -> bool:
-        """Read an answer up to `BUFFER_BYTES` into `body`; return whether that was all of it."""
+    async def _read_answer(
+        self, reply: sender.Reply, body: bytearray, held: heldmemory.Holding
+    ) -> bool:
+        """Read an answer up to `BUFFER_BYTES` into `body`; return whether that was all of it.
+
+        It is read no further when there is no room for it in this process's memory.
+        """
         try:
             async for chunk in reply.connection.chunks(http.WRITE_TIMEOUT_S):
                 body += chunk
-                if len(body) > BUFFER_BYTES:
+                if len(body) > BUFFER_BYTES or not held.grow(len(chunk)):
                     return False
             await self.sender.confirm_end(reply)
         except BaseException:
@@ -193,11 +198,12 @@
             async for chunk in reply.connection.chunks(http.WRITE_TIMEOUT_S):
                 await exchange.write(chunk)
             await self.sender.confirm_end(reply)
-            await exchange.end()
         except BaseException:
             await self.sender.abandon(reply)
             raise
         await self.sender.finish(reply)
+        # The server does not wait until a slow caller has read the rest.
+        await exchange.end()
 
     def _remaining_s(self, context: inflight.RequestContext) -> float:
         return context.deadline_at - self.core.clock.monotonic()
--- a/src/ebonywheel/gateway/relayserver.py
+++ b/src/ebonywheel/gateway/relayserver.py
@@ -36,6 +36,7 @@
         ended: True once no more of it follows.
         status: Status of the answer, 0 before it has begun.
         read_at: When the other host asked last, monotonic seconds.
+        held: Counts the memory that is held for the request and its answer.
         task: Serves the request.
     """
 
@@ -55,6 +56,7 @@
         self.read_at = core.clock.monotonic()
         self.task: curio.Task | None = None
         self.changed = curio.Condition()
+        self.held = core.callers.hold()
 
     async def start(self, status: int, headers: http.Headers) -> None:
         """Begin the answer."""
@@ -67,6 +69,7 @@
         """Add a part of the body; wait while too much is unread."""
         async with self.changed:
             self.unread += data
+            self.held.force(len(data))
             await self.changed.notify_all()
             while len(self.unread) > MAX_UNREAD_BYTES:
                 await self.changed.wait()
@@ -79,6 +82,7 @@
     async def respond_raw(self, status: int, fields: http.Headers, body: bytes) -> None:
         """Give a complete answer."""
         self.unread += body
+        self.held.force(len(body))
         self.ended = True
         await self.start(status, fields)
 
@@ -97,6 +101,7 @@
         async with self.changed:
             acknowledged = min(max(0, position - self.position), len(self.unread))
             del self.unread[:acknowledged]
+            self.held.force(-acknowledged)
             self.position += acknowledged
             await self.changed.notify_all()
             async with curio.ignore_after(READ_WAIT_S):
@@ -180,6 +185,8 @@
             message.target,
         )
         relayed = RelayedExchange(self.core, request, message)
+        if not relayed.held.grow(len(message.body)):
+            return messages.RelayReply(ended=True, failure=ELSEWHERE, text="no memory left")
         key = (peer.host, message.relay)
         self.relays[key] = relayed
         relayed.task = await self.core.spawn(self._serve(key, relayed))
@@ -195,6 +202,7 @@
                 await self._wait_for_silence(relayed)
         finally:
             self.relays.pop(key, None)
+            relayed.held.release()
 
     async def _answer(self, relayed: RelayedExchange) -> None:
         try:
--- a/src/ebonywheel/http.py
+++ b/src/ebonywheel/http.py
@@ -3,6 +3,7 @@
 The exchanges of a connection are served one after the other. The client side is `httpclient`.
 """
 
+import math
 import re
 import select
 import socket
@@ -14,19 +15,40 @@
 import h11
 import msgspec
 
-from ebonywheel import exceptions, kernel, settings, sockets, turns
+from ebonywheel import (
+    exceptions,
+    heldmemory,
+    kernel,
+    lingering,
+    outbox,
+    requestbody,
+    settings,
+    sockets,
+    turns,
+)
 
 MAX_HEADER_BYTES = 16 * 1024
 # Allowance for the request line, separators and white space, which do not count as headers.
 HEAD_OVERHEAD_BYTES = 8 * 1024
 MAX_CONNECTIONS = 8192
+# Share of the descriptors that one server's connections may take.
+DESCRIPTORS_SHARE = 1 / 2
 READ_BYTES = 65536
+# Read at once of the head of a request, and of requests that are sent ahead.
+HEAD_READ_BYTES = 16 * 1024
+# Memory counted for a connection: its tasks, and a head and requests sent ahead, which are bounded.
+CONNECTION_BYTES = 40 * 1024
+# Memory counted for each field of a head, besides its bytes.
+FIELD_BYTES = 320
+# Smaller bodies are read before it is decided whether their requests can be served.
+CHECK_BYTES = 16 * 1024
+# A body that makes no progress for this long is given up.
+BODY_PROGRESS_S = 10.0
 HEADER_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
 BODY_TIMEOUT_S = 60.0
-WRITE_TIMEOUT_S = 60.0
-LINGER_S = 1.0
-LINGER_BYTES = 256 * 1024
+WRITE_TIMEOUT_S = outbox.WRITE_TIMEOUT_S
+LINGER_S = lingering.LAST_LINGER_S
 ACCEPT_BACKLOG = 1024
 ACCEPT_PAUSE_S = 0.05
 # Requests on one connection that are answered after the server has stopped accepting: those that
@@ -139,10 +161,12 @@
     Attributes:
         started: True once the response has begun.
         ended: True once all of it has been given.
+        held: Counts the memory that is held for the request, until the response has ended.
     """
 
     started: bool
     ended: bool
+    held: heldmemory.Holding
 
     async def start(self, status: int, headers: Headers) -> None:
         """Begin a response, which is chunked unless the headers give its length."""
@@ -182,11 +206,13 @@
     Attributes:
         started: True once a response has begun.
         ended: True once all of it has been written to the socket.
+        held: Counts the memory that is held for the request, until the response has ended.
     """
 
     def __init__(self, connection: "ServerConnection", request: Request):
         self.connection = connection
         self.request = request
+        self.held = connection.request_held
         self.started = False
         self.ended = False
 
@@ -236,7 +262,7 @@
 
     async def write(self, data: bytes) -> None:
         """Send a part of the response body."""
-        await self.connection.send(self.connection.encode_data(data))
+        await self.connection.outbox.write(self.connection.encode_data(data))
 
     async def end(self) -> None:
         """End the response."""
@@ -266,6 +292,24 @@
 ExchangeHandler = typing.Callable[[Exchange], typing.Awaitable[None]]
 
 
+class HeadTerms(msgspec.Struct, frozen=True):
+    """On which terms the body of a request is read.
+
+    Attributes:
+        groups: Shares of the memory that the request counts in.
+        body_s: Time limit for receiving the body, None for the server's.
+        body_bytes: Largest body, None for the server's.
+    """
+
+    groups: tuple[str, ...] = ()
+    body_s: float | None = None
+    body_bytes: int | None = None
+
+
+# Decides by the head of a request whether it can be served; raises `HttpError` or `NotRunError`.
+HeadCheck = typing.Callable[[Request], HeadTerms]
+
+
 class ServerLimits(msgspec.Struct):
     """Size and time limits for requests.
 
@@ -274,6 +318,7 @@
         header_bytes: Largest total of header names and values.
         header_s: Time limit for receiving the head of a request.
         body_s: Time limit for receiving its body.
+        progress_s: Time limit for progress of its body.
         idle_s: Time limit for the wait for the next request.
     """
 
@@ -281,6 +326,7 @@
     header_bytes: int = MAX_HEADER_BYTES
     header_s: float = HEADER_TIMEOUT_S
     body_s: float = BODY_TIMEOUT_S
+    progress_s: float = BODY_PROGRESS_S
     idle_s: float = IDLE_TIMEOUT_S
 
 
@@ -292,9 +338,12 @@
         method: Method of the request that is being read or answered, empty until its head is read.
         task: The task that serves it.
         last_requests: Number of requests begun after the server has stopped accepting.
+        held: Counts the memory of the connection itself.
+        request_held: Counts what is held for the request that is being read or answered.
+        outbox: Writes to the caller.
     """
 
-    def __init__(self, server: "Server", sock: curio.io.Socket, peer: str, task: curio.Task):
+    def __init__(self, server: "Server", sock: sockets.Socket, peer: str, task: curio.Task):
         self.server = server
         self.sock = sock
         self.peer = peer
@@ -302,6 +351,9 @@
         self.method = ""
         self.task = task
         self.last_requests = 0
+        self.held = server.account.hold()
+        self.request_held = server.account.hold()
+        self.outbox = outbox.Outbox(sock, peer, server.account)
 
     def encode_response(self, status: int, headers: Headers) -> bytes:
         """Encode the head of a response.
@@ -321,22 +373,12 @@
         return self.conn.send(h11.EndOfMessage())
 
     async def send(self, data: bytes) -> None:
-        """Write to the caller.
+        """Write to the caller, all of it.
 
         Raises:
             HttpError: The connection broke, or the caller reads nothing for `WRITE_TIMEOUT_S`.
         """
-        unsent = memoryview(data)
-        try:
-            while unsent:
-                async with curio.timeout_after(WRITE_TIMEOUT_S):
-                    unsent = unsent[await self.sock.send(unsent) :]
-        except curio.TaskTimeout as error:
-            raise exceptions.HttpError(
-                "caller does not read the response", "write", self.peer
-            ) from error
-        except OSError as error:
-            raise exceptions.HttpError(str(error), "write", self.peer) from error
+        await self.outbox.write_all(data)
 
     async def wait_request(self) -> bool:
         """Wait for the next request; return False when the connection ends instead.
@@ -359,7 +401,7 @@
 
     async def _first_bytes(self) -> bytes:
         """Return the first bytes of a request; none when the connection ends instead."""
-        while data := await self._receive():
+        while data := await self._receive(HEAD_READ_BYTES):
             if start := data.lstrip(EMPTY_LINE):
                 return start
         return b""
@@ -372,29 +414,53 @@
         """Read a complete request; return None when the connection ends instead.
 
         Raises:
-            HttpError: The request is malformed, too large or too slow.
+            HttpError: The request is malformed, too large or too slow, or cannot be served.
+            NotRunError: There is no room for it.
         """
         self.method = ""
-        head = await self._with_timeout(self._next_event(), self.server.limits.header_s)
+        head = await self._with_timeout(
+            self._next_event(HEAD_READ_BYTES), self.server.limits.header_s
+        )
+        self.held.stop_waiting()
         if isinstance(head, h11.ConnectionClosed):
             return None
+        request = self._decode_head(head)
+        length = request.headers.get("content-length", "")
+        body = requestbody.RequestBody(
+            self.request_held,
+            self.server.limits.body_bytes,
+            int(length) if length.isdecimal() else None,
+            self.peer,
+        )
+        body.reserve()
+        if body.length or body.length is None and "transfer-encoding" in request.headers:
+            self.request_held.wait(self.sock.stop_receiving_now, self.server.limits.progress_s)
+        reading = self._read_body(request, body)
+        await self._with_timeout(reading, self.server.limits.body_s)
+        self.request_held.stop_waiting()
+        if self.request_held.shed_reason:
+            raise self._shed_error()
+        request.body = body.take()
+        return request
+
+    def _decode_head(self, head: h11.Request) -> Request:
         self.method = head.method.decode()
         try:
             fields = decode_fields(head.headers)
         except ValueError as error:
             raise exceptions.HttpError(str(error), "read head", self.peer) from error
-        headers = dict(fields)
-        if sum(len(name) + len(value) for name, value in fields) > self.server.limits.header_bytes:
+        size = sum(len(name) + len(value) for name, value in fields)
+        if size > self.server.limits.header_bytes:
             raise exceptions.HttpError("headers too large", "read head", self.peer, 431)
+        address = self.peer.rpartition(":")[0]
+        self.request_held = self.server.account.hold(f"address {address}")
+        if not self.request_held.grow(size + FIELD_BYTES * len(fields)):
+            raise requestbody.no_room_error(self.peer)
         target = _origin_form(head.target.decode("ascii"), self.peer)
         path, _, raw_query = target.partition("?")
-        self._check_length(headers)
-        if self.conn.they_are_waiting_for_100_continue:
-            await self.send(self.conn.send(h11.InformationalResponse(status_code=100, headers=[])))
-        body = await self._with_timeout(self._read_body(), self.server.limits.body_s)
         query = dict(urllib.parse.parse_qsl(raw_query))
         return Request(
-            self.method, path, query, headers, body, self.peer, raw_query, fields, target
+            self.method, path, query, dict(fields), b"", self.peer, raw_query, fields, target
         )
 
     def mark_break(self) -> bool:
@@ -408,21 +474,6 @@
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         return True
 
-    async def linger(self) -> None:
-        """Stop sending, then discard input for a limited time before the connection is closed.
-
-        Closing a socket with unread input makes the kernel reset the connection, which can
-        destroy a response that the caller has not read yet.
-        """
-        try:
-            await self.sock.shutdown(socket.SHUT_WR)
-            async with curio.ignore_after(LINGER_S):
-                discarded = 0
-                while discarded < LINGER_BYTES and (data := await self.sock.recv(READ_BYTES)):
-                    discarded += len(data)
-        except OSError:
-            return
-
     def may_go_on(self) -> bool:
         """Return whether a draining server has another request of this connection to answer."""
         return self.last_requests < MAX_LAST_REQUESTS and self.has_unread()
@@ -448,7 +499,7 @@
         """
         while len(self.conn.trailing_data[0]) < MAX_HEADER_BYTES:
             try:
-                data = await self.sock.recv(READ_BYTES)
+                data = await self.sock.recv(HEAD_READ_BYTES)
             except OSError:
                 return
             self.conn.receive_data(data)
@@ -456,11 +507,6 @@
                 return
         await curio.sleep(float("inf"))
 
-    def _check_length(self, headers: dict[str, str]) -> None:
-        length = headers.get("content-length", "")
-        if length.isdecimal() and int(length) > self.server.limits.body_bytes:
-            raise self._too_large()
-
     async def _with_timeout(self, reading: typing.Coroutine, timeout_s: float) -> typing.Any:
         try:
             async with curio.timeout_after(timeout_s):
@@ -468,7 +514,7 @@
         except curio.TaskTimeout as error:
             raise exceptions.HttpError("request too slow", "read", self.peer, 408) from error
 
-    async def _next_event(self) -> typing.Any:
+    async def _next_event(self, read_bytes: int) -> typing.Any:
         while True:
             if turns.current.is_over(self.sock):
                 await turns.give_way()
@@ -480,31 +526,57 @@
                 ) from error
             if event is not h11.NEED_DATA:
                 return event
-            self.conn.receive_data(await self._receive())
+            self.conn.receive_data(await self._receive(read_bytes))
+
+    async def _read_body(self, request: Request, body: requestbody.RequestBody) -> None:
+        """Read a body; one that is large, or that its caller holds back, if it can be served."""
+        waits = self.conn.they_are_waiting_for_100_continue
+        check = self.server.check_head
+        large = waits or (body.length or 0) > CHECK_BYTES
+        while not large:
+            if not await self._read_part(body):
+                return
+            large = len(body.content) > CHECK_BYTES
+        terms = HeadTerms() if check is None else check(request)
+        for group in terms.groups:
+            body.held.join(group)
+        if terms.body_bytes is not None:
+            body.restrict(terms.body_bytes)
+        if waits:
+            await self.send(self.conn.send(h11.InformationalResponse(status_code=100, headers=[])))
+        body_s = self.server.limits.body_s if terms.body_s is None else terms.body_s
+        await self._with_timeout(self._read_rest(body), max(0.0, body_s))
 
-    async def _read_body(self) -> bytes:
-        body = bytearray()
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            if not isinstance(event, h11.Data):
-                raise exceptions.HttpError(
-                    "connection closed in the request body", "read body", self.peer
-                )
-            body += event.data
-            if len(body) > self.server.limits.body_bytes:
-                raise self._too_large()
+    async def _read_rest(self, body: requestbody.RequestBody) -> None:
+        while await self._read_part(body):
+            pass
 
-    def _too_large(self) -> exceptions.HttpError:
-        text = f"body over {self.server.limits.body_bytes} bytes"
-        return exceptions.HttpError(text, "read body", self.peer, 413)
+    async def _read_part(self, body: requestbody.RequestBody) -> bool:
+        """Read a part of a body; return False at its end."""
+        event = await self._next_event(READ_BYTES)
+        if isinstance(event, h11.EndOfMessage):
+            return False
+        if not isinstance(event, h11.Data):
+            raise exceptions.HttpError(
+                "connection closed in the request body", "read body", self.peer
+            )
+        body.add(event.data)
+        return True
 
-    async def _receive(self) -> bytes:
+    async def _receive(self, size: int) -> bytes:
         try:
-            return await self.sock.recv(READ_BYTES)
+            data = await self.sock.recv(size)
         except OSError as error:
             raise exceptions.HttpError(str(error), "read", self.peer) from error
+        self.request_held.progress(len(data))
+        if self.held.shed_reason or self.request_held.shed_reason:
+            raise self._shed_error()
+        return data
+
+    def _shed_error(self) -> exceptions.EbonywheelError:
+        if self.request_held.shed_reason == heldmemory.TOO_SLOW:
+            return exceptions.HttpError("request too slow", "read", self.peer, 408)
+        return requestbody.no_room_error(self.peer)
 
 
 def _origin_form(target: str, peer: str) -> str:
@@ -526,14 +598,21 @@
     Attributes:
         active_exchanges: Number of exchanges that are being read, handled or answered.
         open_connections: Number of connections, lingering ones included.
-        lingering: Number of connections that may still deliver their last response.
+        lingerer: Lets connections deliver their last response.
         unread: Connections that are idle, or whose next request has not been read yet.
         listener: The socket that accepts connections, None before `start`.
         stopped: Whether no more connections are accepted.
+        account: Counts the memory that is held for callers.
+        check_head: Decides by a head whether a large body is read, None to read all.
     """
 
     def __init__(
-        self, core: kernel.Kernel, address: str, handler: ExchangeHandler, max_body_bytes: int
+        self,
+        core: kernel.Kernel,
+        address: str,
+        handler: ExchangeHandler,
+        max_body_bytes: int,
+        account: heldmemory.Account | None = None,
     ):
         self.core = core
         self.address = address
@@ -541,8 +620,10 @@
         self.limits = ServerLimits(max_body_bytes, header_s=HEADER_TIMEOUT_S, body_s=BODY_TIMEOUT_S)
         self.limits.idle_s = IDLE_TIMEOUT_S
         self.active_exchanges = 0
+        self.account = account or core.callers
+        self.check_head: HeadCheck | None = None
         self.open_connections = 0
-        self.lingering = 0
+        self.lingerer = lingering.Lingering()
         self.unread: set[ServerConnection] = set()
         self.listener: curio.io.Socket | None = None
         self.accept_task: curio.Task | None = None
@@ -583,16 +664,31 @@
                 self.core.metrics.count("http_accept_errors")
                 await curio.sleep(ACCEPT_PAUSE_S)
                 continue
-            if self.open_connections >= MAX_CONNECTIONS:
+            if self.open_connections >= self._max_connections() and not self.account.shed_one():
+                self.core.metrics.count("http_connections_refused")
+                await client.close()
+                continue
+            connection = ServerConnection(self, client, f"{address[0]}:{address[1]}", None)
+            if not connection.held.grow(CONNECTION_BYTES):
                 self.core.metrics.count("http_connections_refused")
                 await client.close()
                 continue
             self.open_connections += 1
             sockets.set_tcp_options(client)
-            await self.core.spawn(self._serve_connection(client, f"{address[0]}:{address[1]}"))
+            await self.core.spawn(self._serve_connection(connection))
+
+    def _max_connections(self) -> int:
+        descriptors = self.core.max_descriptors
+        return min(MAX_CONNECTIONS, int(descriptors * DESCRIPTORS_SHARE))
 
-    async def _serve_connection(self, sock: curio.io.Socket, peer: str) -> None:
-        connection = ServerConnection(self, sock, peer, await curio.current_task())
+    @property
+    def lingering(self) -> int:
+        """Number of connections that may still deliver their last response."""
+        return self.lingerer.count
+
+    async def _serve_connection(self, connection: ServerConnection) -> None:
+        connection.task = await curio.current_task()
+        sock = connection.sock
         try:
             async with sock:
                 try:
@@ -600,14 +696,16 @@
                         pass
                 finally:
                     broken_off = connection.mark_break()
+                    await connection.outbox.close()
+                    connection.request_held.release()
                 if broken_off:
                     return
-                self.lingering += 1
-                try:
-                    await connection.linger()
-                finally:
-                    self.lingering -= 1
+                last = self.stopped
+                timeout_s = lingering.LAST_LINGER_S if last else lingering.LINGER_S
+                deaf = bool(connection.request_held.shed_reason)
+                await self.lingerer.linger(sock, timeout_s, deaf)
         finally:
+            connection.held.release()
             self.open_connections -= 1
 
     async def _serve_next(self, connection: ServerConnection) -> bool:
@@ -616,10 +714,11 @@
             if not connection.may_go_on():
                 return False
         self.unread.add(connection)
+        connection.held.wait(connection.sock.stop_receiving_now)
         try:
             if not await connection.wait_request():
                 return False
-        except exceptions.HttpError:
+        except (exceptions.HttpError, exceptions.NotRunError):
             self.core.metrics.count("http_idle_closed")
             return False
         finally:
@@ -634,15 +733,20 @@
         self.unread.add(connection)
         try:
             request = await connection.read_request()
-        except exceptions.HttpError as error:
+        except (exceptions.HttpError, exceptions.NotRunError) as error:
             self.core.metrics.count("http_bad_requests", status=str(error.status))
+            connection.request_held.release()
             await _send_error(connection, error)
             return False
         finally:
+            connection.held.stop_waiting()
             self.unread.discard(connection)
         if request is None:
             return False
-        return await self._handle(connection, Exchange(connection, request))
+        try:
+            return await self._handle(connection, Exchange(connection, request))
+        finally:
+            connection.request_held.release()
 
     async def _handle(self, connection: ServerConnection, exchange: Exchange) -> bool:
         try:
@@ -666,15 +770,21 @@
         return True
 
 
-async def _send_error(connection: ServerConnection, error: exceptions.HttpError) -> None:
+async def _send_error(
+    connection: ServerConnection, error: exceptions.HttpError | exceptions.NotRunError
+) -> None:
     if connection.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
         return
-    body = msgspec.json.encode(ErrorBody(error.code, error.text, error.step, error.peer))
+    not_run = isinstance(error, exceptions.NotRunError)
+    run = "not run" if not_run else ""
+    body = msgspec.json.encode(ErrorBody(error.code, error.text, error.step, error.peer, run))
     fields = [
         ("content-type", JSON),
         ("content-length", str(len(body))),
         ("connection", "close"),
     ]
+    if not_run and error.retry_after is not None:
+        fields.append(("retry-after", str(math.ceil(error.retry_after))))
     try:
         data = connection.encode_response(error.status, fields)
         if connection.method != "HEAD":
--- a/src/ebonywheel/kernel.py
+++ b/src/ebonywheel/kernel.py
@@ -1,11 +1,15 @@
 """The kernel: the object that holds everything the parts of one process share."""
 
 import contextlib
+import resource
 import typing
 
 import curio
 
-from ebonywheel import clock, exceptions, logs, metrics, registry, settings
+from ebonywheel import clock, exceptions, heldmemory, logs, metrics, registry, settings
+
+# Descriptors that are counted with where the system has no limit.
+MAX_DESCRIPTORS = 65_536
 
 
 class Kernel:
@@ -17,6 +21,9 @@
         secret: Secret shared by the system's processes.
         clock: Time source.
         metrics: Counters, gauges and histograms.
+        callers: Memory that is held for callers and other peers.
+        operators: Memory that is held for readiness checks and operators' calls.
+        max_descriptors: Files and sockets that this process may open.
         plugins: Registry of plug-ins.
         exit_stack: Exit stack whose callbacks run when the process ends.
         draining: Set when the process has been asked to end gracefully.
@@ -40,6 +47,10 @@
         self.metrics = metrics.Metrics()
         self.plugins = registry.plugins
         self.log = logs.EventLogger(role, host.name)
+        memory = host.memory_bytes or heldmemory.machine_bytes()
+        self.callers = self._account("callers", int(memory * heldmemory.CALLERS_SHARE))
+        self.operators = self._account("operators", int(memory * heldmemory.OPERATORS_SHARE))
+        self.max_descriptors = host.max_descriptors or _descriptor_limit()
         self.exit_stack = contextlib.AsyncExitStack()
         self.draining = curio.Event()
         self.stopped = curio.Event()
@@ -47,6 +58,9 @@
         self.tasks: set[curio.Task] = set()
         self.reload_callbacks: list[typing.Callable[[], typing.Awaitable[None]]] = []
 
+    def _account(self, name: str, limit: int) -> heldmemory.Account:
+        return heldmemory.Account(name, limit, self.clock, self.metrics, self.log)
+
     async def __aenter__(self) -> "Kernel":
         await self.exit_stack.__aenter__()
         return self
@@ -108,6 +122,11 @@
             self.tasks.discard(await curio.current_task())
 
 
+def _descriptor_limit() -> int:
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return MAX_DESCRIPTORS if soft == resource.RLIM_INFINITY else soft
+
+
 def _raise_location(error: BaseException) -> str:
     trace = error.__traceback__
     while trace is not None and trace.tb_next is not None:
--- a/src/ebonywheel/program.py
+++ b/src/ebonywheel/program.py
@@ -9,7 +9,7 @@
 import result
 
 import ebonywheel
-from ebonywheel import exceptions, kernel, logs, settings, signals, turns
+from ebonywheel import exceptions, kernel, logs, memorycare, settings, signals, turns
 
 EXIT_OK = 0
 EXIT_FAULT = 1
@@ -127,6 +127,7 @@
 ) -> int:
     async with kernel.Kernel(role, host, secret) as core:
         monitor.attach(core.metrics, core.log)
+        await core.spawn(memorycare.MemoryCare(core).run(), essential=True)
         await core.spawn(signals.watch(core, signals.install(core)), essential=True)
         core.log.info("started", host=core.host.name, pid=os.getpid(), http=core.host.http)
         await core.spawn(_run_to_end(core, loaded, serve), essential=True)
--- a/src/ebonywheel/settings.py
+++ b/src/ebonywheel/settings.py
@@ -15,6 +15,7 @@
 Secret = typing.Annotated[str, msgspec.Meta(min_length=16)]
 
 MIN_SECRET_CHARS = 16
+BYTES_PER_MB = 1_000_000
 
 
 class HostSettings(msgspec.Struct, forbid_unknown_fields=True):
@@ -28,6 +29,8 @@
         secret_file: File with the secret that the system's processes share.
         log_level: Lowest level of the log lines that are written.
         max_loop_held_ms: A task that holds the event loop for longer is logged.
+        memory_mb: Memory that this process may use, in megabytes; None for the machine's.
+        max_descriptors: Files and sockets that it may open; None for the limit of the system.
     """
 
     name: Name
@@ -37,6 +40,13 @@
     secret_file: str
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     max_loop_held_ms: typing.Annotated[float, msgspec.Meta(gt=0)] = 100.0
+    memory_mb: typing.Annotated[float, msgspec.Meta(gt=0)] | None = None
+    max_descriptors: Count | None = None
+
+    @property
+    def memory_bytes(self) -> int | None:
+        """Memory that this process may use, in bytes; None for the machine's."""
+        return None if self.memory_mb is None else int(self.memory_mb * BYTES_PER_MB)
 
 
 class Peer(msgspec.Struct, forbid_unknown_fields=True):
--- a/src/ebonywheel/sockets.py
+++ b/src/ebonywheel/sockets.py
@@ -1,5 +1,6 @@
 """TCP sockets whose operations give way to other tasks, and the options of all connections."""
 
+import contextlib
 import socket
 import typing
 
@@ -58,6 +59,23 @@
         while unsent:
             unsent = unsent[await self.send(unsent, flags) :]
 
+    def send_now(self, data: bytes | memoryview) -> int:
+        """Send what the kernel takes at once; return the number of bytes sent."""
+        try:
+            return self._socket.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+
+    def stop_receiving_now(self) -> None:
+        """Receive nothing more; who waits to receive gets the end of the connection."""
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RD)
+
+    def shut_down_now(self) -> None:
+        """Neither send nor receive any more; who waits to do so is woken."""
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+
     async def accept(self) -> tuple["Socket", tuple[str, int]]:
         """Accept a connection; return its socket and the address of the peer."""
         if _turn.is_over(self):
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -7,6 +7,7 @@
 import h11
 import pytest
 
+import netbench
 from ebonywheel import control, engineclient, http, httpclient, messages, metrics, sockets, turns
 
 BLOCK = b"x" * 65536
@@ -172,6 +173,8 @@
 
 class Server:
     limits = http.ServerLimits(10_000)
+    account = netbench.make_core().callers
+    check_head = None
 
 
 def test_an_engine_stream_parses_a_bounded_number_of_chunks_at_once():
