A response whose status is no final one is malformed, on every path

Cause: 600 to 999 were passed on as they came, plain, on streams and through another host. Change: the HTTP client takes 200 to 599. Tests of forms that drew statuses up to 999 as legal now expect a failure there.

--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -20,6 +20,8 @@
 # skipped. A server in trouble may send either without end.
 MAX_INTERIM_RESPONSES = 8
 MAX_SKIPPED_BYTES = 1024 * 1024
+# Statuses that a final response may have; a response with another is malformed.
+MIN_STATUS, MAX_STATUS = 200, 599
 
 
 class ResponseHead(msgspec.Struct):
@@ -135,6 +137,8 @@
             raise self._timeout_error("no answer in time", "wait") from error
         if not isinstance(event, h11.Response):
             raise self._error("connection closed before the response", "wait")
+        if not MIN_STATUS <= event.status_code <= MAX_STATUS:
+            raise self._error(f"malformed response: status {event.status_code}", "wait")
         try:
             fields = http.decode_fields(event.headers)
         except ValueError as error:
--- a/tests/httpforms.py
+++ b/tests/httpforms.py
@@ -12,6 +12,8 @@
 FIELD_PREFIX = b"x-f-"
 HOP_FIELD = b"x-hop"
 ROUTES = ("book", "look", "plan")
+# Highest status that an answer may have.
+MAX_STATUS = 599
 STATUSES_WITHOUT_BODY = (204, 304)
 MAX_CHUNK = 64 * 1024
 
@@ -413,6 +415,8 @@
     if breach or cut_at is not None:
         # A cut within a body that ends with its connection may show nowhere.
         legality = LENIENT if ends_with_connection and not (breach or resets) else ILLEGAL
+    if status > MAX_STATUS:
+        legality = ILLEGAL
     return Answer(
         fields=[
             *draw(long_field_lists if draw(one_in(30)) else field_lists),
