HTTP server: split into connection and server; http holds what both sides have in common

Change: moves alone (callerconnection, httpserver), names follow. Result: tests/test_http.py, test_httpclient.py and test_turns.py pass (75).

--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -13,7 +13,7 @@
     exceptions,
     feedserver,
     formation,
-    http,
+    httpserver,
     joiner,
     kernel,
     link,
@@ -82,14 +82,14 @@
         self.permits = permits.Permits(core.clock, self.replica.require_lease)
         self.admin = admin.Admin(core, loaded.operators, self)
         self.admin.identity = self.formation.info
-        self.servers: list[http.Server] = []
+        self.servers: list[httpserver.Server] = []
 
     async def start(self) -> None:
         """Start serving links and HTTP, then the replica."""
         turns.current.max_s = MAX_TURN_S
         await self.core.spawn(self.pauses.run(), essential=True)
         await link.LinkServer(self.core, self.handle, self.delay_s).start()
-        server = http.Server(
+        server = httpserver.Server(
             self.core, self.core.host.http, self.admin.handle, MAX_BODY_BYTES, self.core.operators
         )
         server.check_head = self.admin.check_head
@@ -105,7 +105,7 @@
         if self.settings.membership == "automatic":
             await self._start_membership()
 
-    async def serve(self, server: http.Server) -> None:
+    async def serve(self, server: httpserver.Server) -> None:
         """Serve HTTP until this host stops."""
         await server.start()
         self.servers.append(server)
--- a/src/ebonywheel/entry.py
+++ b/src/ebonywheel/entry.py
@@ -10,7 +10,7 @@
     fleet,
     generations,
     home,
-    http,
+    httpserver,
     kernel,
     link,
     placement,
@@ -54,7 +54,7 @@
         )
         secret = settings.read_secret(entry_settings.server_secret_file)
         self.router = callers.RequestRouter(core, self.feed, self.fleet, self.context, secret)
-        self.http = http.Server(
+        self.http = httpserver.Server(
             core, core.host.http, self.router.handle, entry_settings.max_body_bytes
         )
 
@@ -96,7 +96,7 @@
         """Leave the roster and wait for the last responses to be delivered."""
         async with curio.ignore_after(LEAVE_TIMEOUT_S):
             await self.feed.leave()
-        async with curio.ignore_after(http.LINGER_S):
+        async with curio.ignore_after(httpserver.LINGER_S):
             while self.http.active_exchanges or self.http.lingering:
                 await curio.sleep(DRAIN_POLL_INTERVAL_S)
 
--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from ebonywheel import exceptions, http, kernel, watcher
+from ebonywheel import exceptions, http, httpserver, kernel, watcher
 from ebonywheel.gateway import (
     budgets,
     crashes,
@@ -61,7 +61,7 @@
         self.streams.on_late_run.append(self.mover.start_late_move)
         self.relays = relays.Relays(core, entry_view, self.watcher)
         self.relay_server = relayserver.RelayServer(core, self)
-        self.http = http.Server(core, address, self.handle, DEFAULT_MAX_BODY_BYTES)
+        self.http = httpserver.Server(core, address, self.handle, DEFAULT_MAX_BODY_BYTES)
         self.http.limits.body_s = BODY_TIMEOUT_S
         self.http.check_head = self.check_head
         self.shutdown = shutdown.Shutdown(core, self.http, self.relay_server)
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -16,6 +16,8 @@
     sender,
 )
 
+# A server that sends nothing of its answer for this long is given up.
+READ_TIMEOUT_S = 60.0
 # Longer answers are relayed as they arrive, to bound the memory that an answer takes.
 BUFFER_BYTES = 256 * 1024
 # A request that a server refuses without running it is sent to another, up to this many refusals:
@@ -176,7 +178,7 @@
         It is read no further when there is no room for it in this process's memory.
         """
         try:
-            async for chunk in reply.connection.chunks(http.WRITE_TIMEOUT_S):
+            async for chunk in reply.connection.chunks(READ_TIMEOUT_S):
                 body += chunk
                 if len(body) > BUFFER_BYTES or not held.grow(len(chunk)):
                     return False
@@ -195,7 +197,7 @@
         try:
             await exchange.start(reply.head.status, reply.head.headers)
             await exchange.write(buffered)
-            async for chunk in reply.connection.chunks(http.WRITE_TIMEOUT_S):
+            async for chunk in reply.connection.chunks(READ_TIMEOUT_S):
                 await exchange.write(chunk)
             await self.sender.confirm_end(reply)
         except BaseException:
--- a/src/ebonywheel/gateway/shutdown.py
+++ b/src/ebonywheel/gateway/shutdown.py
@@ -2,7 +2,7 @@
 
 import curio
 
-from ebonywheel import http, kernel
+from ebonywheel import httpserver, kernel
 from ebonywheel.gateway import inflight, relayserver
 
 POLL_INTERVAL_S = 0.05
@@ -22,7 +22,7 @@
     """
 
     def __init__(
-        self, core: kernel.Kernel, server: http.Server, relay_server: relayserver.RelayServer
+        self, core: kernel.Kernel, server: httpserver.Server, relay_server: relayserver.RelayServer
     ):
         self.core = core
         self.server = server
--- a/src/ebonywheel/standinengine.py
+++ b/src/ebonywheel/standinengine.py
@@ -11,6 +11,7 @@
     enginemodel,
     exceptions,
     http,
+    httpserver,
     kernel,
     messages,
     sse,
@@ -89,7 +90,7 @@
         """Start the simulation, the HTTP server and the announcements."""
         self.core.metrics.gauge("preemptions", lambda: self.model.preemptions)
         await self.core.spawn(self._run_steps(), essential=True)
-        await http.Server(
+        await httpserver.Server(
             self.core, self.settings.address, self.handle, standin.MAX_BODY_BYTES
         ).start()
         await super().start()
--- a/src/ebonywheel/standinplain.py
+++ b/src/ebonywheel/standinplain.py
@@ -6,7 +6,7 @@
 import curio
 import msgspec
 
-from ebonywheel import exceptions, http, kernel, messages, standin
+from ebonywheel import exceptions, http, httpserver, kernel, messages, standin
 
 POISON_TEXT = "poison"
 EXIT_CRASHED = 70
@@ -54,7 +54,7 @@
     async def start(self) -> None:
         """Start the HTTP server and the announcements."""
         address = self.settings.address
-        await http.Server(self.core, address, self.handle, standin.MAX_BODY_BYTES).start()
+        await httpserver.Server(self.core, address, self.handle, standin.MAX_BODY_BYTES).start()
         await super().start()
 
     def load(self) -> messages.ServerLoad:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from cluster import free_address
-from ebonywheel import exceptions, http, httpclient
+from ebonywheel import callerconnection, exceptions, http, httpclient, httpserver
 from ebonywheel import settings as host_settings
 from netbench import MAX_BODY, connect, parse_answers, read_all, run
 
@@ -41,7 +41,7 @@
 
 
 async def serve(core, handler=echo):
-    server = http.Server(core, core.host.http, handler, MAX_BODY)
+    server = httpserver.Server(core, core.host.http, handler, MAX_BODY)
     await server.start()
     return server
 
@@ -264,8 +264,8 @@
         "data", [b"GET / HT", b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n"]
     )
     def test_time_limit_holds_for_the_whole_head_or_body(self, monkeypatch, data):
-        monkeypatch.setattr(http, "HEADER_TIMEOUT_S", 0.3)
-        monkeypatch.setattr(http, "BODY_TIMEOUT_S", 0.3)
+        monkeypatch.setattr(callerconnection, "HEADER_TIMEOUT_S", 0.3)
+        monkeypatch.setattr(callerconnection, "BODY_TIMEOUT_S", 0.3)
 
         async def scenario(core):
             await serve(core)
@@ -285,7 +285,7 @@
         run(scenario)
 
     def test_idle_connection_is_closed_without_an_answer(self, monkeypatch):
-        monkeypatch.setattr(http, "IDLE_TIMEOUT_S", 0.1)
+        monkeypatch.setattr(callerconnection, "IDLE_TIMEOUT_S", 0.1)
 
         async def scenario(core):
             await serve(core)
@@ -294,7 +294,7 @@
         run(scenario)
 
     def test_connections_are_bounded(self, monkeypatch):
-        monkeypatch.setattr(http, "MAX_CONNECTIONS", 3)
+        monkeypatch.setattr(httpserver, "MAX_CONNECTIONS", 3)
 
         async def scenario(core):
             server = await serve(core)
@@ -424,7 +424,7 @@
                     async with curio.timeout_after(EXCHANGE_TIMEOUT_S):
                         data += await sock.recv(http.READ_BYTES)
                 await sender.cancel()
-            assert max(sizes) <= http.MAX_HEADER_BYTES + http.READ_BYTES
+            assert max(sizes) <= callerconnection.MAX_HEADER_BYTES + http.READ_BYTES
 
         run(scenario)
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -8,7 +8,16 @@
 import pytest
 
 import netbench
-from ebonywheel import control, engineclient, http, httpclient, messages, metrics, sockets, turns
+from ebonywheel import (
+    callerconnection,
+    control,
+    engineclient,
+    httpclient,
+    messages,
+    metrics,
+    sockets,
+    turns,
+)
 
 BLOCK = b"x" * 65536
 
@@ -146,7 +155,7 @@
             await connection.response(1.0)
             await connection.body(10.0, 10_000)
         else:
-            connection = http.ServerConnection(Server(), sock, "peer", None)
+            connection = callerconnection.CallerConnection(Server(), sock, "peer", None)
             connection.conn.receive_data(b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: ")
             connection.conn.receive_data(b"chunked\r\n\r\n")
             await connection.read_request()
@@ -172,7 +181,7 @@
 
 
 class Server:
-    limits = http.ServerLimits(10_000)
+    limits = callerconnection.ServerLimits(10_000)
     account = netbench.make_core().callers
     check_head = None
 
