--- a/src/ebonywheel/callers.py
+++ b/src/ebonywheel/callers.py
@@ -70,6 +70,23 @@
             kind: core.plugins.find("service", kind)(context) for kind in documents.ServiceKind
         }
 
+    def check_head(self, request: http.Request) -> http.HeadTerms:
+        """Decide whether the body of a request is read.
+
+        Raises:
+            HttpError: The request cannot be served, whatever its body holds.
+            NotRunError: This host cannot serve it now.
+        """
+        if request.path == SERVERS_PATH and request.method == "POST":
+            self._check_server(request)
+            return http.HeadTerms(("servers",))
+        if not request.path.startswith(SERVICES_PREFIX):
+            raise exceptions.HttpError(
+                f"no body for {request.method} {request.path}", "route", request.peer, 404
+            )
+        customer = self._authenticate(self._require_document(), request)
+        return http.HeadTerms((f"customer {customer}",))
+
     async def handle(self, exchange: http.Exchange) -> None:
         """Handle one request and turn errors into error responses."""
         try:
@@ -161,14 +178,17 @@
 
     async def _handle_announcement(self, exchange: http.Exchange) -> None:
         request = exchange.request
+        self._check_server(request)
+        message = request.decode(messages.Announce)
+        home_host = await self.fleet.announce(message)
+        await exchange.respond_json(200, AnnounceReply(home_host))
+
+    def _check_server(self, request: http.Request) -> None:
         header = request.headers.get("authorization", "")
         presented_secret = header.removeprefix(SERVER_SCHEME).encode()
         if not hmac.compare_digest(presented_secret, self.server_secret):
             self.core.metrics.count("server_refused")
             raise exceptions.HttpError("server not known", "authenticate", request.peer, 401)
-        message = request.decode(messages.Announce)
-        home_host = await self.fleet.announce(message)
-        await exchange.respond_json(200, AnnounceReply(home_host))
 
     def _require_document(self) -> configuration.Configuration:
         config = self.feed.require_lease()
--- a/src/ebonywheel/entry.py
+++ b/src/ebonywheel/entry.py
@@ -57,6 +57,7 @@
         self.http = httpserver.Server(
             core, core.host.http, self.router.handle, entry_settings.max_body_bytes
         )
+        self.http.check_head = self.router.check_head
 
     async def start(self) -> None:
         """Start serving other hosts, then callers."""
