--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -3,7 +3,7 @@
 import curio
 import msgspec
 
-from ebonywheel import exceptions, http, kernel
+from ebonywheel import exceptions, heldmemory, http, kernel
 from ebonywheel.gateway import (
     balance,
     budgets,
@@ -16,6 +16,8 @@
     sender,
 )
 
+# A server that sends nothing of its answer for this long is given up.
+READ_TIMEOUT_S = 60.0
 # Longer answers are relayed as they arrive, to bound the memory that an answer takes.
 BUFFER_BYTES = 256 * 1024
 # A request that a server refuses without running it is sent to another, up to this many refusals:
@@ -157,7 +159,7 @@
         try:
             async with curio.timeout_after(remaining_s):
                 reply = await self.sender.send(context, candidate.record, sending, remaining_s)
-                complete = await self._read_answer(reply, body)
+                complete = await self._read_answer(reply, body, exchange.held)
         except curio.TaskTimeout as error:
             self.view.state_of(candidate.record).record_answer(failed=True)
             if context.sent:
@@ -174,12 +176,17 @@
             await self._relay_rest(exchange, reply, bytes(body))
         return None
 
-    async def _read_answer(self, reply: sender.Reply, body: bytearray) -> bool:
-        """Read an answer up to `BUFFER_BYTES` into `body`; return whether that was all of it."""
+    async def _read_answer(
+        self, reply: sender.Reply, body: bytearray, held: heldmemory.Holding
+    ) -> bool:
+        """Read an answer up to `BUFFER_BYTES` into `body`; return whether that was all of it.
+
+        It is read no further when there is no room for it in this process's memory.
+        """
         try:
-            async for chunk in reply.connection.chunks(http.WRITE_TIMEOUT_S):
+            async for chunk in reply.connection.chunks(READ_TIMEOUT_S):
                 body += chunk
-                if len(body) > BUFFER_BYTES:
+                if len(body) > BUFFER_BYTES or not held.grow(len(chunk)):
                     return False
             await self.sender.confirm_end(reply)
         except BaseException as error:
@@ -196,14 +203,15 @@
         try:
             await exchange.start(reply.head.status, reply.head.headers)
             await exchange.write(buffered)
-            async for chunk in reply.connection.chunks(http.WRITE_TIMEOUT_S):
+            async for chunk in reply.connection.chunks(READ_TIMEOUT_S):
                 await exchange.write(chunk)
             await self.sender.confirm_end(reply)
-            await exchange.end()
         except BaseException as error:
             await self.sender.abandon(reply, error)
             raise
         await self.sender.finish(reply)
+        # The server does not wait until a slow caller has read the rest.
+        await exchange.end()
 
     def _remaining_s(self, context: inflight.RequestContext) -> float:
         return context.deadline_at - self.core.clock.monotonic()
