Leaving: one lot for each request, only where servers can be reached, waiting at home where it does not pay

Cause: a review: narrowing to a data centre overrode backoff and avoidance, requests in the line left whatever it cost, the way there was not weighed, flows of routes with different targets shared one state. Change: flows by service and target; places only with servers that are available; the time of new connections is the way there and back; requests without room at home wait unless leaving pays. Measured: tests/test_leaving.py, test_crossing.py, test_reach.py, test_balance.py, test_line.py pass.

--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -36,6 +36,7 @@
 LIMITED_COST = 0.15
 # Weight of each answer in the moving average of a server's failure rate.
 FAILURE_RATE_SMOOTHING = 0.1
+CONNECT_TIME_SMOOTHING = 0.3
 # Load added per unit of failure rate above the lowest rate among the servers considered.
 FAILURE_WEIGHT = 2.0
 # Load up to which a server that keeps the target for pauses is preferred to those that miss it.
@@ -87,6 +88,7 @@
         seen: How it answers, as all entry hosts saw it.
         avoided_until: Until when it is left alone as it reset requests of several hosts, monotonic
             seconds.
+        connect_s: Smoothed time to open a connection, in seconds; 0 before the first.
     """
 
     requests: int = 0
@@ -110,6 +112,13 @@
     paused_until: float = 0.0
     seen: serverpaces.Sums = msgspec.field(default_factory=serverpaces.Sums)
     avoided_until: float = 0.0
+    connect_s: float = 0.0
+
+    def record_connected(self, seconds: float) -> None:
+        """Record how long a new connection took to open."""
+        if not self.connect_s:
+            self.connect_s = seconds
+        self.connect_s += CONNECT_TIME_SMOOTHING * (seconds - self.connect_s)
 
     def is_denied(self, now: float) -> bool:
         """Return whether its limit, or its pace, leaves no room for a request now."""
@@ -172,6 +181,7 @@
         target_latency_s: Target time to the first event, 0 for none.
         stream_s: Expected length of a stream with a target for its pauses, 0 for other requests.
         size_bytes: Size of the request and its expected answer.
+        lot: The request's lot in [0, 1), by which it is among those that leave the data centre.
     """
 
     service: routes.Service
@@ -188,6 +198,7 @@
     target_latency_s: float = 0.0
     stream_s: float = 0.0
     size_bytes: int = 0
+    lot: float = 1.0
 
 
 def load_with_request(candidate: Candidate, requirements: Requirements) -> float:
@@ -247,7 +258,7 @@
         for candidate in eligible
         if load_with_request(candidate, requirements) <= requirements.max_load
     ]
-    available = [candidate for candidate in with_room if _is_available(candidate, now)]
+    available = [candidate for candidate in with_room if is_available(candidate, now)]
     considered = available or [
         candidate for candidate in with_room if not candidate.state.unreachable
     ]
@@ -348,7 +359,7 @@
     return not requirements.regions or candidate.region in requirements.regions
 
 
-def _is_available(candidate: Candidate, now: float) -> bool:
+def is_available(candidate: Candidate, now: float) -> bool:
     """Return whether a server reports and can be reached, as far as known."""
     state = candidate.state
     return (
@@ -373,7 +384,7 @@
 ) -> bool:
     """Return whether a server could take a request, but not just now."""
     return (
-        _is_available(candidate, now)
+        is_available(candidate, now)
         and not candidate.state.leaving
         and is_allowed(candidate, requirements)
         and _takes_nothing_now(candidate, requirements, now, entry_hosts)
--- a/src/ebonywheel/gateway/crossing.py
+++ b/src/ebonywheel/gateway/crossing.py
@@ -7,7 +7,6 @@
 
 import collections.abc
 import math
-import random
 
 import msgspec
 
@@ -25,6 +24,10 @@
 BYTES_PER_MEGABYTE = 1_000_000
 
 
+# Service and target time, in seconds.
+Key = tuple[str, float]
+
+
 class Charges(msgspec.Struct, frozen=True):
     """What crossings are worth to the operator, in seconds that a caller waits instead of one.
 
@@ -55,7 +58,7 @@
 
 
 class Flow:
-    """Shares of one service's requests that leave a data centre, by destination.
+    """Shares of the requests that leave a data centre, by destination.
 
     Attributes:
         shares: Share by data centre, between 0 and 1.
@@ -107,49 +110,55 @@
     """Decides for each request of an entry host whether it leaves the data centre.
 
     Attributes:
-        flows: Shares by service.
-        places: Data centres with servers by service, as of the last update.
-        on_change: Called with the service when it begins or ceases to leave to a data centre.
+        flows: Shares by service and target.
+        places: Data centres with servers that take requests, as of the last update of each flow.
+        on_change: Called when requests begin or cease to leave to a data centre.
     """
 
     def __init__(self, time_source: clock.Clock, home: balance.Location, charges: Charges):
         self.clock = time_source
         self.home = home
         self.charges = charges
-        self.on_change: collections.abc.Callable[[str], None] = lambda service: None
-        self.flows: dict[str, Flow] = {}
-        self.places: dict[str, dict[str, Place]] = {}
+        self.on_change: collections.abc.Callable[[Key], None] = lambda key: None
+        self.flows: dict[Key, Flow] = {}
+        self.places: dict[Key, dict[str, Place]] = {}
 
-    def destination(
+    def destinations(
         self,
-        service: str,
+        key: Key,
         find_places: collections.abc.Callable[[], list[Place]],
-        target_s: float,
+        lot: float,
         size_bytes: int,
-    ) -> str:
-        """Return the data centre that a request should be served in.
+    ) -> list[str]:
+        """Return the data centres that a request may be served in, the one to prefer first.
+
+        Those after the first are for a request that finds no room there.
 
         Args:
-            service: Its service.
+            key: Its service, and its target time to the answer or to the first event of a stream.
             find_places: Returns the data centres with servers of the service.
-            target_s: Target time to the answer, or to the first event of a stream; above 0.
+            lot: Its lot in [0, 1).
             size_bytes: Size of the request and its expected answer.
         """
         now = self.clock.monotonic()
-        flow = self.flows.setdefault(service, Flow())
+        flow = self.flows.setdefault(key, Flow())
         if flow.is_due(now):
-            self.places[service] = {place.location.data_centre: place for place in find_places()}
-            places = self.places[service]
+            self.places[key] = {place.location.data_centre: place for place in find_places()}
+            places = self.places[key]
             before = flow.shares.keys()
             gains = {name: self._gain_s(places, name) for name in self._open(places)}
-            flow.update(gains, target_s, now)
+            flow.update(gains, key[1], now)
             if flow.shares.keys() != before:
-                self.on_change(service)
-        places = self.places[service]
-        drawn = flow.draw(random.random())
-        if drawn in places and self._gain_s(places, drawn) > self._size_charge_s(size_bytes):
-            return drawn
-        return self.home.data_centre
+                self.on_change(key)
+        places = self.places[key]
+        charge_s = self._size_charge_s(size_bytes)
+        paying = [name for name in flow.shares if self._gain_s(places, name) > charge_s]
+        paying.sort(key=lambda name: -flow.shares[name])
+        found = [self.home.data_centre] if self.home.data_centre in places else []
+        drawn = flow.draw(lot)
+        if drawn in paying:
+            found.insert(0, drawn)
+        return found + [name for name in paying if name not in found]
 
     def _open(self, places: dict[str, Place]) -> list[str]:
         """Return the other data centres that take requests."""
@@ -162,7 +171,7 @@
     def _gain_s(self, places: dict[str, Place], name: str) -> float:
         """Return the time gained by leaving to a data centre, less the charge for the crossing."""
         home = places.get(self.home.data_centre)
-        home_wait_s = math.inf if home is None else home.wait_s
+        home_wait_s = math.inf if home is None else home.wait_s + home.delay_s
         place = places[name]
         other_region = place.location.region != self.home.region
         charge_s = self.charges.region_s if other_region else self.charges.data_centre_s
--- a/src/ebonywheel/gateway/inflight.py
+++ b/src/ebonywheel/gateway/inflight.py
@@ -1,5 +1,6 @@
 """A request in flight at an entry host, and the load that it adds to a backend server."""
 
+import random
 import typing
 
 import msgspec
@@ -64,6 +65,8 @@
         first_event_at: When the first event of a stream arrived, monotonic seconds; 0 before.
         last_event_at: When the last event arrived, monotonic seconds.
         longest_gap_s: Longest time between two events.
+        lot: Drawn at random in [0, 1), to decide whether it is among those that leave the data
+            centre; the same at each try.
     """
 
     request: typing.Any
@@ -86,6 +89,7 @@
     first_event_at: float = 0.0
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
+    lot: float = msgspec.field(default_factory=random.random)
 
     def excluded_servers(self) -> frozenset[str]:
         """Return the ids of the servers that must not be chosen any more."""
--- a/src/ebonywheel/gateway/leaving.py
+++ b/src/ebonywheel/gateway/leaving.py
@@ -2,11 +2,12 @@
 
 import collections
 import collections.abc
+import math
 import statistics
 
 import msgspec
 
-from ebonywheel import kernel
+from ebonywheel import kernel, messages
 from ebonywheel.gateway import balance, crossing, places
 
 
@@ -28,8 +29,8 @@
         requirements: balance.Requirements,
         candidates: list[balance.Candidate],
         answer_s: float,
-    ) -> balance.Requirements:
-        """Return the requirements with a data centre, or as they are where distance decides.
+    ) -> list[balance.Requirements]:
+        """Return the requirements for each data centre to try in turn, or where distance decides.
 
         Args:
             requirements: What the request needs.
@@ -38,31 +39,47 @@
         """
         target_s = requirements.target_latency_s
         if requirements.data_centre or not target_s:
-            return requirements
+            return [requirements]
         if requirements.long_running and any(
             candidate.without_neighbour and candidate.location() == self.home
             for candidate in candidates
         ):
             # Its run may have to be moved to a neighbour of its server.
-            return requirements
-        service = requirements.service.name
-        destination = self.crossings.destination(
-            service,
-            lambda: find_places(candidates, requirements, answer_s),
-            target_s,
+            return [requirements]
+        now = self.core.clock.monotonic()
+        destinations = self.crossings.destinations(
+            (requirements.service.name, target_s),
+            lambda: find_places(candidates, requirements, answer_s, now),
+            requirements.lot,
             requirements.size_bytes,
         )
-        if destination != self.home.data_centre:
-            self.core.metrics.count("crossings", service=service, to=destination)
-        return msgspec.structs.replace(requirements, data_centre=destination)
+        available = {
+            candidate.record.data_centre
+            for candidate in candidates
+            if balance.is_available(candidate, now)
+        }
+        narrowed = [
+            msgspec.structs.replace(requirements, data_centre=name)
+            for name in destinations
+            if name in available
+        ]
+        waits_at_home = requirements.max_load < math.inf and self.home.data_centre in available
+        # Where requests wait for room, they wait at home while leaving does not pay.
+        return narrowed if waits_at_home else [*narrowed, requirements]
+
+    def record_sent(self, record: messages.DirectoryRecord) -> None:
+        """Count a request that is sent to a server of another data centre."""
+        if record.data_centre != self.home.data_centre:
+            self.core.metrics.count("crossings", service=record.service, to=record.data_centre)
 
-    def _log_change(self, service: str) -> None:
+    def _log_change(self, key: crossing.Key) -> None:
         """Log to which data centres requests of a service leave, and the waits that decide."""
-        known = self.crossings.places[service].values()
-        shares = self.crossings.flows[service].shares
+        known = self.crossings.places[key].values()
+        shares = self.crossings.flows[key].shares
         self.core.log.info(
             "crossing_changed",
-            service=service,
+            service=key[0],
+            target_ms=int(key[1] * 1000),
             leaving=" ".join(f"{name}:{share:.2f}" for name, share in shares.items()),
             waits=" ".join(f"{place.location.data_centre}:{place.wait_s:.2f}" for place in known),
             loads=" ".join(f"{place.location.data_centre}:{place.load:.2f}" for place in known),
@@ -73,24 +90,26 @@
     candidates: collections.abc.Iterable[balance.Candidate],
     requirements: balance.Requirements,
     answer_s: float,
+    now: float,
 ) -> list[crossing.Place]:
-    """Return the data centres with servers of a service that report and can be reached.
+    """Return the data centres with servers of a service that take requests, as far as known.
 
     Args:
         candidates: Servers of the service that are in service and not shutting down.
         requirements: What a request needs.
         answer_s: Time that an answer that is no stream takes.
+        now: Monotonic seconds.
     """
     by_data_centre = collections.defaultdict(list)
     for candidate in candidates:
-        state = candidate.state
-        if candidate.age_s < balance.MAX_REPORT_AGE_S and not (state.unreachable or state.leaving):
+        if balance.is_available(candidate, now) and not candidate.state.leaving:
             by_data_centre[candidate.location()].append(candidate)
     return [
         crossing.Place(
             location,
             statistics.fmean(_wait_s(each, requirements, answer_s) for each in servers),
             statistics.fmean(balance.load_with_request(each, requirements) for each in servers),
+            statistics.fmean(each.state.connect_s for each in servers),
         )
         for location, servers in by_data_centre.items()
     ]
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -119,6 +119,7 @@
             excluded=context.excluded_servers(),
             target_latency_s=context.route.target_latency_s,
             size_bytes=len(context.request.body),
+            lot=context.lot,
         )
         chosen = self.view.choose(requirements)
         if chosen is None:
--- a/src/ebonywheel/gateway/pool.py
+++ b/src/ebonywheel/gateway/pool.py
@@ -30,8 +30,8 @@
 class Observer(typing.Protocol):
     """Learns of new connections."""
 
-    async def connected(self, record: messages.DirectoryRecord) -> None:
-        """Record that a server has accepted a connection."""
+    async def connected(self, record: messages.DirectoryRecord, seconds: float) -> None:
+        """Record that a server has accepted a connection after a time."""
 
     async def connect_failed(
         self, record: messages.DirectoryRecord, error: exceptions.UpstreamError
@@ -81,6 +81,7 @@
             record.address, allow_close_delimited=True, keep_alive=sockets.SHORT_KEEP_ALIVE
         )
         self.opened += 1
+        began_at = self.clock.monotonic()
         try:
             await connection.connect(timeout_s)
         except exceptions.UpstreamError as error:
@@ -88,7 +89,7 @@
                 await self.observer.connect_failed(record, error)
             raise
         if self.observer is not None:
-            await self.observer.connected(record)
+            await self.observer.connected(record, self.clock.monotonic() - began_at)
         return connection
 
     async def probe(
--- a/src/ebonywheel/gateway/reach.py
+++ b/src/ebonywheel/gateway/reach.py
@@ -72,9 +72,10 @@
         if self.view.cut_off:
             self._end_cut()
 
-    async def connected(self, record: messages.DirectoryRecord) -> None:
-        """Record that a server has accepted a connection."""
+    async def connected(self, record: messages.DirectoryRecord, seconds: float) -> None:
+        """Record that a server has accepted a connection after a time."""
         state = self.view.state_of(record)
+        state.record_connected(seconds)
         if state.unreachable:
             state.unreachable = False
             state.backoff_until = 0.0
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -104,6 +104,8 @@
                 )
             context.sent = True
             context.sent_to.append(record.server)
+            if self.view.leaving is not None:
+                self.view.leaving.record_sent(record)
             sent_at = now
             state.waiting_since.append(sent_at)
             await connection.request(
--- a/src/ebonywheel/gateway/starts.py
+++ b/src/ebonywheel/gateway/starts.py
@@ -93,6 +93,7 @@
             stream_s=speeds.stream_s(prompt, context.route),
             size_bytes=len(context.request.body)
             + EVENT_BYTES_PER_TOKEN * prompt.expected_answer_tokens(),
+            lot=context.lot,
         )
         chosen = self.view.choose(requirements)
         if chosen is None:
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -346,13 +346,15 @@
         may_leave: bool,
     ) -> balance.Candidate | None:
         now = self.core.clock.monotonic()
+        tries = [requirements]
         if may_leave and self.leaving is not None:
             answer_s = self.notices.answer_s.get(requirements.service.name, 0.0)
-            there = self.leaving.narrow(requirements, candidates, answer_s)
-            chosen = balance.choose(candidates, there, location, now, self.share.hosts)
-            if chosen is not None or there is requirements:
+            tries = self.leaving.narrow(requirements, candidates, answer_s)
+        for narrowed in tries:
+            chosen = balance.choose(candidates, narrowed, location, now, self.share.hosts)
+            if chosen is not None:
                 return chosen
-        return balance.choose(candidates, requirements, location, now, self.share.hosts)
+        return None
 
     def destinations(self, source: messages.DirectoryRecord) -> list[list[balance.Candidate]]:
         """Return lists of servers that a run may be moved to, the preferred one first."""
--- a/tests/test_crossing.py
+++ b/tests/test_crossing.py
@@ -11,6 +11,7 @@
 STEP_S = 0.1
 REPORT_AGE_S = 0.5
 TARGET_S = 1.5
+KEY = ("plan", TARGET_S)
 CHARGES = crossing.Charges(0.05, 0.2)
 REGIONS = {"puget-a": "puget", "puget-b": "puget", "yakima-a": "yakima", "yakima-b": "yakima"}
 
@@ -66,7 +67,9 @@
         for home, rate in self.rates.items():
             per_s = rate(self.clock.now) if callable(rate) else rate
             for _ in range(int(per_s * STEP_S + random.random())):
-                name = self.crossings[home].destination("plan", self.places, TARGET_S, size_bytes)
+                crossings = self.crossings[home]
+                found = crossings.destinations(KEY, self.places, random.random(), size_bytes)
+                name = found[0] if found else home
                 arrived[name] += 1
                 step[home, name] += 1
                 self.sent[home, name] += 1
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -27,7 +27,7 @@
 
     async def connect(self, record):
         if record.server in self.reachable:
-            await self.observer.connected(record)
+            await self.observer.connected(record, 0.001)
             return None
         error = exceptions.UpstreamError("no connection in time", "connect", timed_out=True)
         await self.observer.connect_failed(record, error)
