Preference: no herd at the last servers with room

Change: servers with room are preferred only as often as they have room for what may be on its way; a late first event counts as cost like a late pause.

--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from ebonywheel import messages, serverpaces
-from ebonywheel.gateway import routes, speeds
+from ebonywheel.gateway import preference, routes, speeds
 
 # Cost of a server elsewhere, as a share of its capacity. Traffic between regions is paid for and
 # adds two one-way delays.
@@ -38,8 +38,6 @@
 FAILURE_RATE_SMOOTHING = 0.1
 # Load added per unit of failure rate above the lowest rate among the servers considered.
 FAILURE_WEIGHT = 2.0
-# Load up to which a server that keeps the target for pauses is preferred to those that miss it.
-PREFERRED_LOAD = 0.9
 # Servers drawn from each distance: in this data centre, elsewhere in the region, in other regions.
 # Two are enough to avoid a loaded server; with more, hosts agree on the least loaded one again.
 SAMPLE_SIZE = 2
@@ -199,6 +197,11 @@
     return max(requests, tokens / engine.memory_tokens)
 
 
+def tokens_to_read(candidate: Candidate, requirements: Requirements) -> int:
+    """Return the prompt tokens that a server reads up to the end of the request's prompt."""
+    return candidate.state.unread + candidate.state.other_unread + requirements.unread
+
+
 def unread_load(candidate: Candidate, requirements: Requirements) -> float:
     """Return the weighted load of an engine's unread prompts, as a share of its capacity."""
     engine = requirements.service.engine
@@ -269,12 +272,13 @@
         neighbour_cost = (
             NO_NEIGHBOUR_COST if requirements.long_running and candidate.without_neighbour else 0.0
         )
-        limit_cost = 0.0 if candidate.state.limit_per_s is None else LIMITED_COST
+        limit_cost = 0.0 if state.limit_per_s is None else LIMITED_COST
+        tokens = tokens_to_read(candidate, requirements)
         return (
             load_with_request(candidate, requirements) * compared.working_ratio(state.seen)
             + limit_cost
             + unread_load(candidate, requirements) * compared.reading_ratio(state.seen)
-            + compared.late_cost(state.seen)
+            + compared.late_cost(state.seen, tokens, requirements.target_latency_s)
             + location_cost
             + failure_cost
             + neighbour_cost
@@ -287,24 +291,20 @@
     candidates: list[Candidate], requirements: Requirements, compared: speeds.Speeds
 ) -> list[Candidate]:
     """Return the servers with room that keep a stream's targets; all where that makes none."""
-    if requirements.target_latency_s and compared.reading_differs:
-        candidates = [
-            candidate
-            for candidate in candidates
-            if compared.reads_in_time(
-                candidate.state.seen,
-                candidate.state.unread + candidate.state.other_unread + requirements.unread,
-                requirements.target_latency_s,
-            )
-        ] or candidates
-    if not requirements.stream_s or not compared.differ:
+    engine = requirements.service.engine
+    if engine is None or not requirements.target_latency_s:
         return candidates
-    with_room = [
-        candidate
+    rooms = [
+        preference.Room(
+            candidate.state.seen,
+            candidate.state.unread + candidate.state.other_unread,
+            load_with_request(candidate, requirements),
+        )
         for candidate in candidates
-        if load_with_request(candidate, requirements) <= PREFERRED_LOAD
     ]
-    return compared.keeping(with_room) or candidates
+    load = requirements.tokens / max(1, engine.memory_tokens)
+    stream = preference.Stream(max(1, requirements.unread), load, requirements.target_latency_s)
+    return [candidates[number] for number in preference.preferred(rooms, stream, compared)]
 
 
 def _sample(candidates: list[Candidate], location: Location) -> list[Candidate]:
@@ -327,10 +327,7 @@
         return False
     if state.leaving or _takes_nothing_now(candidate, requirements, now, entry_hosts):
         return False
-    if (
-        candidate.state.unread + candidate.state.other_unread + requirements.unread
-        > requirements.max_unread
-    ):
+    if tokens_to_read(candidate, requirements) > requirements.max_unread:
         return False
     if candidate.state.cold_until <= now:
         return True
--- a/src/ebonywheel/gateway/speeds.py
+++ b/src/ebonywheel/gateway/speeds.py
@@ -7,7 +7,6 @@
 """
 
 import math
-import typing
 
 from ebonywheel import serverpaces
 from ebonywheel.gateway import dialect, routes
@@ -51,21 +50,6 @@
 ANSWER_TOKENS_PER_S = 150.0
 
 
-class HasSeen(typing.Protocol):
-    """A server's state with what was seen of it."""
-
-    seen: serverpaces.Sums
-
-
-class HasState(typing.Protocol):
-    """A server with its state."""
-
-    state: HasSeen
-
-
-Server = typing.TypeVar("Server", bound=HasState)
-
-
 class Speeds:
     """Speeds of servers that are compared for a request.
 
@@ -167,21 +151,42 @@
                 late += weight * other.late_windows
         return late / windows
 
-    def late_cost(self, sums: serverpaces.Sums) -> float:
-        """Return the cost of missing the target for pauses, or of room that others need."""
+    def late_cost(self, sums: serverpaces.Sums, tokens: int, target_s: float) -> float:
+        """Return the cost of missing targets, or of taking room that others need.
+
+        Args:
+            sums: What was seen of the server.
+            tokens: Prompt tokens that it would have to read before the first event.
+            target_s: Target for the first event, 0 for none.
+        """
+        first = self._first_event_late(sums, tokens, target_s)
         if not self.differ:
-            return 0.0
+            return LATE_COST * first
         if self.stream_s:
-            return LATE_COST * (self.late_chance(sums) - self.lowest)
-        return YIELD_COST * (self.highest - self.late_chance(sums))
+            in_time = (1.0 - first) * (1.0 - self.late_chance(sums) + self.lowest)
+            return LATE_COST * (1.0 - in_time)
+        return LATE_COST * first + YIELD_COST * (self.highest - self.late_chance(sums))
+
+    def _first_event_late(self, sums: serverpaces.Sums, tokens: int, target_s: float) -> float:
+        """Return the chance that the first event is late; 0 where servers read alike."""
+        if not target_s or not self.reading_differs:
+            return 0.0
+        share = tokens * self.read_s * self.reading_ratio(sums) / target_s
+        return min(
+            1.0, max(0.0, (share - PREFERRED_WAIT_SHARE) / (2.0 - 2.0 * PREFERRED_WAIT_SHARE))
+        )
 
-    def keeping(self, servers: list[Server]) -> list[Server]:
-        """Return the servers at which a stream is late hardly more often than at the best."""
-        if not servers:
-            return []
-        chances = [self.late_chance(server.state.seen) for server in servers]
-        limit = min(chances) + MISSED_SHARE
-        return [server for server, chance in zip(servers, chances, strict=True) if chance <= limit]
+    def keeping(self, servers: list[tuple[int, serverpaces.Sums]]) -> list[int]:
+        """Return the servers at which a stream is late hardly more often than at the best.
+
+        Args:
+            servers: Number of each server, with what was seen of it.
+        """
+        chances = [self.late_chance(sums) for _, sums in servers]
+        limit = min(chances, default=0.0) + MISSED_SHARE
+        return [
+            number for (number, _), chance in zip(servers, chances, strict=True) if chance <= limit
+        ]
 
     def late_chance(self, sums: serverpaces.Sums) -> float:
         """Return the chance that a stream is late at a server.
@@ -203,10 +208,11 @@
         per_token_s = (sums.read_s + prior_s) / (sums.read_tokens + PRIOR_READ_TOKENS)
         return _bounded(per_token_s / self.read_s)
 
-    def reads_in_time(self, sums: serverpaces.Sums, tokens: int, target_s: float) -> bool:
-        """Return whether a server reads tokens well within a target for the first event."""
-        wait_s = tokens * self.read_s * self.reading_ratio(sums)
-        return wait_s <= PREFERRED_WAIT_SHARE * target_s
+    def tokens_in_time(self, sums: serverpaces.Sums, target_s: float) -> float:
+        """Return how many tokens a server reads well within a target for the first event."""
+        if not self.read_s:
+            return math.inf
+        return PREFERRED_WAIT_SHARE * target_s / (self.read_s * self.reading_ratio(sums))
 
     def working_ratio(self, sums: serverpaces.Sums) -> float:
         """Return the time that a server takes for an answer, 1 for the typical time.
