Server paces: a total is made once for all askers, once a second

Cause: each reply added up all hosts' sums of each server with news: 7.5 ms a watch in a model with 30 hosts, and growing with them. Change: totals are kept and told at most once a second a server, at once for a reset.

--- a/src/ebonywheel/serverpaces.py
+++ b/src/ebonywheel/serverpaces.py
@@ -118,11 +118,17 @@
 
     Attributes:
         by_host: Reports by host.
-        news_at: When a report last changed, monotonic seconds.
+        total: Their total as it is told.
+        news_at: When it was made, monotonic seconds.
+        changed: Whether there were reports since.
+        urgent: Whether one of them told of a reset, or that its host had an answer since.
     """
 
     by_host: dict[str, HostPace] = {}
-    news_at: float = 0.0
+    total: messages.ServerPace = msgspec.field(default_factory=messages.ServerPace)
+    news_at: float = float("-inf")
+    changed: bool = False
+    urgent: bool = False
 
 
 class ServerPaces:
@@ -144,16 +150,23 @@
                 if known.sums == msgspec.structs.replace(sums, updated_at=known.sums.updated_at):
                     continue
             entry.by_host[host] = HostPace(sums, reset_at)
-            entry.news_at = now
+            entry.changed = True
+            had_reset = known is not None and not math.isinf(known.reset_at)
+            entry.urgent = entry.urgent or had_reset or not math.isinf(reset_at)
 
     def changes(self, since: float) -> list[messages.ServerPace]:
-        """Return the totals of the servers of which there was news at a time or later."""
+        """Return the totals of the servers of which there was news at a time or later.
+
+        A total is made once for all askers, at most once a second unless a request was reset.
+        """
         now = self.clock.monotonic()
-        return [
-            self._total(key, entry, now)
-            for key, entry in self.entries.items()
-            if entry.news_at >= since
-        ]
+        for key, entry in self.entries.items():
+            due = entry.urgent or now - entry.news_at >= TELL_INTERVAL_S
+            if entry.changed and due:
+                entry.total = self._total(key, entry, now)
+                entry.news_at = now
+                entry.changed = entry.urgent = False
+        return [entry.total for entry in self.entries.values() if entry.news_at >= since]
 
     def _total(self, key: directory.IncarnationKey, entry: Pace, now: float) -> messages.ServerPace:
         total = Sums(updated_at=now)
