Give up an answer whose caller leaves before its head is passed on

Cause: found while counting requests in flight for roll-outs: a stream whose caller left while its head was written was never released, so it counted as load, and as a run at an old server, for ever.

Change: StreamForwarder.forward abandons the answer then.

Result: test_streaming passes; the new test fails without the change.

--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -84,8 +84,12 @@
             if reply.head.status != STATUS_OK or context.request.method == "HEAD":
                 await self._relay_complete(exchange, context, reply)
                 return
-            await exchange.start(reply.head.status, reply.head.headers)
-            await self._notify_if_late(run)
+            try:
+                await exchange.start(reply.head.status, reply.head.headers)
+                await self._notify_if_late(run)
+            except BaseException:
+                await self.sender.abandon(reply)
+                raise
             await self._relay(exchange, run)
             await exchange.end()
         finally:
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -43,7 +43,7 @@
     """The parts of a request's state that relaying uses; the deadline is far away."""
 
     def __init__(self, clock):
-        self.request = types.SimpleNamespace(method="POST")
+        self.request = types.SimpleNamespace(method="POST", attempt="a")
         self.deadline_at = clock.monotonic() + 60.0
         self.first_event_at = 0.0
         self.last_event_at = 0.0
@@ -144,6 +144,38 @@
         curio.run(scenario)
 
 
+class LeavingExchange:
+    """A caller that leaves before its answer begins."""
+
+    async def start(self, status, headers):
+        raise exceptions.HttpError("caller left", "write", "caller")
+
+
+# Guards against a request that counts as in flight for ever.
+def test_an_answer_whose_caller_left_before_its_head_is_given_up(monkeypatch):
+    from ebonywheel import clock
+
+    core = types.SimpleNamespace(clock=clock.SystemClock())
+    sender = Sender()
+    forwarder = streaming.StreamForwarder(core, sender, None, CrashReporter(), None)
+    reply = types.SimpleNamespace(
+        record=messages.DirectoryRecord("s"), head=types.SimpleNamespace(status=200, headers=[])
+    )
+    abandoned = []
+
+    async def start_run(context):
+        return reply
+
+    async def abandon(reply, error=None):
+        abandoned.append(reply)
+
+    monkeypatch.setattr(forwarder, "_start_run", start_run)
+    monkeypatch.setattr(sender, "abandon", abandon, raising=False)
+    with pytest.raises(exceptions.HttpError):
+        curio.run(forwarder.forward, LeavingExchange(), Context(core.clock))
+    assert abandoned == [reply]
+
+
 class Copies:
     """A copy that may, or may not, be gone on at."""
 
