--- a/src/ebonywheel/gateway/rollouts.py
+++ b/src/ebonywheel/gateway/rollouts.py
@@ -10,10 +10,9 @@
 import random
 import zlib
 
-from ebonywheel import directory, kernel, messages
+from ebonywheel import directory, kernel, messages, rolloutstate
 from ebonywheel.gateway import balance, evidence, hostshare
 
-PROVING, SHIFTING, COMPLETED, ROLLED_BACK = "proving", "shifting", "completed", "rolled_back"
 # How long a version that was heard of later than another one waits for news of its roll-out. A host
 # without a leader for longer is out of touch, and an order cannot be accepted either.
 MAX_NEWS_WAIT_S = 10.0
@@ -80,7 +79,7 @@
 
     def is_running(self) -> bool:
         """Return whether it has not ended."""
-        return self.view.phase in (PROVING, SHIFTING)
+        return self.view.phase not in rolloutstate.ENDED
 
     def is_target(self, record: messages.DirectoryRecord) -> bool:
         """Return whether a server has the target's version."""
@@ -189,7 +188,7 @@
         rollout = self.by_service.get(record.service)
         if rollout is None:
             return False
-        shifts = rollout.view.phase == SHIFTING and not rollout.is_target(record)
+        shifts = rollout.view.phase == rolloutstate.SHIFTING and not rollout.is_target(record)
         return shifts or self.is_barred(record)
 
     def lists_for_request(
@@ -207,7 +206,7 @@
             return [self._without_unannounced(service, candidates)]
         target, others = _split(rollout, candidates)
         others = self._without_unannounced(service, others)
-        if rollout.view.phase == SHIFTING:
+        if rollout.view.phase == rolloutstate.SHIFTING:
             # A completion that this host has not heard of stops all of them at once.
             rollout.only_target = all(candidate.state.unreachable for candidate in others)
             if rollout.only_target:
@@ -238,7 +237,7 @@
         if rollout is None or not rollout.is_running():
             return [self._without_unannounced(source.service, candidates)]
         target, others = _split(rollout, candidates)
-        if rollout.view.phase == SHIFTING:
+        if rollout.view.phase == rolloutstate.SHIFTING:
             targets = [target] if self.has_lease() else []
             return targets if source_stays else [*targets, others]
         # A run of the target adds nothing to what the target is exposed to.
@@ -279,7 +278,11 @@
     def record_chosen(self, record: messages.DirectoryRecord) -> None:
         """Record that a new request is to go to a server; pays for it if it is exposed."""
         rollout = self.by_service.get(record.service)
-        if rollout is None or rollout.view.phase != PROVING or not rollout.is_target(record):
+        if (
+            rollout is None
+            or rollout.view.phase != rolloutstate.PROVING
+            or not rollout.is_target(record)
+        ):
             return
         rollout.exposure.spend()
         self.core.metrics.count("rollout_exposed", service=record.service)
@@ -293,7 +296,7 @@
             return False
         if not rollout.is_running() or not rollout.is_target(record) or self.has_lease():
             return True
-        return rollout.view.phase == SHIFTING and rollout.only_target
+        return rollout.view.phase == rolloutstate.SHIFTING and rollout.only_target
 
     def observe_sent(
         self, record: messages.DirectoryRecord, route: str, is_first: bool, is_cold: bool
@@ -309,7 +312,7 @@
         rollout = self.by_service.get(record.service)
         if rollout is None or not rollout.is_running():
             return None
-        if is_first and rollout.view.phase == PROVING and rollout.reachable:
+        if is_first and rollout.view.phase == rolloutstate.PROVING and rollout.reachable:
             rollout.exposure.earn(rollout.view.share)
         on_target = rollout.is_target(record)
         self.core.metrics.count(
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -267,6 +267,26 @@
         assert (found["r", False].requests, found["r", False].answers) == (1, 0)
         assert found["", False].in_flight_old == 3
 
+    @pytest.mark.parametrize(
+        ("status", "not_run", "is_stream", "expected"),
+        [
+            (200, False, False, (1, 0, 0)),
+            (200, False, True, (0, 0, 1)),
+            (404, False, False, (1, 0, 0)),
+            (500, False, True, (1, 1, 0)),
+            (503, True, False, (0, 0, 0)),
+        ],
+    )
+    def test_heads_of_answers_count_as_what_they_are(self, status, not_run, is_stream, expected):
+        host = Host()
+        host.order()
+        observed = host.view.rollouts.observe_sent(host.records[3], "r", True, False)
+        head = dialect.AnswerHead(status, "", not_run, None, None, [])
+        reply = sender.Reply(host.records[3], None, head, None, 0.0, observed)
+        sender.Sender(host.view.core, host.view, None)._observe_head(reply, is_stream)
+        counts = observed.counts
+        assert (counts.answers, counts.failures, len(counts.waiting)) == expected
+
 
 def play(seed, lease_ms):
     """Play 20 s of proving with kills, then a roll-back that hosts cut off do not hear of.
