--- a/src/ebonywheel/explain.py
+++ b/src/ebonywheel/explain.py
@@ -162,9 +162,11 @@
     outcome = str(final_line.get("outcome", ""))
     if outcome.startswith("broken"):
         return _explain_broken(request_lines, context)
-    if outcome == "answered":
-        return _explain_answered(final_line)
     waits = [line for line in request_lines if line.get("event") == WAIT_EVENT]
+    if outcome == "answered":
+        waited_ms = sum(line.get("waited_ms", 0) for line in waits)
+        waited = f"; it waited for a place for {waited_ms} ms" if waited_ms else ""
+        return _explain_answered(final_line) + waited
     if waits and outcome.startswith("refused: no server with room"):
         return _explain_wait(waits)
     if outcome == "caller left" and final_line.get("servers") and not final_line.get("first_ms"):
--- a/src/ebonywheel/gateway/line.py
+++ b/src/ebonywheel/gateway/line.py
@@ -186,7 +186,7 @@
         )
 
     def _may_wait(self, context: inflight.RequestContext) -> bool:
-        """Return whether a request may wait here: not for a limit, nor where another host should."""
+        """Return whether a request may wait here, and not for a limit or at another host."""
         if self.view.cut_off or self.view.is_at_limit(context):
             return False
         return not (self.view.draining and context.request.prompt.is_long_running())
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -45,6 +45,13 @@
         slow = cause(final_line("answered", status=200, first_ms=2_100, gap_ms=40))
         assert "2100 ms" in slow
 
+    def test_request_that_waited_in_vain_or_until_it_had_a_place(self):
+        wait = log_line("waited", 4_000, request="r1", waited_ms=900, forecast_ms=350, waiting=2)
+        text = cause(wait, final_line("refused: no server with room (forward, r1)"))
+        assert "900 ms" in text and "350 ms foretold" in text and "2 others" in text
+        answered = final_line("answered", status=200, first_ms=2_100, gap_ms=40)
+        assert "place for 900 ms" in cause(wait, answered)
+
     def test_stream_broken_by_a_leaving_server_without_a_neighbour(self):
         text = cause(
             log_line("server_changed", 3_500, server="s1", gone=False, draining=True),
