What is late no longer makes those behind it late too

Change: a second queue for what cannot be in time, with stricter bounds; what a caller waited before does not make its request late.

--- a/src/ebonywheel/gateway/line.py
+++ b/src/ebonywheel/gateway/line.py
@@ -20,6 +20,9 @@
 # Wait after which callers have little use of a late answer, in targets of the route.
 MAX_WAIT_TARGETS = 2.0
 
+# Share of the time that it may wait at which a request that returned counts at the most.
+LAST_IN_TIME_SHARE = 0.9
+
 Choose = typing.Callable[[places.Places], balance.Candidate | None]
 
 
@@ -29,6 +32,7 @@
     Attributes:
         choose: Selects a server for it.
         candidate: The server that it got, None before.
+        late: True once it cannot be in time any more.
         error: Why it cannot be served here, None unless that is so.
         called: Set once it has a server or cannot be served here.
     """
@@ -36,6 +40,7 @@
     context: inflight.RequestContext
     choose: Choose
     candidate: balance.Candidate | None = None
+    late: bool = False
     error: exceptions.EbonywheelError | None = None
     called: curio.Event = msgspec.field(default_factory=curio.Event)
 
@@ -56,7 +61,8 @@
     """Lines of all services.
 
     Attributes:
-        queues: Waiting requests by service.
+        queues: Waiting requests that can still be in time, by service.
+        late: Those that cannot; they get what the others leave, so that not all become late.
         kinds: How urgent the routes are.
         run_times: How long runs take.
     """
@@ -65,12 +71,14 @@
         self.core = core
         self.view = entry_view
         self.queues: dict[str, admission.WaitingQueue] = {}
+        self.late: dict[str, admission.WaitingQueue] = {}
         self.kinds = places.Kinds()
         self.run_times = forecast.RunTimes()
 
     def count(self) -> int:
         """Return the number of waiting requests."""
-        return sum(queue.count for queue in self.queues.values())
+        queues = [*self.queues.values(), *self.late.values()]
+        return sum(queue.count for queue in queues)
 
     async def wait(
         self, context: inflight.RequestContext, choose: Choose, wait: Wait
@@ -86,9 +94,7 @@
             ElsewhereError: This host cannot reach the servers; another one may.
         """
         now = self.core.clock.monotonic()
-        queue = self.queues.setdefault(
-            context.service.name, admission.WaitingQueue(MAX_WAITING, foretells=False)
-        )
+        queue = _queue_of(self.queues, context)
         if not queue.count:
             candidate = choose(self.places(context, now))
             if candidate is not None or not self._may_wait(context):
@@ -102,21 +108,26 @@
         ticket = Ticket(context, choose)
         request = _queued(ticket, give_up_at)
         try:
-            evicted = queue.push(request, now)
+            self._push(queue, request, now)
         except exceptions.NotRunError as error:
             context.reason = error.text
             return None
-        if evicted is not None:
-            evicted.owner.context.reason = "too many waiting"
         try:
-            return await self._stand(ticket, queue, request)
+            return await self._stand(ticket, request)
         finally:
             if request.queued:
-                queue.remove(request, self.core.clock.monotonic())
+                self._queue_with(ticket).remove(request, self.core.clock.monotonic())
 
-    async def _stand(
-        self, ticket: Ticket, queue: admission.WaitingQueue, request: admission.Request
-    ) -> balance.Candidate | None:
+    def _push(self, queue: admission.WaitingQueue, request: admission.Request, now: float) -> None:
+        """Add a request to a queue; raises like `WaitingQueue.push`."""
+        evicted = queue.push(request, now)
+        if evicted is not None:
+            evicted.owner.context.reason = "too many waiting"
+
+    def _queue_with(self, ticket: Ticket) -> admission.WaitingQueue:
+        return _queue_of(self.late if ticket.late else self.queues, ticket.context)
+
+    async def _stand(self, ticket: Ticket, request: admission.Request) -> balance.Candidate | None:
         """Wait until a request is called, or its time is over.
 
         Raises:
@@ -126,26 +137,32 @@
             now = self.core.clock.monotonic()
             if now >= request.deadline:
                 break
-            await self._call_first(queue, now)
+            if not ticket.late and now >= ticket.context.started_at + _in_time_s(ticket.context):
+                self._queue_with(ticket).remove(request, now)
+                ticket.late = True
+                self._push(self._queue_with(ticket), request, now)
+            await self._call_first(ticket.context, now)
             async with curio.ignore_after(random.uniform(MIN_PAUSE_S, MAX_PAUSE_S)):
                 await ticket.called.wait()
         if ticket.error is not None:
             raise ticket.error
         return ticket.candidate
 
-    async def _call_first(self, queue: admission.WaitingQueue, now: float) -> None:
+    async def _call_first(self, context: inflight.RequestContext, now: float) -> None:
         """Call the first request in the order for which there is a place.
 
         No more than one: its load counts only once it is sent.
         """
-        for request in admission.eligible(queue, {}, now):
+        in_time = admission.eligible(_queue_of(self.queues, context), {}, now)
+        late = admission.eligible(_queue_of(self.late, context), {}, now)
+        for request in [*in_time, *late]:
             ticket: Ticket = request.owner
             try:
                 ticket.candidate = ticket.choose(self.places(ticket.context, now))
             except exceptions.ElsewhereError as error:
                 ticket.error = error
             if ticket.candidate is not None or ticket.error is not None:
-                queue.take(request, now)
+                self._queue_with(ticket).take(request, now)
                 await ticket.called.set()
                 return
 
@@ -156,7 +173,7 @@
             context.service.engine,
             context.request.prompt,
             self.view.servers_each(context.service.name),
-            now - context.started_at + _earlier_s(context),
+            _waited_s(context, now),
         )
         return places.places_for(waiting, self.kinds.find(self.view.table, context.route))
 
@@ -226,6 +243,29 @@
         )
 
 
+def _queue_of(
+    queues: dict[str, admission.WaitingQueue], context: inflight.RequestContext
+) -> admission.WaitingQueue:
+    queue = queues.get(context.service.name)
+    if queue is None:
+        queue = admission.WaitingQueue(MAX_WAITING, foretells=False)
+        queues[context.service.name] = queue
+    return queue
+
+
+def _in_time_s(context: inflight.RequestContext) -> float:
+    return places.in_time_s(context.route, context.request.prompt)
+
+
+def _waited_s(context: inflight.RequestContext, now: float) -> float:
+    """Return how long a request has waited; what its caller waited before makes it not late."""
+    own_s = now - context.started_at
+    in_time_s = _in_time_s(context)
+    if own_s >= in_time_s:
+        return own_s
+    return min(own_s + _earlier_s(context), LAST_IN_TIME_SHARE * in_time_s)
+
+
 def _queued(ticket: Ticket, give_up_at: float) -> admission.Request:
     context = ticket.context
     prompt = context.request.prompt
--- a/src/ebonywheel/gateway/places.py
+++ b/src/ebonywheel/gateway/places.py
@@ -3,7 +3,7 @@
 Kinds of requests are routes. The most urgent kind of a service may fill an engine. Others leave
 memory for it, and long generations leave what neighbours need to take over the runs of an engine
 that leaves. The bounds widen while a request waits, so that it goes before later ones, also those
-at other hosts. Once it cannot be in time any more, it has the first bound on memory again.
+at other hosts. Once it cannot be in time any more, it leaves more than those that can.
 """
 
 import msgspec
@@ -18,6 +18,8 @@
 # Largest share of an engine's memory that is left to the runs of neighbours that leave. Generations
 # are counted at their expected end, so engines have some more room than the counts say.
 MAX_MOVE_SHARE = 0.2
+# Share that a request leaves besides once it cannot be in time: to those that still can.
+LATE_SHARE = 0.1
 
 
 class Kind(msgspec.Struct, frozen=True):
@@ -119,13 +121,11 @@
     first_load = 1.0 - _reserved_share(waiting, kind)
     target_s = waiting.route.target_latency_s
     in_time = in_time_s(waiting.route, waiting.prompt)
-    unread_s = _longest_unread_s(target_s)
-    load = first_load
+    unread_s = FIRST_UNREAD_SHARE * target_s
+    load = min(first_load, max(_needed_share(waiting), first_load - LATE_SHARE))
     if waiting.waited_s < in_time:
-        load += (1.0 - first_load) * waiting.waited_s / in_time
-        unread_s = min(
-            FIRST_UNREAD_SHARE * target_s + waiting.waited_s, target_s - waiting.waited_s
-        )
+        load = first_load + (1.0 - first_load) * waiting.waited_s / in_time
+        unread_s = min(unread_s + waiting.waited_s, target_s - waiting.waited_s)
     # An engine without unread prompts takes one of any length.
     unread_s = max(unread_s, read_s(waiting.prompt.tokens)) + kind.others_read_s
     return Places(load, unread_s * PREFILL_TOKENS_PER_S)
@@ -138,5 +138,8 @@
     if moves and waiting.servers_each > 1.0:
         share += min(MAX_MOVE_SHARE, 1.0 / waiting.servers_each)
     # An empty engine takes a request of any size that it can hold.
-    needed = waiting.prompt.expected_memory_tokens() / waiting.engine.memory_tokens
-    return min(share, max(0.0, 1.0 - needed))
+    return min(share, max(0.0, 1.0 - _needed_share(waiting)))
+
+
+def _needed_share(waiting: Waiting) -> float:
+    return waiting.prompt.expected_memory_tokens() / waiting.engine.memory_tokens
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -141,6 +141,20 @@
     run(scenario)
 
 
+def test_what_is_late_does_not_make_those_behind_it_late_too():
+    async def scenario():
+        engines = Engines()
+        async with curio.TaskGroup() as group:
+            await group.spawn(engines.ask, "late", test_places.URGENT, test_places.SHORT)
+            await curio.sleep(test_places.URGENT.target_latency_s)
+            await group.spawn(engines.ask, "new", test_places.URGENT, test_places.SHORT)
+            await curio.sleep(line.MAX_PAUSE_S)
+            await engines.free(2)
+        assert engines.order == ["new", "late"]
+
+    run(scenario)
+
+
 def test_a_wait_ends_while_the_caller_can_still_return():
     async def scenario():
         engines = Engines()
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -59,7 +59,9 @@
         assert loads == sorted(set(loads))
 
     def test_one_that_cannot_be_in_time_leaves_its_place_to_those_that_can(self):
-        assert places_of(DRAFT, LONG, waited_s=5.0).max_load == places_of(DRAFT, LONG).max_load
+        late, new = places_of(DRAFT, LONG, waited_s=5.0), places_of(DRAFT, LONG)
+        assert late.max_load < new.max_load
+        assert late.max_unread <= new.max_unread
 
     def test_no_request_is_sent_behind_more_prompts_than_its_target_allows(self):
         for waited_s in (0.0, 1.0, 2.0, 3.0):
