A full line refuses like a wait that ends

Cause: a queue full of late requests would have answered with the Retry-After of the product's queue.

--- a/src/ebonywheel/gateway/line.py
+++ b/src/ebonywheel/gateway/line.py
@@ -109,11 +109,13 @@
         request = _queued(ticket, give_up_at)
         try:
             self._push(queue, request, now)
+            return await self._stand(ticket, request)
+        except exceptions.ElsewhereError:
+            raise
         except exceptions.NotRunError as error:
+            # The queue is full, mostly of requests of this customer.
             context.reason = error.text
             return None
-        try:
-            return await self._stand(ticket, request)
         finally:
             if request.queued:
                 self._queue_with(ticket).remove(request, self.core.clock.monotonic())
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -216,3 +216,19 @@
         assert "ebonywheel_wait_forecast_error" in engines.core.metrics.render()
 
     run(scenario)
+
+
+def test_a_burst_of_one_customer_that_fills_the_line_is_refused_beyond_it(monkeypatch):
+    monkeypatch.setattr(line, "MAX_WAITING", 2)
+
+    async def scenario():
+        engines = Engines()
+        async with curio.TaskGroup() as group:
+            for number in range(2):
+                await group.spawn(engines.ask, f"r {number}", test_places.DRAFT, test_places.LONG)
+            await curio.sleep(line.MAX_PAUSE_S)
+            assert await engines.ask("third", test_places.DRAFT, test_places.LONG) is None
+            await engines.free(2)
+        assert engines.order == ["r 0", "r 1"]
+
+    run(scenario)
