--- a/src/ebonywheel/gateway/starts.py
+++ b/src/ebonywheel/gateway/starts.py
@@ -43,12 +43,18 @@
         Raises:
             ElsewhereError: This host cannot reach the servers; another one may.
         """
-        if not places.waits_here(context.route, context.service.engine):
+        if places.waits_here(context.route, context.service.engine):
+            wait = line.Wait()
+            candidate = await self._find_place(context, wait)
+            self.line.log(context, wait, candidate)
+        else:
             unread = places.PREFILL_TOKENS_PER_S * context.route.target_latency_s
-            return self._choose(context, places.Places(MAX_ADMISSION_LOAD, unread), paced=False)
-        wait = line.Wait()
-        candidate = await self._find_place(context, wait)
-        self.line.log(context, wait, candidate)
+            bounds = places.Places(MAX_ADMISSION_LOAD, unread)
+            candidate = self._choose(context, bounds, paced=False)
+        if candidate is None:
+            context.reason = context.reason or self.view.reason_without_server(
+                context, "no server with room"
+            )
         return candidate
 
     async def _find_place(
@@ -88,11 +94,7 @@
             long_running=prompt.is_long_running(),
         )
         chosen = self.view.choose(requirements)
-        if chosen is None:
-            context.reason = context.reason or self.view.reason_without_server(
-                context, "no server with room"
-            )
-        else:
+        if chosen is not None:
             refusals.check_reach(self.view, context, chosen)
         return chosen
 
