What all hosts saw of a server is told again, and its failures decay where nobody sends

Cause: a review: sums were told only while they grew to a record, so failures after a long steady time were not; and a server that failed was avoided for good once nobody sent to it. Change: sums are told again after 3 s if anything was seen; the failure rate decays at the entry host. Measured: two new tests, red before; test_speeds, test_balance, test_herding, test_leaving pass.

--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -128,9 +128,9 @@
             return 0.0
         return now - max(self.heard_at, min(self.waiting_since))
 
-    def worst_failure_rate(self) -> float:
+    def worst_failure_rate(self, now: float) -> float:
         """Return the failure rate that this host or all hosts together saw."""
-        return max(self.failure_rate, speeds.failure_rate(self.seen))
+        return max(self.failure_rate, speeds.failure_rate(self.seen, now))
 
     def record_answer(self, failed: bool) -> None:
         """Update the failure rate with an answer, and reset the backoff."""
@@ -272,7 +272,7 @@
         considered = with_room
     if not considered:
         return None
-    lowest_rate = min(candidate.state.worst_failure_rate() for candidate in considered)
+    lowest_rate = min(candidate.state.worst_failure_rate(now) for candidate in considered)
     compared = speeds.Speeds(
         [candidate.state.seen for candidate in considered], requirements.stream_s
     )
@@ -280,7 +280,7 @@
 
     def cost(candidate: Candidate) -> float:
         state = candidate.state
-        failure_cost = FAILURE_WEIGHT * (state.worst_failure_rate() - lowest_rate)
+        failure_cost = FAILURE_WEIGHT * (state.worst_failure_rate(now) - lowest_rate)
         location_cost = distance_cost(candidate.location(), location)
         neighbour_cost = (
             NO_NEIGHBOUR_COST if requirements.long_running and candidate.without_neighbour else 0.0
--- a/src/ebonywheel/gateway/leaving.py
+++ b/src/ebonywheel/gateway/leaving.py
@@ -107,7 +107,7 @@
     return [
         crossing.Place(
             location,
-            statistics.fmean(_wait_s(each, requirements, answer_s) for each in servers),
+            statistics.fmean(_wait_s(each, requirements, answer_s, now) for each in servers),
             statistics.fmean(balance.load_with_request(each, requirements) for each in servers),
             statistics.fmean(each.state.connect_s for each in servers),
         )
@@ -116,7 +116,7 @@
 
 
 def _wait_s(
-    candidate: balance.Candidate, requirements: balance.Requirements, answer_s: float
+    candidate: balance.Candidate, requirements: balance.Requirements, answer_s: float, now: float
 ) -> float:
     """Return how long a request is expected to wait at a server, failures included."""
     load = balance.load_with_request(candidate, requirements)
@@ -126,4 +126,4 @@
         wait_s += answer_s * max(0.0, load - 1.0)
     else:
         wait_s += places.read_s(candidate.state.unread + candidate.state.other_unread)
-    return wait_s + target_s * candidate.state.worst_failure_rate()
+    return wait_s + target_s * candidate.state.worst_failure_rate(now)
--- a/src/ebonywheel/gateway/paces.py
+++ b/src/ebonywheel/gateway/paces.py
@@ -35,6 +35,7 @@
         reset_at: When a request was reset last without an answer since, monotonic seconds.
         told: The sums as told last.
         told_at: When they were told first, monotonic seconds.
+        observed_at: When anything was observed last, monotonic seconds.
         told_reset: Whether a reset was told with them.
     """
 
@@ -42,6 +43,7 @@
     reset_at: float = float("-inf")
     told: serverpaces.Sums | None = None
     told_at: float = float("-inf")
+    observed_at: float = 0.0
     told_reset: bool = False
 
 
@@ -164,6 +166,7 @@
         if own is None:
             own = self.own[key] = Own(serverpaces.Sums(updated_at=now))
         own.sums.decay(now)
+        own.observed_at = now
         return own
 
     # -- exchange ----------------------------------------------------------------------------
@@ -187,10 +190,16 @@
     def _is_due(self, own: Own, reset: bool, now: float) -> bool:
         if own.told is None or reset != own.told_reset or own.reset_at > own.told_at:
             return True
-        if now - own.told_at < serverpaces.TELL_INTERVAL_S:
+        told_s = now - own.told_at
+        if told_s < serverpaces.TELL_INTERVAL_S or own.observed_at <= own.told_at:
             return False
-        growth = own.sums.weight() - own.told.weight()
-        return growth > serverpaces.TOLD_GROWTH * own.told.weight()
+        if told_s >= serverpaces.RETELL_S:
+            return True
+        # What was told has decayed since at the control hosts.
+        told = msgspec.structs.replace(own.told)
+        told.decay(now)
+        growth = own.sums.weight() - told.weight()
+        return growth > serverpaces.TOLD_GROWTH * told.weight()
 
     def merge(self, items: list[messages.ServerPace]) -> None:
         """Take over what all hosts saw."""
--- a/src/ebonywheel/gateway/speeds.py
+++ b/src/ebonywheel/gateway/speeds.py
@@ -244,9 +244,14 @@
     return max(0, prompt.expected_answer_tokens() - events) / ANSWER_TOKENS_PER_S
 
 
-def failure_rate(sums: serverpaces.Sums) -> float:
-    """Return the share of a server's answers to all hosts that failed, a low estimate."""
-    return sums.failures / (sums.answers + PRIOR_ANSWERS)
+def failure_rate(sums: serverpaces.Sums, now: float) -> float:
+    """Return the share of a server's answers to all hosts that failed, a low estimate.
+
+    It decays, as nobody hears news of a server to which nobody sends.
+    """
+    age_s = max(0.0, now - sums.updated_at)
+    decay = 0.5 ** (age_s / serverpaces.FAILURE_HALF_LIFE_S)
+    return sums.failures * decay / (sums.answers * decay + PRIOR_ANSWERS)
 
 
 def _ratio(amount: float, count: float) -> float:
--- a/src/ebonywheel/serverpaces.py
+++ b/src/ebonywheel/serverpaces.py
@@ -23,6 +23,9 @@
 TOLD_GROWTH = 0.2
 # Between two tellings of one server's sums, unless a request was reset.
 TELL_INTERVAL_S = 1.0
+# Time after which sums are told again if anything was seen since: a failure that takes the place of
+# a good answer makes them no larger.
+RETELL_S = 3.0
 # A larger sum is beyond all traffic, and comes from a faulty host.
 MAX_SUM = 1e12
 MS_PER_S = 1000
--- a/tests/test_serverpaces.py
+++ b/tests/test_serverpaces.py
@@ -114,3 +114,26 @@
     assert windows.record(0.18, 2.0, 2.1) is False
     assert windows.record(0.18, 2.1, 2.4) is None
     assert windows.record(0.18, 2.4, 3.2) is True
+
+
+def test_a_server_that_turns_bad_after_long_steady_traffic(simulation):
+    """Failures that take the place of good answers make the sums no larger."""
+    sender, other = simulation.hosts[:2]
+    for second in range(100):
+        for _ in range(2):
+            sender.view.paces.observe_answer(RECORD, failed=second >= 80, work_s=0.1)
+        for _ in range(5):
+            simulation.clock.advance(0.1)
+            exchange(simulation, [sender, other])
+    assert state(other).worst_failure_rate(simulation.clock.now) > 0.5
+
+
+def test_a_server_to_which_nobody_sends_is_tried_again(simulation):
+    sender, other = simulation.hosts[:2]
+    for _ in range(20):
+        sender.view.paces.observe_answer(RECORD, failed=True, work_s=None)
+    exchange(simulation, [sender, other])
+    exchange(simulation, [sender, other])
+    assert state(other).worst_failure_rate(simulation.clock.now) > 0.5
+    simulation.clock.advance(20.0)
+    assert state(other).worst_failure_rate(simulation.clock.now) < 0.2
