Large bodies are sent to servers without a copy

Cause: head and body were joined, so a request of 4 MiB took twice its room while its server read it. Change: bodies over 64 KiB are written after their heads.

--- a/src/ebonywheel/httpclient.py
+++ b/src/ebonywheel/httpclient.py
@@ -20,6 +20,8 @@
 # skipped. A server in trouble may send either without end.
 MAX_INTERIM_RESPONSES = 8
 MAX_SKIPPED_BYTES = 1024 * 1024
+# Smaller bodies are copied behind their heads, to be sent together.
+JOINED_BYTES = 64 * 1024
 # Statuses that a final response may have; a response with another is malformed.
 MIN_STATUS, MAX_STATUS = 200, 599
 
@@ -110,14 +112,15 @@
         )
         self.request_body = body
         data = self.conn.send(self.request_head)
-        if body:
-            data += self.conn.send(h11.Data(data=body))
-        data += self.conn.send(h11.EndOfMessage())
+        framed = self.conn.send(h11.Data(data=body)) if body else b""
+        end = self.conn.send(h11.EndOfMessage())
+        parts = [data + framed + end] if len(framed) <= JOINED_BYTES else [data, framed, end]
         self.method = method
         self.sent = True
         try:
             async with curio.timeout_after(timeout_s):
-                await self.sock.sendall(data)
+                for part in parts:
+                    await self.sock.sendall(part)
         except curio.TaskTimeout as error:
             raise self._error("server does not read the request", "write") from error
         except OSError as error:
