--- a/src/ebonywheel/heldmemory.py
+++ b/src/ebonywheel/heldmemory.py
@@ -15,6 +15,8 @@
 # rest is for the process itself and for copies that exist for a moment.
 CALLERS_SHARE = 7 / 32
 OPERATORS_SHARE = 1 / 32
+# Fits the largest document of an operator, with some connections.
+OPERATORS_MIN_BYTES = 6 * 1024 * 1024
 # Larger holdings leave a part of the account to others.
 SMALL_BYTES = 64 * 1024
 LARGE_SHARE = 3 / 4
