Callers: shares bind before a body is kept, slow readers over TCP, progress of small bodies

Cause: a review (each shown by a snippet): a steady reader of 50 KB/s was cut at 4 s as Linux reports a socket writable late; unsent answers went over the account by force; a body's room was taken before its shares and its 404; a query of short pairs was not counted; holdings were shed in vain; a large document was refused beside a small call; a shed idle connection ate a request; a server's refusal was passed on without room.

--- a/src/ebonywheel/callerconnection.py
+++ b/src/ebonywheel/callerconnection.py
@@ -33,6 +33,8 @@
 CHECK_BYTES = 16 * 1024
 # A body that makes no progress for this long is given up.
 BODY_PROGRESS_S = 10.0
+# The target is kept whole, as path and query, and as decoded parameters.
+TARGET_COPIES = 3
 HEADER_TIMEOUT_S = 10.0
 IDLE_TIMEOUT_S = 75.0
 BODY_TIMEOUT_S = 60.0
@@ -154,11 +156,26 @@
 
     async def _first_bytes(self) -> bytes:
         """Return the first bytes of a request; none when the connection ends instead."""
-        while data := await self._receive(HEAD_READ_BYTES):
+        while data := await self._receive_idle():
             if start := data.lstrip(EMPTY_LINE):
+                self.held.wait(self.sock.stop_receiving_now)
                 return start
         return b""
 
+    async def _receive_idle(self) -> bytes:
+        """Receive between requests; none at the end, also of a connection that was shed.
+
+        Raises:
+            NotRunError: It was shed while a request was on its way.
+        """
+        try:
+            data = await self.sock.recv(HEAD_READ_BYTES)
+        except OSError as error:
+            raise exceptions.HttpError(str(error), "read", self.peer) from error
+        if data and self.held.shed_reason:
+            raise requestbody.no_room_error(self.peer)
+        return data
+
     def _new_parser(self) -> h11.Connection:
         max_bytes = self.server.limits.header_bytes + HEAD_OVERHEAD_BYTES
         return h11.Connection(h11.SERVER, max_incomplete_event_size=max_bytes)
@@ -185,9 +202,10 @@
             int(length) if length.isdecimal() else None,
             self.peer,
         )
-        body.reserve()
         if body.length or body.length is None and "transfer-encoding" in request.headers:
-            self.request_held.wait(self.sock.stop_receiving_now, self.server.limits.progress_s)
+            self.request_held.wait(
+                self.sock.stop_receiving_now, self.server.limits.progress_s, body.progress_bytes()
+            )
         reading = self._read_body(request, body)
         await self._with_timeout(reading, self.server.limits.body_s)
         self.request_held.stop_waiting()
@@ -207,10 +225,11 @@
             raise exceptions.HttpError("headers too large", "read head", self.peer, 431)
         address = self.peer.rpartition(":")[0]
         self.request_held = self.server.account.hold(f"address {address}")
-        if not self.request_held.grow(size + FIELD_BYTES * len(fields)):
-            raise requestbody.no_room_error(self.peer)
         target = _origin_form(head.target.decode("ascii"), self.peer)
         path, _, raw_query = target.partition("?")
+        parts = len(fields) + raw_query.count("&")
+        if not self.request_held.grow(size + TARGET_COPIES * len(target) + FIELD_BYTES * parts):
+            raise requestbody.no_room_error(self.peer)
         query = dict(urllib.parse.parse_qsl(raw_query))
         return http.Request(
             self.method, path, query, dict(fields), b"", self.peer, raw_query, fields, target
@@ -286,6 +305,8 @@
         waits = self.conn.they_are_waiting_for_100_continue
         check = self.server.check_head
         large = waits or (body.length or 0) > CHECK_BYTES
+        if not large:
+            body.reserve()
         while not large:
             if not await self._read_part(body):
                 return
@@ -295,6 +316,7 @@
             body.held.join(group)
         if terms.body_bytes is not None:
             body.restrict(terms.body_bytes)
+        body.reserve()
         if waits:
             await self.send(self.conn.send(h11.InformationalResponse(status_code=100, headers=[])))
         body_s = self.server.limits.body_s if terms.body_s is None else terms.body_s
--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -32,6 +32,7 @@
 # a caller that states no timeout the route's applies, but the route is not known yet at this point.
 BODY_TIMEOUT_S = 30.0
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_LOGGED_PATH_CHARS = 128
 
 
 class Gateway:
@@ -99,7 +100,12 @@
         except (exceptions.HttpError, exceptions.NotRunError) as error:
             attempt = self.dialect.attempt_id(request)
             self.core.metrics.count("refused_by_head", status=str(error.status))
-            self.core.log.info("refused_by_head", request=attempt, path=request.path, error=error)
+            self.core.log.info(
+                "refused_by_head",
+                request=attempt,
+                path=request.path[:MAX_LOGGED_PATH_CHARS],
+                error=error,
+            )
             raise
         groups = [f"route {context.route.name}"]
         if context.customer is not None:
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -187,7 +187,12 @@
         try:
             async for chunk in reply.connection.chunks(READ_TIMEOUT_S):
                 body += chunk
-                if len(body) > BUFFER_BYTES or not held.grow(len(chunk)):
+                if reply.head.not_run:
+                    # It is small, and decides whether another server is tried.
+                    held.force(len(chunk))
+                elif not held.grow(len(chunk)):
+                    return False
+                if len(body) > BUFFER_BYTES:
                     return False
             await self.sender.confirm_end(reply)
         except BaseException as error:
--- a/src/ebonywheel/heldmemory.py
+++ b/src/ebonywheel/heldmemory.py
@@ -51,6 +51,7 @@
         shed_reason: Why it was shed, empty if it was not.
         marked_at: When its peer last made progress, monotonic seconds.
         max_wait_s: Time without progress after which it is shed in any case.
+        progress_bytes: What its peer has to send or take to make progress.
     """
 
     __slots__ = (
@@ -60,6 +61,7 @@
         "shed_reason",
         "marked_at",
         "max_wait_s",
+        "progress_bytes",
         "_on_shed",
         "_unmarked",
     )
@@ -71,6 +73,7 @@
         self.shed_reason = ""
         self.marked_at = 0.0
         self.max_wait_s = math.inf
+        self.progress_bytes = PROGRESS_BYTES
         self._on_shed: collections.abc.Callable[[], None] | None = None
         self._unmarked = 0
 
@@ -94,15 +97,20 @@
         self.account.add(self, -self.size)
 
     def wait(
-        self, on_shed: collections.abc.Callable[[], None], max_wait_s: float = math.inf
+        self,
+        on_shed: collections.abc.Callable[[], None],
+        max_wait_s: float = math.inf,
+        progress_bytes: int = PROGRESS_BYTES,
     ) -> None:
         """Let this be shed while its peer makes no progress.
 
         Args:
             on_shed: Called when it is shed; makes its owner let go of it.
             max_wait_s: Time without progress after which it is shed in any case.
+            progress_bytes: What the peer has to send or take to make progress.
         """
         self.max_wait_s = max_wait_s
+        self.progress_bytes = progress_bytes
         self._on_shed = on_shed
         self._unmarked = 0
         self._mark()
@@ -110,7 +118,7 @@
     def progress(self, size: int) -> None:
         """Record that the peer has sent or taken some bytes."""
         self._unmarked += size
-        if self._unmarked >= PROGRESS_BYTES and self._on_shed is not None:
+        if self._unmarked >= self.progress_bytes and self._on_shed is not None:
             self._unmarked = 0
             self._mark()
 
@@ -223,19 +231,40 @@
         short = [] if self.held + size <= self.limit else [""]
         for group in holding.groups:
             others = self.groups.get(group, 0) - holding.size
-            share = LARGE_SHARE if group == LARGE else GROUP_SHARE
-            if others > 0 and others + holding.size + size > share * self.limit:
+            # A large document passes beside small calls of the same address.
+            if others > SMALL_BYTES and others + holding.size + size > self._share(group):
                 short.append(group)
         return short
 
+    def _share(self, group: str) -> float:
+        """Return the most that a share may take, in bytes."""
+        return self.limit * (LARGE_SHARE if group == LARGE else GROUP_SHARE)
+
+    def _could_make_room(
+        self, holding: Holding, size: int, short: list[str], victims: list[Holding]
+    ) -> bool:
+        """Return whether shedding these gives the room that is short, lest it be done in vain."""
+        for group in short:
+            inside = [victim for victim in victims if not group or group in victim.groups]
+            held = self.groups.get(group, 0) if group else self.held
+            others = held - holding.size - sum(victim.size for victim in inside)
+            limit = self._share(group) if group else self.limit
+            is_free = bool(group) and others <= SMALL_BYTES
+            if not is_free and others + holding.size + size > limit:
+                return False
+        return True
+
     def _make_room(self, holding: Holding, size: int, short: list[str]) -> bool:
         """Shed holdings that take the room which is short; return whether there is room now."""
         now = self.clock.monotonic()
-        for victim in list(self.waiting):
-            if now - victim.marked_at < STALL_S:
-                return False
-            if victim is holding or not victim.size:
-                continue
+        stalled = [
+            victim
+            for victim in self.waiting
+            if now - victim.marked_at >= STALL_S and victim is not holding and victim.size
+        ]
+        if not self._could_make_room(holding, size, short, stalled):
+            return False
+        for victim in stalled:
             if "" in short or any(group in victim.groups for group in short):
                 victim.shed(NO_ROOM)
                 self._record_shortage("shed")
--- a/src/ebonywheel/httpserver.py
+++ b/src/ebonywheel/httpserver.py
@@ -116,6 +116,7 @@
                 continue
             self.open_connections += 1
             sockets.set_tcp_options(client)
+            sockets.take_small_parts(client)
             await self.core.spawn(self._serve_connection(connection))
 
     def _max_connections(self) -> int:
@@ -159,7 +160,12 @@
         try:
             if not await connection.wait_request():
                 return False
-        except (exceptions.HttpError, exceptions.NotRunError):
+        except exceptions.NotRunError as error:
+            # Shed while the first bytes of a request were on their way.
+            self.core.metrics.count("http_bad_requests", status=str(error.status))
+            await callerconnection.send_error(connection, error)
+            return False
+        except exceptions.HttpError:
             self.core.metrics.count("http_idle_closed")
             return False
         finally:
--- a/src/ebonywheel/outbox.py
+++ b/src/ebonywheel/outbox.py
@@ -58,8 +58,10 @@
         Raises:
             HttpError: The connection broke, or the caller does not read.
         """
-        await self._put(data)
-        if self.unsent and len(self.unsent) > MAX_UNSENT_BYTES:
+        within_account = await self._put(data)
+        if not within_account:
+            await self._wait_below(0)
+        elif len(self.unsent) > MAX_UNSENT_BYTES:
             await self._wait_below(MAX_UNSENT_BYTES)
 
     async def write_all(self, data: bytes) -> None:
@@ -88,16 +90,24 @@
             await self._writer.cancel()
         self.held.release()
 
-    async def _put(self, data: bytes) -> None:
+    async def _put(self, data: bytes) -> bool:
+        """Write what the connection takes and keep the rest; return whether there is room for it.
+
+        What is kept without room, or over the bound, belongs to a source that waits.
+        """
+        if self.failure is not None:
+            raise self.failure
         sent = 0 if self.unsent else await self._write_now(data)
         if sent == len(data):
-            return
-        # The part that is over the bound belongs to a source that waits.
-        self.held.force(len(data) - sent)
+            return True
+        within_account = self.held.grow(len(data) - sent)
+        if not within_account:
+            self.held.force(len(data) - sent)
         self.unsent += memoryview(data)[sent:]
         if self._writer is None:
             self.held.wait(self._on_shed)
             self._writer = await curio.spawn(self._write_unsent, daemon=True)
+        return within_account
 
     async def _write_now(self, data: bytes) -> int:
         """Write what the connection takes at once; return how much."""
@@ -112,7 +122,7 @@
 
     async def _wait_below(self, size: int) -> None:
         """Wait until no more than this is unsent; raises like `write`."""
-        self._full = size > 0
+        self._full = True
         async with self._changed:
             while len(self.unsent) > size and self.failure is None:
                 await self._changed.wait()
--- a/src/ebonywheel/requestbody.py
+++ b/src/ebonywheel/requestbody.py
@@ -4,6 +4,9 @@
 
 # Room for a body without a length is taken in steps of this.
 STEP_BYTES = 64 * 1024
+# Progress of a body without a length, and of a small one as a share of it.
+UNKNOWN_PROGRESS_BYTES = 512
+PROGRESS_SHARE = 0.05
 STATUS_TOO_LARGE = 413
 STATUS_NO_ROOM = 503
 RETRY_AFTER_S = 1
@@ -37,10 +40,16 @@
             HttpError: It is too large.
             NotRunError: There is no room.
         """
-        if self.length is not None:
+        if self.length is not None and not self._room:
             self._check_size(self.length)
             self._take_room(self.length)
 
+    def progress_bytes(self) -> int:
+        """Return how much has to arrive for the caller to make progress: less of a small body."""
+        if self.length is None:
+            return UNKNOWN_PROGRESS_BYTES
+        return min(heldmemory.PROGRESS_BYTES, max(1, int(PROGRESS_SHARE * self.length)))
+
     def restrict(self, limit: int) -> None:
         """Lower the largest size; raises `HttpError` if the body is larger."""
         self.limit = min(self.limit, limit)
--- a/src/ebonywheel/sockets.py
+++ b/src/ebonywheel/sockets.py
@@ -10,6 +10,10 @@
 
 from ebonywheel import turns
 
+# Unsent bytes below which a connection takes more. Linux waits for a third of the send buffer
+# otherwise, which a caller that reads slowly but steadily may not free for many seconds.
+MAX_NOT_SENT_BYTES = 64 * 1024
+
 
 class KeepAlive(msgspec.Struct, frozen=True):
     """When the kernel takes a silent peer for dead.
@@ -113,6 +117,12 @@
     return wrap(curio.tcp_server_socket(host, port, backlog=backlog))
 
 
+def take_small_parts(sock: curio.io.Socket) -> None:
+    """Have a connection take more as soon as its peer has read some, where the system can."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_NOT_SENT_BYTES)
+
+
 def set_tcp_options(sock: curio.io.Socket, keep_alive: KeepAlive = KEEP_ALIVE) -> None:
     """Send small writes at once, and detect peers that vanish without closing the connection."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
