Judge: what others wait for is no version's fault; tests of watches

The test of the mechanism compares with the others of all the time: the switch that it used left a part of it on.

--- a/src/ebonywheel/rolloutjudge.py
+++ b/src/ebonywheel/rolloutjudge.py
@@ -30,6 +30,8 @@
 RATE_WINDOW_S = 2.0
 # A new leader has the counts of all hosts in touch after this time.
 GATHERING_S = 0.8
+# A new leader knows of all servers after this time: they report every 1.2 s.
+SERVERS_KNOWN_S = 3.0
 # All hosts have learnt of the shift, and told what they have under way since, after this time.
 SETTLED_S = 0.4
 # Answers in the shift after which a roll-out is completed before the last moment.
@@ -172,7 +174,8 @@
             if level >= RAISED_LEVEL:
                 return Decision(KEEP, f"{what}, not decided")
         if last_moment:
-            if not moment.target_servers:
+            known = moment.now_s - self.began_s >= SERVERS_KNOWN_S
+            if known and not moment.target_servers:
                 return Decision(ROLL_BACK, "no server of the version takes requests")
             return Decision(COMPLETE, f"at the last moment, {old_runs} runs are left")
         settled = moment.phase_s >= SETTLED_S and moment.totals.hosts > 0
@@ -245,7 +248,7 @@
     failing = rolloutsequential.failure_weights(expected)
     good = max(0, target.answers - target.failures)
     increments = {FAILURES: (target.failures * failing.bad + good * failing.good, 0.0)}
-    delays = rolloutsequential.delay_weights(route.usual, route.latest)
+    delays = rolloutsequential.delay_weights(route.usual, route.latest, counts.others.waiting)
     if delays is None:
         increments[SLOW] = (0.0, 0.0)
     else:
--- a/src/ebonywheel/rolloutsequential.py
+++ b/src/ebonywheel/rolloutsequential.py
@@ -62,20 +62,6 @@
         prior = PRIOR_ANSWERS * USUAL_FAILURES
         return max(USUAL_FAILURES, (self.failures + prior) / (self.answers + PRIOR_ANSWERS))
 
-    def delay_parts(self) -> list[float]:
-        """Return the parts of answers to expect in each bucket of delays."""
-        counts = [0.0, *self.delays, 0.0]
-        # Smoothed over neighbours, as a bucket with few answers tells little by itself.
-        smooth = [
-            0.25 * below + 0.5 * own + 0.25 * above
-            for below, own, above in zip(counts, counts[1:], counts[2:], strict=False)
-        ]
-        total = sum(smooth)
-        any_part = ANY_DELAY_PART / len(smooth)
-        if not total:
-            return [1.0 / len(smooth)] * len(smooth)
-        return [any_part + (1.0 - ANY_DELAY_PART) * count / total for count in smooth]
-
 
 class Weights(msgspec.Struct, frozen=True):
     """What a bad and a good answer add to a test, given the rate of bad ones to expect."""
@@ -103,19 +89,49 @@
     return Weights(math.log(unbearable / expected), math.log((1.0 - unbearable) / (1.0 - expected)))
 
 
-def delay_weights(usual: Reference, latest: Reference) -> DelayWeights | None:
+def delay_weights(
+    usual: Reference, latest: Reference, others_waiting: list[int]
+) -> DelayWeights | None:
     """Return the log likelihood ratios of a version that is often slow, None if unknown.
 
     Args:
         usual: Answers of the other versions over some time.
         latest: Those of this moment: what is slow for all versions is no version's fault.
+        others_waiting: Requests at other versions without an answer now, by how long they wait.
     """
     if sum(usual.delays) < MIN_REFERENCE:
         return None
-    parts = usual.delay_parts()
-    if sum(latest.delays) >= 0.5 * MIN_REFERENCE:
-        latest_parts = latest.delay_parts()
-        parts = [0.5 * (one + other) for one, other in zip(parts, latest_parts, strict=True)]
+    parts = _delay_parts(usual.delays)
+    weights = _delay_weights(parts)
+    # The slow answers of this moment are those that are still to come.
+    recent = [
+        delays + waiting * (weight > 0.0)
+        for delays, waiting, weight in zip(
+            latest.delays, others_waiting, weights.waiting, strict=True
+        )
+    ]
+    if sum(recent) < 0.5 * MIN_REFERENCE:
+        return weights
+    recent_parts = _delay_parts(recent)
+    return _delay_weights(
+        [0.5 * (one + other) for one, other in zip(parts, recent_parts, strict=True)]
+    )
+
+
+def _delay_parts(delays: list[float]) -> list[float]:
+    """Return the parts of answers to expect in each bucket of delays."""
+    counts = [0.0, *delays, 0.0]
+    # Smoothed over neighbours, as a bucket with few answers tells little by itself.
+    smooth = [
+        0.25 * below + 0.5 * own + 0.25 * above
+        for below, own, above in zip(counts, counts[1:], counts[2:], strict=False)
+    ]
+    total = sum(smooth)
+    any_part = ANY_DELAY_PART / len(smooth)
+    return [any_part + (1.0 - ANY_DELAY_PART) * count / total for count in smooth]
+
+
+def _delay_weights(parts: list[float]) -> DelayWeights:
     tails = [sum(parts[bucket:]) for bucket in range(len(parts))]
     faster = [0.0] * SLOW_BUCKETS + parts[:-SLOW_BUCKETS]
     # What would be slower than the last bucket is in it.
--- a/tests/test_rolloutjudge.py
+++ b/tests/test_rolloutjudge.py
@@ -63,10 +63,13 @@
         results = play("good")
         assert max(result.excess for result in results) > 0
 
-    def test_without_the_latest_answers_an_ill_service_is_blamed_on_the_version(self, monkeypatch):
+    def test_against_the_others_of_all_the_time_an_ill_service_is_blamed_on_the_version(
+        self, monkeypatch
+    ):
         seeds = range(200, 230)
         before = ended(play("both ill", seeds), rolloutstate.ROLLED_BACK)
-        monkeypatch.setattr(rolloutjudge, "SHORT_HALF_LIFE_S", rolloutjudge.LONG_HALF_LIFE_S)
+        for name in ("SHORT_HALF_LIFE_S", "LONG_HALF_LIFE_S"):
+            monkeypatch.setattr(rolloutjudge, name, 1e9)
         assert ended(play("both ill", seeds), rolloutstate.ROLLED_BACK) >= before + 3
 
     def test_without_a_restart_at_zero_a_version_that_turns_bad_late_is_seen_late(
@@ -184,7 +187,7 @@
 
 def test_a_version_is_not_called_slow_where_little_is_known():
     empty = rolloutsequential.Reference()
-    assert rolloutsequential.delay_weights(empty, empty) is None
+    assert rolloutsequential.delay_weights(empty, empty, rolloutdelays.empty()) is None
 
 
 def test_a_share_is_never_over_what_the_requests_so_far_allow():
--- a/tests/test_watchserver.py
+++ b/tests/test_watchserver.py
@@ -302,3 +302,49 @@
     manual_clock.advance(2.0)
     servers.observe(record("t"))
     assert servers.oldest_age_s() == pytest.approx(2.0)
+
+
+class TestRollouts:
+    """What a control host tells of roll-outs, and to whom."""
+
+    @pytest.fixture
+    def leader(self, server):
+        server.replica.has_lease = lambda: True
+        record = statedata.RolloutRecord(5, "v2", 0, 12_000, share=0.1)
+        server.state_machine.data.rollouts = {"plan": record}
+        server.state_machine.data.rollouts_index = 7
+        return server
+
+    def ask(self, server, **fields):
+        fields = {"host": "entry-1", "epoch": server.epoch, "wait_ms": 1500, **fields}
+        return curio.run(server.watch, messages.WatchRequest(**fields))
+
+    def test_a_change_is_told_at_once_and_once(self, leader):
+        news = self.ask(leader, rollouts_wanted=True, rollouts_index=6)
+        assert (news.rollouts_index, [view.share for view in news.rollouts]) == (7, [0.1])
+        again = self.ask(leader, rollouts_wanted=True, rollouts_index=7, wait_ms=0)
+        assert (again.rollouts_index, again.rollouts) == (7, [])
+        assert again.rollouts_lease_ms == leader.share_lease_ms
+
+    # Guards against a host of an earlier build that asks without a pause, as it knows of none.
+    def test_a_host_that_wants_none_waits(self, leader):
+        leader.wake_count = 0
+        assert not leader._has_newer_state(messages.WatchRequest(host="entry-1"))
+        assert self.ask(leader, wait_ms=0).rollouts == []
+
+    # Guards against a share that outlives a roll-back which another leader has decided.
+    def test_only_a_leader_under_its_lease_leases_a_share(self, leader):
+        leader.replica.has_lease = lambda: False
+        reply = self.ask(leader, rollouts_wanted=True)
+        assert (len(reply.rollouts), reply.rollouts_lease_ms) == (1, 0)
+
+    def test_evidence_is_kept_and_the_leader_asks_for_more_in_a_shift(self, leader):
+        evidence = [messages.RolloutEvidence(5, "a", True, 3, 2)]
+        request = messages.WatchRequest(
+            host="entry-1", rollouts_wanted=True, rollouts_index=7, evidence=evidence, wait_ms=900
+        )
+        curio.run(leader.watch, request)
+        assert leader.evidence.totals(5).requests() == (3, 3)
+        assert leader._wait_ms(request) == 900
+        leader.state_machine.data.rollouts["plan"].phase = "shifting"
+        assert leader._wait_ms(request) == watchserver.SHIFTING_WAIT_MS
