Roll-outs: a leader that comes in the shift, the last moments, leases without a roll-out

Cause: a review: a judge that begins in the shift knew nothing of the other versions; a late shift was completed at the deadline; a host had no lease before the first roll-out; only the versions that were known at the end were barred; without evidence after a restart of all hosts a shift was completed.

Change: a judge takes the others' counts when it first hears of a route, and goes on after a gap in the lease; the last verdict falls 0.3 s before the deadline; leases whenever roll-outs are wanted; versions seen at any time are barred; evidence is waited for up to 5 s after the deadline. The stand-ins of a replica in tests have a lease now, as one asks for it.

Result: test_watchserver, test_rolloutstate, test_rollout_control and TestLastMoments of test_rolloutjudge pass.

--- a/src/ebonywheel/rolloutexposure.py
+++ b/src/ebonywheel/rolloutexposure.py
@@ -28,8 +28,8 @@
 END_MARGIN_PART = 0.04
 MIN_END_MARGIN_S = 0.2
 MAX_END_MARGIN_S = 1.0
-# A shift this long before the deadline costs less than the slack that is not used.
-SHORTEST_SHIFT_S = 0.25
+# A shift this long before the deadline costs little, and leaves the time to complete it.
+SHORTEST_SHIFT_S = 0.5
 
 
 class Traffic(msgspec.Struct):
--- a/src/ebonywheel/rolloutjudge.py
+++ b/src/ebonywheel/rolloutjudge.py
@@ -37,7 +37,9 @@
 # Answers in the shift after which a roll-out is completed before the last moment.
 SHIFT_ANSWERS = 100
 # The very last moment, before the deadline, for a verdict that was open at the end margin.
-FINAL_MARGIN_S = 0.1
+FINAL_MARGIN_S = 0.3
+# Evidence is waited for until this long after the deadline, when all control hosts start anew.
+MAX_OVERTIME_S = 5.0
 
 FAILURES, SLOW = "failures", "slow answers"
 KINDS = (FAILURES, SLOW)
@@ -173,6 +175,8 @@
             last_moment = left_s <= self.exposure.end_margin_s() and moment.phase_s >= SETTLED_S
             if level >= RAISED_LEVEL:
                 return Decision(KEEP, f"{what}, not decided")
+        if not moment.totals.hosts and left_s > -MAX_OVERTIME_S:
+            return Decision(KEEP, "no entry host has told what it has seen")
         if last_moment:
             known = moment.now_s - self.began_s >= SERVERS_KNOWN_S
             if known and not moment.target_servers:
@@ -202,9 +206,11 @@
         self.last_s = moment.now_s
         sums = {kind: [0.0, 0.0] for kind in KINDS}
         for name, counts in moment.totals.routes.items():
+            is_new = name not in self.routes
             route = self.routes.setdefault(name, RouteTests())
-            # In the shift the others answer only what has been with them for long.
-            if moment.phase == rolloutstate.PROVING:
+            # In the shift the others answer only what has been with them for long; a judge that
+            # begins in it takes what they have answered before.
+            if moment.phase == rolloutstate.PROVING or is_new:
                 others = _since(route.seen.others, counts.others)
                 route.usual.add(others, 0.5 ** (passed_s / LONG_HALF_LIFE_S))
                 route.latest.add(others, 0.5 ** (passed_s / SHORT_HALF_LIFE_S))
--- a/src/ebonywheel/rollouts.py
+++ b/src/ebonywheel/rollouts.py
@@ -40,9 +40,10 @@
         shared_at: When the share was changed last, monotonic seconds.
         logged_at: When a decision was logged last, monotonic seconds.
         logged_action: The action that was logged.
+        versions: Versions of the service's servers that were known at any time.
     """
 
-    __slots__ = ("index", "judge", "shared_at", "logged_at", "logged_action")
+    __slots__ = ("index", "judge", "shared_at", "logged_at", "logged_action", "versions")
 
     def __init__(self, index: int, judge: rolloutjudge.Judge):
         self.index = index
@@ -50,6 +51,7 @@
         self.shared_at = float("-inf")
         self.logged_at = float("-inf")
         self.logged_action = ""
+        self.versions: set[str] = set()
 
 
 class Rollouts:
@@ -85,8 +87,8 @@
         while True:
             running = rolloutstate.running(self.state_machine.data)
             await curio.sleep(CHECK_INTERVAL_S if running else IDLE_INTERVAL_S)
-            if not running or not self.replica.has_lease():
-                self.leading.clear()
+            if not self.replica.has_lease():
+                # A judge goes on after a gap in the lease; another term begins anew.
                 continue
             await self._decide_all()
 
@@ -116,6 +118,7 @@
         if followed is None or followed.index != record.index:
             judge = rolloutjudge.Judge(self.bounds, record.duration_ms / MS_PER_S)
             followed = self.leading[service] = Leading(record.index, judge)
+        followed.versions |= self._versions(service)
         decision = followed.judge.decide(self._moment(service, record))
         command = self._command(service, record, followed, decision)
         self._log(service, record, followed, decision, changes=command is not None)
@@ -175,7 +178,7 @@
                     rollout=record.index,
                     completed=completed,
                     reason=decision.reason,
-                    replaced=self._other_versions(service, record.target) if completed else [],
+                    replaced=sorted(followed.versions - {record.target}) if completed else [],
                 )
         return None
 
@@ -188,13 +191,12 @@
             return False
         return self.core.clock.monotonic() - followed.shared_at >= SHARE_INTERVAL_S
 
-    def _other_versions(self, service: str, target: str) -> list[str]:
-        versions = {
+    def _versions(self, service: str) -> set[str]:
+        return {
             entry.record.software
             for entry in self.watches.directory.live()
             if entry.record.service == service
         }
-        return sorted(versions - {target})
 
     async def _propose(self, command: commands.AdvanceRollout | commands.EndRollout) -> None:
         try:
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -241,7 +241,7 @@
     def _tell_rollouts(self, request: messages.WatchRequest, reply: messages.WatchReply) -> None:
         data = self.state_machine.data
         reply.rollouts_index = data.rollouts_index
-        if not request.rollouts_wanted or not data.rollouts_index:
+        if not request.rollouts_wanted:
             return
         if data.rollouts_index > request.rollouts_index:
             reply.rollouts = rolloutstate.views(data)
--- a/tests/manyhosts.py
+++ b/tests/manyhosts.py
@@ -116,7 +116,7 @@
     def start_control_hosts(self):
         """Start the watch server and the leader, which know nothing of any limit."""
         state_machine = types.SimpleNamespace(data=statedata.StateData())
-        consensus = types.SimpleNamespace(members=[], on_applied=[])
+        consensus = types.SimpleNamespace(members=[], on_applied=[], has_lease=lambda: False)
         core = types.SimpleNamespace(clock=self.clock, log=Log())
         self.watch_server = watchserver.WatchServer(core, consensus, state_machine)
         self.leader = permits.Permits(self.clock, lambda step: None)
--- a/tests/test_rolloutjudge.py
+++ b/tests/test_rolloutjudge.py
@@ -161,6 +161,20 @@
         moments = [self.moment(now, rolloutstate.SHIFTING) for now in (12.5, 13.5)]
         assert self.decide(*moments) == "complete"
 
+    # Guards against a judge that knows nothing of the others, as it begins in the shift.
+    def test_a_new_leader_in_a_shift_compares_with_what_the_others_did_before(self):
+        moments = [self.moment(now, rolloutstate.SHIFTING) for now in (9.0, 11.8)]
+        for moment in moments:
+            moment.totals.routes["a"].target.failures = 20
+            moment.totals.routes["a"].others.failures = 90
+        assert self.decide(*moments) == "complete"
+
+    def test_nothing_is_completed_before_a_host_has_told_what_it_has_seen(self):
+        moments = [self.moment(now, rolloutstate.SHIFTING) for now in (10.5, 11.9, 17.5)]
+        moments[1].totals.hosts = moments[2].totals.hosts = 0
+        assert self.decide(*moments[:2]) == "keep"
+        assert self.decide(*moments) == "complete"
+
     def test_what_was_not_proved_by_the_deadline_is_rolled_back(self):
         moments = [self.moment(now, rolloutstate.PROVING) for now in (12.5, 13.5)]
         assert self.decide(*moments) == "roll back"
--- a/tests/test_watchserver.py
+++ b/tests/test_watchserver.py
@@ -29,7 +29,7 @@
 @pytest.fixture
 def server(manual_clock):
     state_machine = types.SimpleNamespace(data=statedata.StateData())
-    consensus = types.SimpleNamespace(members=[], on_applied=[])
+    consensus = types.SimpleNamespace(members=[], on_applied=[], has_lease=lambda: False)
     return watchserver.WatchServer(make_core(manual_clock, "control-1"), consensus, state_machine)
 
 
