--- a/src/ebonywheel/rolloutjudge.py
+++ b/src/ebonywheel/rolloutjudge.py
@@ -30,12 +30,16 @@
 RATE_WINDOW_S = 2.0
 # A new leader has the counts of all hosts in touch after this time.
 GATHERING_S = 0.8
+# A new leader knows of all servers after this time: they report every 1.2 s.
+SERVERS_KNOWN_S = 3.0
 # All hosts have learnt of the shift, and told what they have under way since, after this time.
 SETTLED_S = 0.4
 # Answers in the shift after which a roll-out is completed before the last moment.
 SHIFT_ANSWERS = 100
 # The very last moment, before the deadline, for a verdict that was open at the end margin.
-FINAL_MARGIN_S = 0.1
+FINAL_MARGIN_S = 0.3
+# Evidence is waited for until this long after the deadline, when all control hosts start anew.
+MAX_OVERTIME_S = 5.0
 
 FAILURES, SLOW = "failures", "slow answers"
 KINDS = (FAILURES, SLOW)
@@ -171,8 +175,11 @@
             last_moment = left_s <= self.exposure.end_margin_s() and moment.phase_s >= SETTLED_S
             if level >= RAISED_LEVEL:
                 return Decision(KEEP, f"{what}, not decided")
+        if not moment.totals.hosts and left_s > -MAX_OVERTIME_S:
+            return Decision(KEEP, "no entry host has told what it has seen")
         if last_moment:
-            if not moment.target_servers:
+            known = moment.now_s - self.began_s >= SERVERS_KNOWN_S
+            if known and not moment.target_servers:
                 return Decision(ROLL_BACK, "no server of the version takes requests")
             return Decision(COMPLETE, f"at the last moment, {old_runs} runs are left")
         settled = moment.phase_s >= SETTLED_S and moment.totals.hosts > 0
@@ -199,9 +206,11 @@
         self.last_s = moment.now_s
         sums = {kind: [0.0, 0.0] for kind in KINDS}
         for name, counts in moment.totals.routes.items():
+            is_new = name not in self.routes
             route = self.routes.setdefault(name, RouteTests())
-            # In the shift the others answer only what has been with them for long.
-            if moment.phase == rolloutstate.PROVING:
+            # In the shift the others answer only what has been with them for long; a judge that
+            # begins in it takes what they have answered before.
+            if moment.phase == rolloutstate.PROVING or is_new:
                 others = _since(route.seen.others, counts.others)
                 route.usual.add(others, 0.5 ** (passed_s / LONG_HALF_LIFE_S))
                 route.latest.add(others, 0.5 ** (passed_s / SHORT_HALF_LIFE_S))
@@ -245,7 +254,7 @@
     failing = rolloutsequential.failure_weights(expected)
     good = max(0, target.answers - target.failures)
     increments = {FAILURES: (target.failures * failing.bad + good * failing.good, 0.0)}
-    delays = rolloutsequential.delay_weights(route.usual, route.latest)
+    delays = rolloutsequential.delay_weights(route.usual, route.latest, counts.others.waiting)
     if delays is None:
         increments[SLOW] = (0.0, 0.0)
     else:
