--- a/src/ebonywheel/gateway/permitclient.py
+++ b/src/ebonywheel/gateway/permitclient.py
@@ -51,7 +51,7 @@
         request = self._make_request(record, state)
         if request is None:
             return True
-        wait_s = await self.request(request)
+        wait_s = await self._request_permit(request)
         if wait_s is None:
             wait_s = self._take_own_part(state, request.per_s)
         else:
@@ -87,14 +87,14 @@
         request = messages.PermitRequest(TRIAL_PREFIX + fingerprint.hex(), 0, TRIALS_PER_S)
         async with curio.ignore_after(MAX_TRIAL_WAIT_S):
             while self.view.quarantine.is_suspect(fingerprint):
-                wait_s = await self.request(request)
+                wait_s = await self._request_permit(request)
                 if not wait_s:
                     break
                 await curio.sleep(max(MIN_WAIT_S, wait_s))
             return True
         return False
 
-    async def request(self, request: messages.PermitRequest) -> float | None:
+    async def _request_permit(self, request: messages.PermitRequest) -> float | None:
         """Return how long to wait for a permit, 0 if it is granted, None if no leader answers."""
         asked_at = self.core.clock.monotonic()
         if asked_at < self.leaderless_until:
--- a/src/ebonywheel/gateway/starts.py
+++ b/src/ebonywheel/gateway/starts.py
@@ -6,9 +6,7 @@
     forecast,
     inflight,
     line,
-    permitclient,
     places,
-    readingpace,
     refusals,
     relayedrun,
     speeds,
@@ -26,18 +24,15 @@
 
     Attributes:
         line: Requests that wait for a place at a server.
-        pace: Spaces starts at one engine over all hosts.
     """
 
     def __init__(
         self,
         core: kernel.Kernel,
         entry_view: view.EntryView,
-        permits: permitclient.PermitClient,
     ):
         self.core = core
         self.view = entry_view
-        self.pace = readingpace.ReadingPace(core.clock, permits)
         self.line = line.Line(core, entry_view)
 
     async def find_server(self, context: inflight.RequestContext) -> balance.Candidate | None:
@@ -48,49 +43,31 @@
         """
         if places.waits_here(context.route, context.service.engine):
             wait = line.Wait()
-            candidate = await self._find_place(context, wait)
+            candidate = await self.line.wait(
+                context, lambda bounds: self._choose(context, bounds), wait
+            )
             self.line.log(context, wait, candidate)
         else:
             unread = places.PREFILL_TOKENS_PER_S * context.route.target_latency_s
             bounds = places.Places(MAX_ADMISSION_LOAD, unread)
-            candidate = self._choose(context, bounds, paced=False)
+            candidate = self._choose(context, bounds)
         if candidate is None:
             context.reason = context.reason or self.view.reason_without_server(
                 context, "no server with room"
             )
         return candidate
 
-    async def _find_place(
-        self, context: inflight.RequestContext, wait: line.Wait
-    ) -> balance.Candidate | None:
-        pacing = readingpace.Pacing()
-        while True:
-            candidate = await self.line.wait(
-                context, lambda bounds: self._choose(context, bounds), wait
-            )
-            asked_at = self.core.clock.monotonic()
-            if candidate is None and pacing.denied:
-                # It is not refused for its pace alone.
-                bounds = self.line.places(context, asked_at)
-                return self._choose(context, bounds, paced=False)
-            pacing.waited = wait.began_at > 0
-            if candidate is None or await self.pace.acquire(context, candidate, pacing):
-                return candidate
-            wait.began_at = wait.began_at or asked_at
-            self.core.metrics.count("starts_denied", route=context.route.name)
-
     def _choose(
         self,
         context: inflight.RequestContext,
         bounds: places.Places,
-        paced: bool = True,
     ) -> balance.Candidate | None:
         prompt = context.request.prompt
         requirements = balance.Requirements(
             context.service,
             prompt.expected_memory_tokens(),
             context.regions(),
-            context.excluded_servers() | (self.pace.denied(context) if paced else frozenset()),
+            context.excluded_servers(),
             bounds.max_load,
             unread=prompt.tokens,
             max_unread=bounds.max_unread,
--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -57,7 +57,7 @@
         self.crashes = crash_reporter
         self.permits = permits
         self.copies = copies.Copies(core, request_sender)
-        self.starts = starts.Starts(core, request_sender.view, permits)
+        self.starts = starts.Starts(core, request_sender.view)
         self.runs: dict[str, dict[str, relayedrun.Run]] = {}
         self.on_late_run: list[
             collections.abc.Callable[[relayedrun.Run], typing.Awaitable[None]]
