--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -13,7 +13,7 @@
     exceptions,
     feedserver,
     formation,
-    http,
+    httpserver,
     joiner,
     kernel,
     link,
@@ -27,8 +27,10 @@
     queries,
     registry,
     replica,
+    rollouts,
     settings,
     state,
+    statedata,
     storage,
     turns,
     watcher,
@@ -74,26 +76,38 @@
         self.orders = orders.OrderSender(core, self.replica, self.state_machine, self.feed)
         self.audit = auditlog.AuditLog(loaded.data_folder, self.state_machine)
         core.exit_stack.callback(self.audit.close)
-        self.queries = queries.Queries(self.replica, self.state_machine, self.feed, self.audit)
         self.formation = formation.Formation(core, self.store, loaded, self.delay_s)
-        self.watches = watchserver.WatchServer(core, self.replica, self.state_machine)
+        self.watches = watchserver.WatchServer(
+            core, self.replica, self.state_machine, rollouts.lease_ms(loaded.rollout)
+        )
+        self.queries = queries.Queries(
+            self.replica, self.state_machine, self.feed, self.audit, self.watches.evidence
+        )
+        self.rollouts = rollouts.Rollouts(
+            core, self.replica, self.state_machine, self.watches, loaded.rollout
+        )
         self.watcher = watcher.Watcher(core, PeerView(core, self.watches), core.host.link)
         self.member_manager = membermanager.MemberManager(core, self.replica)
         self.permits = permits.Permits(core.clock, self.replica.require_lease)
         self.admin = admin.Admin(core, loaded.operators, self)
         self.admin.identity = self.formation.info
-        self.servers: list[http.Server] = []
+        self.servers: list[httpserver.Server] = []
 
     async def start(self) -> None:
         """Start serving links and HTTP, then the replica."""
         turns.current.max_s = MAX_TURN_S
         await self.core.spawn(self.pauses.run(), essential=True)
         await link.LinkServer(self.core, self.handle, self.delay_s).start()
-        await self.serve(self.core.host.http, self.admin.handle, MAX_BODY_BYTES)
+        server = httpserver.Server(
+            self.core, self.core.host.http, self.admin.handle, MAX_BODY_BYTES, self.core.operators
+        )
+        server.check_head = self.admin.check_head
+        await self.serve(server)
         await self.replica.start()
         await self.feed.start()
         await self.orders.start()
         await self.watches.start()
+        await self.core.spawn(self.rollouts.run(), essential=True)
         self.replica.on_applied.append(self.audit.wake)
         await self.core.spawn(self.audit.run(self.core.log), essential=True)
         if not self.formation.belongs_to_cluster() and not self.settings.join:
@@ -101,9 +115,8 @@
         if self.settings.membership == "automatic":
             await self._start_membership()
 
-    async def serve(self, address: str, handler: http.ExchangeHandler, max_body_bytes: int) -> None:
-        """Serve HTTP at an address until this host stops."""
-        server = http.Server(self.core, address, handler, max_body_bytes)
+    async def serve(self, server: httpserver.Server) -> None:
+        """Serve HTTP until this host stops."""
         await server.start()
         self.servers.append(server)
 
@@ -203,6 +216,25 @@
         command = commands.SetServing(actor="operator", data_centre=data_centre, out=out)
         return await self._submit_command(command)
 
+    async def start_rollout(
+        self, service: str, target: str, duration_ms: int
+    ) -> commands.AnyOutcome:
+        """Order that a service's traffic be moved to a version; raises like `publish_routing`."""
+        known_index = self._known_index()
+        command = commands.StartRollout(
+            actor="operator",
+            service=service,
+            target=target,
+            duration_ms=duration_ms,
+            known_index=known_index,
+        )
+        return await self._submit_command(command)
+
+    async def read_rollout(self, service: str) -> statedata.RolloutRecord | None:
+        """Return a service's latest roll-out or None; as fresh, and raises, as `read_routing`."""
+        await self._await_read_index()
+        return self.state_machine.data.rollouts.get(service)
+
     async def leave(self, server: str) -> None:
         """Mark a backend server as gone; the call names no incarnation.
 
@@ -220,8 +252,11 @@
 
     async def submit_order(self, command: commands.Command) -> messages.SubmitReply:
         """Propose an operator's command that has just been received; raises like `submit`."""
-        known_index = max(ordersequence.FIRST_INDEX, self.pauses.earliest_arrival().known_index)
-        return await self.submit(messages.Submit(commands.encode(command), known_index))
+        return await self.submit(messages.Submit(commands.encode(command), self._known_index()))
+
+    def _known_index(self) -> int:
+        """Return the log index that this host knew when what it reads now arrived."""
+        return max(ordersequence.FIRST_INDEX, self.pauses.earliest_arrival().known_index)
 
     async def read_routing(self) -> messages.RoutingReply:
         """Return routing content at least as new as any acknowledged before the call.
@@ -230,6 +265,11 @@
             NotLeaderError: No quorum-backed leader could be asked, or this host is behind it.
             LinkError: The leader did not answer.
         """
+        await self._await_read_index()
+        return self.watches.routing()
+
+    async def _await_read_index(self) -> None:
+        """Wait until this host has applied all that was acknowledged before the call."""
         if self.replica.role is replica.Role.LEADER:
             index = self._read_index().index
         else:
@@ -238,7 +278,7 @@
             index = reply.index
         async with curio.ignore_after(READ_TIMEOUT_S):
             await self._wait_applied(index)
-            return self.watches.routing()
+            return
         raise exceptions.NotLeaderError("behind the leader", "read", self.core.host.name)
 
     def _read_index(self) -> messages.ReadIndexReply:
@@ -304,7 +344,11 @@
         return 0.0
 
     async def update(
-        self, request: messages.WatchRequest, reply: messages.WatchReply, connection: link.Link
+        self,
+        request: messages.WatchRequest,
+        reply: messages.WatchReply,
+        connection: link.Link,
+        asked_at: float,
     ) -> None:
         """Add the records that another control host received."""
         for record in reply.records:
--- a/src/ebonywheel/gateway/balance.py
+++ b/src/ebonywheel/gateway/balance.py
@@ -16,8 +16,8 @@
 
 import msgspec
 
-from ebonywheel import messages
-from ebonywheel.gateway import routes
+from ebonywheel import messages, serverpaces
+from ebonywheel.gateway import preference, routes, speeds
 
 # Cost of a server elsewhere, as a share of its capacity. Traffic between regions is paid for and
 # adds two one-way delays.
@@ -36,6 +36,7 @@
 LIMITED_COST = 0.15
 # Weight of each answer in the moving average of a server's failure rate.
 FAILURE_RATE_SMOOTHING = 0.1
+CONNECT_TIME_SMOOTHING = 0.3
 # Load added per unit of failure rate above the lowest rate among the servers considered.
 FAILURE_WEIGHT = 2.0
 # Servers drawn from each distance: in this data centre, elsewhere in the region, in other regions.
@@ -82,6 +83,10 @@
             0 while the leader grants permits.
         leaving: True once it has said in an answer that it leaves.
         paused_until: Until when it wants no requests from this host, monotonic seconds.
+        seen: How it answers, as all entry hosts saw it.
+        avoided_until: Until when it is left alone as it reset requests of several hosts, monotonic
+            seconds.
+        connect_s: Smoothed time to open a connection, in seconds; 0 before the first.
     """
 
     requests: int = 0
@@ -103,6 +108,15 @@
     own_part_at: float = 0.0
     leaving: bool = False
     paused_until: float = 0.0
+    seen: serverpaces.Sums = msgspec.field(default_factory=serverpaces.Sums)
+    avoided_until: float = 0.0
+    connect_s: float = 0.0
+
+    def record_connected(self, seconds: float) -> None:
+        """Record how long a new connection took to open."""
+        if not self.connect_s:
+            self.connect_s = seconds
+        self.connect_s += CONNECT_TIME_SMOOTHING * (seconds - self.connect_s)
 
     def is_denied(self, now: float) -> bool:
         """Return whether its limit, or its pace, leaves no room for a request now."""
@@ -114,6 +128,10 @@
             return 0.0
         return now - max(self.heard_at, min(self.waiting_since))
 
+    def worst_failure_rate(self, now: float) -> float:
+        """Return the failure rate that this host or all hosts together saw."""
+        return max(self.failure_rate, speeds.failure_rate(self.seen, now))
+
     def record_answer(self, failed: bool) -> None:
         """Update the failure rate with an answer, and reset the backoff."""
         self.failure_rate += FAILURE_RATE_SMOOTHING * (float(failed) - self.failure_rate)
@@ -158,6 +176,10 @@
         long_running: True when the request is expected to outlast a server's shutdown notice.
         without_wait: True when the server must be able to run the request at once.
         without_cold: True when the server must not be in its cold start.
+        target_latency_s: Target time to the first event, 0 for none.
+        stream_s: Expected length of a stream with a target for its pauses, 0 for other requests.
+        size_bytes: Size of the request and its expected answer.
+        lot: The request's lot in [0, 1), by which it is among those that leave the data centre.
     """
 
     service: routes.Service
@@ -171,6 +193,10 @@
     long_running: bool = False
     without_wait: bool = False
     without_cold: bool = False
+    target_latency_s: float = 0.0
+    stream_s: float = 0.0
+    size_bytes: int = 0
+    lot: float = 1.0
 
 
 def load_with_request(candidate: Candidate, requirements: Requirements) -> float:
@@ -184,6 +210,11 @@
     return max(requests, tokens / engine.memory_tokens)
 
 
+def tokens_to_read(candidate: Candidate, requirements: Requirements) -> int:
+    """Return the prompt tokens that a server reads up to the end of the request's prompt."""
+    return candidate.state.unread + candidate.state.other_unread + requirements.unread
+
+
 def unread_load(candidate: Candidate, requirements: Requirements) -> float:
     """Return the weighted load of an engine's unread prompts, as a share of its capacity."""
     engine = requirements.service.engine
@@ -230,7 +261,7 @@
         for candidate in eligible
         if load_with_request(candidate, requirements) <= requirements.max_load
     ]
-    available = [candidate for candidate in with_room if _is_available(candidate, now)]
+    available = [candidate for candidate in with_room if is_available(candidate, now)]
     considered = available or [
         candidate for candidate in with_room if not candidate.state.unreachable
     ]
@@ -241,19 +272,26 @@
         considered = with_room
     if not considered:
         return None
-    lowest_rate = min(candidate.state.failure_rate for candidate in considered)
+    lowest_rate = min(candidate.state.worst_failure_rate(now) for candidate in considered)
+    compared = speeds.Speeds(
+        [candidate.state.seen for candidate in considered], requirements.stream_s
+    )
+    considered = _preferred(considered, requirements, compared)
 
     def cost(candidate: Candidate) -> float:
-        failure_cost = FAILURE_WEIGHT * (candidate.state.failure_rate - lowest_rate)
+        state = candidate.state
+        failure_cost = FAILURE_WEIGHT * (state.worst_failure_rate(now) - lowest_rate)
         location_cost = distance_cost(candidate.location(), location)
         neighbour_cost = (
             NO_NEIGHBOUR_COST if requirements.long_running and candidate.without_neighbour else 0.0
         )
-        limit_cost = 0.0 if candidate.state.limit_per_s is None else LIMITED_COST
+        limit_cost = 0.0 if state.limit_per_s is None else LIMITED_COST
+        tokens = tokens_to_read(candidate, requirements)
         return (
-            load_with_request(candidate, requirements)
+            load_with_request(candidate, requirements) * compared.working_ratio(state.seen)
             + limit_cost
-            + unread_load(candidate, requirements)
+            + unread_load(candidate, requirements) * compared.reading_ratio(state.seen)
+            + compared.late_cost(state.seen, tokens, requirements.target_latency_s)
             + location_cost
             + failure_cost
             + neighbour_cost
@@ -262,6 +300,26 @@
     return min(_sample(considered, location), key=cost)
 
 
+def _preferred(
+    candidates: list[Candidate], requirements: Requirements, compared: speeds.Speeds
+) -> list[Candidate]:
+    """Return the servers with room that keep a stream's targets; all where that makes none."""
+    engine = requirements.service.engine
+    if engine is None or not requirements.target_latency_s:
+        return candidates
+    rooms = [
+        preference.Room(
+            candidate.state.seen,
+            candidate.state.unread + candidate.state.other_unread,
+            load_with_request(candidate, requirements),
+        )
+        for candidate in candidates
+    ]
+    load = requirements.tokens / max(1, engine.memory_tokens)
+    stream = preference.Stream(max(1, requirements.unread), load, requirements.target_latency_s)
+    return [candidates[number] for number in preference.preferred(rooms, stream, compared)]
+
+
 def _sample(candidates: list[Candidate], location: Location) -> list[Candidate]:
     """Return some candidates of each distance, drawn at random and in random order."""
     by_distance: dict[float, list[Candidate]] = {}
@@ -278,14 +336,11 @@
     candidate: Candidate, requirements: Requirements, now: float, entry_hosts: int
 ) -> bool:
     state = candidate.state
-    if candidate.record.server in requirements.excluded or not _is_allowed(candidate, requirements):
+    if candidate.record.server in requirements.excluded or not is_allowed(candidate, requirements):
         return False
     if state.leaving or _takes_nothing_now(candidate, requirements, now, entry_hosts):
         return False
-    if (
-        candidate.state.unread + candidate.state.other_unread + requirements.unread
-        > requirements.max_unread
-    ):
+    if tokens_to_read(candidate, requirements) > requirements.max_unread:
         return False
     if candidate.state.cold_until <= now:
         return True
@@ -294,18 +349,21 @@
     )
 
 
-def _is_allowed(candidate: Candidate, requirements: Requirements) -> bool:
+def is_allowed(candidate: Candidate, requirements: Requirements) -> bool:
     """Return whether a request may go to a server's data centre and region."""
     if requirements.data_centre and candidate.record.data_centre != requirements.data_centre:
         return False
     return not requirements.regions or candidate.region in requirements.regions
 
 
-def _is_available(candidate: Candidate, now: float) -> bool:
+def is_available(candidate: Candidate, now: float) -> bool:
     """Return whether a server reports and can be reached, as far as known."""
     state = candidate.state
     return (
-        candidate.age_s < MAX_REPORT_AGE_S and not state.unreachable and state.backoff_until <= now
+        candidate.age_s < MAX_REPORT_AGE_S
+        and not state.unreachable
+        and state.backoff_until <= now
+        and state.avoided_until <= now
     )
 
 
@@ -323,9 +381,9 @@
 ) -> bool:
     """Return whether a server could take a request, but not just now."""
     return (
-        _is_available(candidate, now)
+        is_available(candidate, now)
         and not candidate.state.leaving
-        and _is_allowed(candidate, requirements)
+        and is_allowed(candidate, requirements)
         and _takes_nothing_now(candidate, requirements, now, entry_hosts)
     )
 
--- a/src/ebonywheel/gateway/gateway.py
+++ b/src/ebonywheel/gateway/gateway.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from ebonywheel import exceptions, http, kernel, watcher
+from ebonywheel import exceptions, http, httpserver, kernel, watcher
 from ebonywheel.gateway import (
     budgets,
     crashes,
@@ -32,6 +32,7 @@
 # a caller that states no timeout the route's applies, but the route is not known yet at this point.
 BODY_TIMEOUT_S = 30.0
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_LOGGED_PATH_CHARS = 128
 
 
 class Gateway:
@@ -56,13 +57,16 @@
         parts = (core, self.sender, retry_budgets, self.crashes, permits)
         self.plain = plain.PlainForwarder(*parts)
         self.streams = streaming.StreamForwarder(*parts)
+        core.metrics.gauge("waiting_generations", self.streams.starts.line.count)
         self.mover = moves.Mover(core, self.sender, self.streams)
         entry_view.on_shutdown_notice.append(self.mover.start_evacuation)
+        entry_view.on_version_leaving.append(self.mover.start_version_change)
         self.streams.on_late_run.append(self.mover.start_late_move)
         self.relays = relays.Relays(core, entry_view, self.watcher)
         self.relay_server = relayserver.RelayServer(core, self)
-        self.http = http.Server(core, address, self.handle, DEFAULT_MAX_BODY_BYTES)
+        self.http = httpserver.Server(core, address, self.handle, DEFAULT_MAX_BODY_BYTES)
         self.http.limits.body_s = BODY_TIMEOUT_S
+        self.http.check_head = self.check_head
         self.shutdown = shutdown.Shutdown(core, self.http, self.relay_server)
 
     async def start(self, seeds: list[str]) -> None:
@@ -85,6 +89,29 @@
 
     # -- requests --------------------------------------------------------------------------
 
+    def check_head(self, request: http.Request) -> http.HeadTerms:
+        """Decide whether a request can be served, before its body is read; raises like `_admit`.
+
+        The body may take as long as the caller and the route wait for the answer.
+        """
+        now = self.core.clock.monotonic()
+        try:
+            context = self._admit(self.dialect.decode_request(request), now)
+        except (exceptions.HttpError, exceptions.NotRunError) as error:
+            attempt = self.dialect.attempt_id(request)
+            self.core.metrics.count("refused_by_head", status=str(error.status))
+            self.core.log.info(
+                "refused_by_head",
+                request=attempt,
+                path=request.path[:MAX_LOGGED_PATH_CHARS],
+                error=error,
+            )
+            raise
+        groups = [f"route {context.route.name}"]
+        if context.customer is not None:
+            groups.append(f"customer {context.customer.name}")
+        return http.HeadTerms(tuple(groups), min(BODY_TIMEOUT_S, context.deadline_at - now))
+
     async def handle(self, exchange: http.Exchange) -> None:
         """Answer one request, or cancel its work when the caller disconnects."""
         async with curio.TaskGroup(wait=any) as group:
@@ -328,6 +355,7 @@
             await curio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.view.prune()
             await self.sender.pool.prune()
+            await self.mover.repeat_version_changes()
             self._apply_limits()
 
     def _apply_limits(self) -> None:
--- a/src/ebonywheel/gateway/plain.py
+++ b/src/ebonywheel/gateway/plain.py
@@ -3,7 +3,7 @@
 import curio
 import msgspec
 
-from ebonywheel import exceptions, http, kernel
+from ebonywheel import exceptions, heldmemory, http, kernel
 from ebonywheel.gateway import (
     balance,
     budgets,
@@ -16,6 +16,8 @@
     sender,
 )
 
+# A server that sends nothing of its answer for this long is given up.
+READ_TIMEOUT_S = 60.0
 # Longer answers are relayed as they arrive, to bound the memory that an answer takes.
 BUFFER_BYTES = 256 * 1024
 # A request that a server refuses without running it is sent to another, up to this many refusals:
@@ -112,7 +114,12 @@
             context.reason = context.reason or "deadline passed"
             return None
         requirements = balance.Requirements(
-            context.service, regions=context.regions(), excluded=context.excluded_servers()
+            context.service,
+            regions=context.regions(),
+            excluded=context.excluded_servers(),
+            target_latency_s=context.route.target_latency_s,
+            size_bytes=len(context.request.body),
+            lot=context.lot,
         )
         chosen = self.view.choose(requirements)
         if chosen is None:
@@ -153,9 +160,11 @@
         try:
             async with curio.timeout_after(remaining_s):
                 reply = await self.sender.send(context, candidate.record, sending, remaining_s)
-                complete = await self._read_answer(reply, body)
+                complete = await self._read_answer(reply, body, exchange.held)
         except curio.TaskTimeout as error:
             self.view.state_of(candidate.record).record_answer(failed=True)
+            if context.sent:
+                self.view.paces.observe_failure(candidate.record, reset=False)
             text, step = ("no answer", "wait") if context.sent else ("no connection", "connect")
             raise exceptions.UpstreamError(
                 f"{text} in time", step, candidate.record.address, context.sent
@@ -168,16 +177,26 @@
             await self._relay_rest(exchange, reply, bytes(body))
         return None
 
-    async def _read_answer(self, reply: sender.Reply, body: bytearray) -> bool:
-        """Read an answer up to `BUFFER_BYTES` into `body`; return whether that was all of it."""
+    async def _read_answer(
+        self, reply: sender.Reply, body: bytearray, held: heldmemory.Holding
+    ) -> bool:
+        """Read an answer up to `BUFFER_BYTES` into `body`; return whether that was all of it.
+
+        It is read no further when there is no room for it in this process's memory.
+        """
         try:
-            async for chunk in reply.connection.chunks(http.WRITE_TIMEOUT_S):
+            async for chunk in reply.connection.chunks(READ_TIMEOUT_S):
                 body += chunk
+                if reply.head.not_run:
+                    # It is small, and decides whether another server is tried.
+                    held.force(len(chunk))
+                elif not held.grow(len(chunk)):
+                    return False
                 if len(body) > BUFFER_BYTES:
                     return False
             await self.sender.confirm_end(reply)
-        except BaseException:
-            await self.sender.abandon(reply)
+        except BaseException as error:
+            await self.sender.abandon(reply, error)
             raise
         reply_failed = reply.head.status >= sender.STATUS_SERVER_ERROR and not reply.head.not_run
         self.view.state_of(reply.record).record_answer(reply_failed)
@@ -190,14 +209,15 @@
         try:
             await exchange.start(reply.head.status, reply.head.headers)
             await exchange.write(buffered)
-            async for chunk in reply.connection.chunks(http.WRITE_TIMEOUT_S):
+            async for chunk in reply.connection.chunks(READ_TIMEOUT_S):
                 await exchange.write(chunk)
             await self.sender.confirm_end(reply)
-            await exchange.end()
-        except BaseException:
-            await self.sender.abandon(reply)
+        except BaseException as error:
+            await self.sender.abandon(reply, error)
             raise
         await self.sender.finish(reply)
+        # The server does not wait until a slow caller has read the rest.
+        await exchange.end()
 
     def _remaining_s(self, context: inflight.RequestContext) -> float:
         return context.deadline_at - self.core.clock.monotonic()
--- a/src/ebonywheel/gateway/view.py
+++ b/src/ebonywheel/gateway/view.py
@@ -9,7 +9,18 @@
 import result
 
 from ebonywheel import directory, exceptions, kernel, link, messages
-from ebonywheel.gateway import balance, hostshare, inflight, limits, notices, quarantine, routes
+from ebonywheel.gateway import (
+    balance,
+    hostshare,
+    inflight,
+    leaving,
+    limits,
+    notices,
+    paces,
+    quarantine,
+    rollouts,
+    routes,
+)
 
 TableDecoder = typing.Callable[[bytes], result.Result[routes.Table, exceptions.DocumentError]]
 FETCH_TIMEOUT_S = 2.0
@@ -42,9 +53,14 @@
         cut_off: True while this host can reach none of the servers, though they run.
         draining: True once this host is about to end.
         on_shutdown_notice: Called with the id of a server that shuts down or has left.
+        on_version_leaving: Called with the id of a server whose runs should go on at another one,
+            as its version gets no more requests.
         quarantine: Fingerprints of requests that crash servers, or may do so.
         limits: Limits that servers stated.
+        paces: How they answer, as all entry hosts saw it.
         notices: What else they said of themselves in answers.
+        leaving: Decides when requests leave the data centre; None where distance alone counts.
+        rollouts: Which versions of the servers get requests.
     """
 
     def __init__(
@@ -69,13 +85,17 @@
         self.states: dict[directory.IncarnationKey, balance.ServerState] = {}
         self.other_uses: dict[str, messages.ServerUse] = {}
         self.share = hostshare.HostShare(core.clock)
+        self.rollouts = rollouts.Rollouts(core, self.directory, self.share)
         self.cut_off = False
         self.draining = False
         self.on_shutdown_notice: list[collections.abc.Callable[[str], typing.Awaitable[None]]] = []
+        self.on_version_leaving: list[collections.abc.Callable[[str], typing.Awaitable[None]]] = []
         self.quarantine = quarantine.Quarantine()
         self.limits = limits.ServerLimits(core, self._state_for)
+        self.paces = paces.Paces(core, self._state_for)
         self.notices = notices.Notices(core)
         self.fetch_lock = curio.Lock()
+        self.leaving: leaving.Leaving | None = None
 
     # -- watch -----------------------------------------------------------------------------
 
@@ -98,6 +118,10 @@
             suspects_index=self.quarantine.index,
             limits=self.limits.reports(),
             may_relay=not (self.cut_off or self.draining),
+            paces=self.paces.reports(),
+            rollouts_wanted=True,
+            rollouts_index=self.rollouts.index,
+            evidence=self.rollouts.report(self.states),
         )
 
     def distance(self, data_centre: str) -> float:
@@ -113,15 +137,30 @@
         ]
 
     async def update(
-        self, request: messages.WatchRequest, reply: messages.WatchReply, connection: link.Link
+        self,
+        request: messages.WatchRequest,
+        reply: messages.WatchReply,
+        connection: link.Link,
+        asked_at: float = float("-inf"),
     ) -> None:
         """Apply a control host's answer to a watch request.
 
+        Args:
+            request: The request.
+            reply: The answer.
+            connection: Link to the control host.
+            asked_at: When the request was sent, monotonic seconds; without it no lease is taken.
+
         Raises:
             LinkError: Newer routing content could not be fetched.
         """
+        # Before the servers, as those of a new version come with its order.
+        leaving = self.rollouts.update(reply, asked_at)
         for record in reply.records:
             await self._observe(record)
+        for record in leaving:
+            for callback in self.on_version_leaving:
+                await callback(record.server)
         if reply.out_index > self.out_index:
             self.out_index = reply.out_index
             self.out_of_service = frozenset(reply.out)
@@ -129,6 +168,7 @@
         self.share.record(connection.address, reply.members, reply.entry_hosts)
         self._update_quarantine(reply)
         self.limits.merge(reply.limits)
+        self.paces.merge(reply.paces)
         if request.uses_wanted:
             # A control host of an older version sends all sums, and no number.
             complete = reply.uses_complete or not reply.uses_number
@@ -170,6 +210,7 @@
     async def _observe(self, record: messages.DirectoryRecord) -> None:
         if not self.directory.observe(record):
             return
+        self.rollouts.observe(record)
         state = self.state_of(record)
         now = self.core.clock.monotonic()
         state.cold_until = now + max(0, record.cold_ms - record.age_ms) / 1000
@@ -215,6 +256,7 @@
                 record.service != service
                 or record.draining
                 or record.data_centre in self.out_of_service
+                or self.rollouts.is_barred(record)
             ):
                 continue
             candidates.append(
@@ -232,6 +274,13 @@
             candidate.without_neighbour = server_counts[candidate.record.data_centre] == 1
         return candidates
 
+    def servers_each(self, service: str) -> float:
+        """Return the servers of a service for each data centre that has any, 0 without any."""
+        counts = collections.Counter(
+            candidate.record.data_centre for candidate in self.candidates(service)
+        )
+        return counts.total() / len(counts) if counts else 0.0
+
     def quarantined_s(self, context: inflight.RequestContext) -> float:
         """Return how long a request is refused as it crashes servers, 0 if it is not."""
         if self.quarantine.is_empty():
@@ -251,6 +300,7 @@
             entry.record.gone
             or entry.record.draining
             or entry.record.data_centre in self.out_of_service
+            or self.rollouts.is_barred(entry.record)
         )
 
     def location_of(self, record: messages.DirectoryRecord) -> balance.Location:
@@ -258,34 +308,69 @@
         return balance.Location(record.data_centre, self.regions.get(record.data_centre, ""))
 
     def choose(
-        self, requirements: balance.Requirements, location: balance.Location | None = None
+        self,
+        requirements: balance.Requirements,
+        source: messages.DirectoryRecord | None = None,
     ) -> balance.Candidate | None:
         """Return the best server for a request, or None when none can take it.
 
         Args:
             requirements: What the request needs.
-            location: Location that the server should be near; this host's by default.
+            source: Server that its run is to leave, None for a new request. The other one should
+                be near that, and near this host for a new request.
         """
         if self.notices.is_brittle(requirements.service.name):
             requirements = msgspec.structs.replace(requirements, without_wait=True)
         if self.share.is_held() and self.share.held_s() < balance.COLD_RATE_PERIOD_S:
             # A process before this one may have used up this host's part of the rate.
             requirements = msgspec.structs.replace(requirements, without_cold=True)
-        return balance.choose(
-            self.candidates(requirements.service.name),
-            requirements,
-            location or self.location,
-            self.core.clock.monotonic(),
-            self.share.hosts,
+        location = self.location if source is None else self.location_of(source)
+        if source is None:
+            candidates = self.candidates(requirements.service.name)
+            lists = self.rollouts.lists_for_request(requirements, candidates)
+        else:
+            lists = self.destinations(source)
+        for candidates in lists:
+            chosen = self._choose_among(candidates, requirements, location, source is None)
+            if chosen is not None:
+                if source is None:
+                    self.rollouts.record_chosen(chosen.record)
+                return chosen
+        return None
+
+    def _choose_among(
+        self,
+        candidates: list[balance.Candidate],
+        requirements: balance.Requirements,
+        location: balance.Location,
+        may_leave: bool,
+    ) -> balance.Candidate | None:
+        now = self.core.clock.monotonic()
+        tries = [requirements]
+        if may_leave and self.leaving is not None:
+            answer_s = self.notices.answer_s.get(requirements.service.name, 0.0)
+            tries = self.leaving.narrow(requirements, candidates, answer_s)
+        for narrowed in tries:
+            chosen = balance.choose(candidates, narrowed, location, now, self.share.hosts)
+            if chosen is not None:
+                return chosen
+        return None
+
+    def destinations(self, source: messages.DirectoryRecord) -> list[list[balance.Candidate]]:
+        """Return lists of servers that a run may be moved to, the preferred one first."""
+        stays = self.remains_in_service(source)
+        return self.rollouts.lists_for_move(source, stays, self.candidates(source.service))
+
+    def is_at_limit(self, context: inflight.RequestContext) -> bool:
+        """Return whether a server is at a limit that it stated, so that it takes no request now."""
+        now = self.core.clock.monotonic()
+        return bool(context.denied) or any(
+            candidate.state.is_denied(now) for candidate in self.candidates(context.service.name)
         )
 
     def reason_without_server(self, context: inflight.RequestContext, text: str) -> str:
         """Return why no server was chosen: a text, or that servers are at their limits."""
-        now = self.core.clock.monotonic()
-        at_limit = context.denied or any(
-            candidate.state.is_denied(now) for candidate in self.candidates(context.service.name)
-        )
-        return "servers are at their limits" if at_limit else text
+        return "servers are at their limits" if self.is_at_limit(context) else text
 
     def retry_after_s(self, service: str) -> float | None:
         """Return when the first server of a service wants requests again; None if any wants now."""
@@ -301,7 +386,9 @@
         """Forget servers that have been silent for long."""
         self.directory.prune()
         self.limits.prune()
+        self.paces.prune()
         self.notices.prune()
+        self.rollouts.prune()
         known = {
             (entry.record.server, entry.record.born_ms) for entry in self.directory.entries.values()
         }
--- a/src/ebonywheel/settings.py
+++ b/src/ebonywheel/settings.py
@@ -15,6 +15,7 @@
 Secret = typing.Annotated[str, msgspec.Meta(min_length=16)]
 
 MIN_SECRET_CHARS = 16
+BYTES_PER_MB = 1_000_000
 
 
 class HostSettings(msgspec.Struct, forbid_unknown_fields=True):
@@ -28,6 +29,8 @@
         secret_file: File with the secret that the system's processes share.
         log_level: Lowest level of the log lines that are written.
         max_loop_held_ms: A task that holds the event loop for longer is logged.
+        memory_mb: Memory that this process may use, in megabytes; None for the machine's.
+        max_descriptors: Files and sockets that it may open; None for the limit of the system.
     """
 
     name: Name
@@ -37,6 +40,13 @@
     secret_file: str
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
     max_loop_held_ms: typing.Annotated[float, msgspec.Meta(gt=0)] = 100.0
+    memory_mb: typing.Annotated[float, msgspec.Meta(gt=0)] | None = None
+    max_descriptors: Count | None = None
+
+    @property
+    def memory_bytes(self) -> int | None:
+        """Memory that this process may use, in bytes; None for the machine's."""
+        return None if self.memory_mb is None else int(self.memory_mb * BYTES_PER_MB)
 
 
 class Peer(msgspec.Struct, forbid_unknown_fields=True):
@@ -74,6 +84,21 @@
     link_delay_ms: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
+class RolloutSettings(msgspec.Struct, forbid_unknown_fields=True):
+    """What callers bear of a version of a service that may turn out bad.
+
+    Attributes:
+        exposure_share: Share of the service's requests that the version may get from the order to
+            the deadline of a roll-out before it is proved, over all entry hosts together.
+        exposure_slack: Further requests that it may get in that time.
+        rollback_s: Time after its fiftieth bad answer from which it gets no requests.
+    """
+
+    exposure_share: typing.Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+    exposure_slack: typing.Annotated[float, msgspec.Meta(ge=0)] = 50.0
+    rollback_s: PositiveSeconds = 5.0
+
+
 class ControlSettings(msgspec.Struct, forbid_unknown_fields=True):
     """Settings of ``ebonywheel-control``.
 
@@ -90,6 +115,7 @@
         key_horizon_s: How long the outcomes of non-repeatable calls are kept.
         quarantine_s: How long a poison request stays quarantined.
         link_delay_ms: One-way delay added to each link, to measure slow links on one host.
+        rollout: Bounds of roll-outs.
     """
 
     host: HostSettings
@@ -104,6 +130,7 @@
     key_horizon_s: PositiveSeconds = 86_400.0
     quarantine_s: PositiveSeconds = 3600.0
     link_delay_ms: typing.Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    rollout: RolloutSettings = msgspec.field(default_factory=RolloutSettings)
 
 
 class OperatorSettings(msgspec.Struct, forbid_unknown_fields=True):
--- a/src/ebonywheel/sockets.py
+++ b/src/ebonywheel/sockets.py
@@ -1,5 +1,6 @@
 """TCP sockets whose operations give way to other tasks, and the options of all connections."""
 
+import contextlib
 import socket
 import typing
 
@@ -9,6 +10,10 @@
 
 from ebonywheel import turns
 
+# Unsent bytes below which a connection takes more. Linux waits for a third of the send buffer
+# otherwise, which a caller that reads slowly but steadily may not free for many seconds.
+MAX_NOT_SENT_BYTES = 64 * 1024
+
 
 class KeepAlive(msgspec.Struct, frozen=True):
     """When the kernel takes a silent peer for dead.
@@ -58,6 +63,23 @@
         while unsent:
             unsent = unsent[await self.send(unsent, flags) :]
 
+    def send_now(self, data: bytes | memoryview) -> int:
+        """Send what the kernel takes at once; return the number of bytes sent."""
+        try:
+            return self._socket.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+
+    def stop_receiving_now(self) -> None:
+        """Receive nothing more; who waits to receive gets the end of the connection."""
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RD)
+
+    def shut_down_now(self) -> None:
+        """Neither send nor receive any more; who waits to do so is woken."""
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+
     async def accept(self) -> tuple["Socket", tuple[str, int]]:
         """Accept a connection; return its socket and the address of the peer."""
         if _turn.is_over(self):
@@ -95,6 +117,12 @@
     return wrap(curio.tcp_server_socket(host, port, backlog=backlog))
 
 
+def take_small_parts(sock: curio.io.Socket) -> None:
+    """Have a connection take more as soon as its peer has read some, where the system can."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_NOT_SENT_BYTES)
+
+
 def set_tcp_options(sock: curio.io.Socket, keep_alive: KeepAlive = KEEP_ALIVE) -> None:
     """Send small writes at once, and detect peers that vanish without closing the connection."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/ebonywheel/wire.capnp
+++ b/src/ebonywheel/wire.capnp
@@ -309,6 +309,7 @@
   coldMs @9 :UInt64;
   ageMs @10 :UInt64;
   version @11 :UInt64;
+  software @12 :Text;
 }
 
 struct ServerUse {
@@ -326,12 +327,50 @@
   ageMs @4 :UInt64;
 }
 
+struct ServerPace {
+  server @0 :Text;
+  bornMs @1 :UInt64;
+  answers @2 :Float64;
+  failures @3 :Float64;
+  workS @4 :Float64;
+  works @5 :Float64;
+  windows @6 :Float64;
+  lateWindows @7 :Float64;
+  readTokens @8 :Float64;
+  readS @9 :Float64;
+  stretch @10 :Float64;
+  stretches @11 :Float64;
+  resetHosts @12 :UInt64;
+  resetAgeMs @13 :UInt64;
+}
+
 struct SuspectFingerprint {
   fingerprint @0 :Data;
   crashedMs @1 :UInt64;
   refusedMs @2 :UInt64;
 }
 
+struct RolloutView {
+  service @0 :Text;
+  index @1 :UInt64;
+  target @2 :Text;
+  phase @3 :Text;
+  share @4 :Float64;
+  barred @5 :List(Text);
+}
+
+struct RolloutEvidence {
+  index @0 :UInt64;
+  route @1 :Text;
+  onTarget @2 :Bool;
+  requests @3 :UInt64;
+  answers @4 :UInt64;
+  failures @5 :UInt64;
+  delays @6 :List(UInt64);
+  waiting @7 :List(UInt64);
+  inFlightOld @8 :UInt64;
+}
+
 struct WatchRequest {
   host @0 :Text;
   incarnation @1 :UInt64;
@@ -350,6 +389,10 @@
   suspectsIndex @14 :UInt64;
   limits @15 :List(ServerLimit);
   mayRelay @16 :Bool;
+  paces @17 :List(ServerPace);
+  rolloutsWanted @18 :Bool;
+  rolloutsIndex @19 :UInt64;
+  evidence @20 :List(RolloutEvidence);
 }
 
 struct WatchReply {
@@ -368,6 +411,10 @@
   suspectsIndex @12 :UInt64;
   suspects @13 :List(SuspectFingerprint);
   limits @14 :List(ServerLimit);
+  paces @15 :List(ServerPace);
+  rolloutsIndex @16 :UInt64;
+  rollouts @17 :List(RolloutView);
+  rolloutsLeaseMs @18 :UInt64;
 }
 
 struct RoutingRequest {
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -123,6 +123,17 @@
     def test_a_report_with_an_invalid_value_is_refused(self, change):
         assert reports.decode("i-1", json.dumps({**REPORT, **change}).encode()).is_err()
 
+    @pytest.mark.parametrize(
+        ("version", "software"),
+        [("v2", "v2"), ("", ""), (2, ""), (None, ""), (["v2"], ""), ("v\n2", ""), ("v" * 300, "")],
+    )
+    def test_a_version_that_is_none_counts_as_left_out(self, version, software):
+        record = reports.decode("i-1", json.dumps({**REPORT, "version": version}).encode())
+        assert record.unwrap().software == software
+
+    def test_a_report_need_not_state_a_version(self):
+        assert not reports.decode("i-1", json.dumps(REPORT).encode()).unwrap().software
+
     @pytest.mark.parametrize("missing", ["service", "address", "zone", "state", "sequence"])
     def test_a_report_without_a_field_is_refused(self, missing):
         incomplete = {name: value for name, value in REPORT.items() if name != missing}
@@ -217,6 +228,24 @@
         assert answer.load == dialect.ServerLoad(3, 0, 8)
         assert answer.keep_alive_s == 5.0
 
+    @pytest.mark.parametrize(
+        ("text", "load"),
+        [
+            ("3,0,8,140", dialect.ServerLoad(3, 0, 8, 1.4)),
+            ("3,0,8, 100", dialect.ServerLoad(3, 0, 8, 1.0)),
+            ("3,0,8,0", dialect.ServerLoad(3, 0, 8)),
+            ("3,0,8,-5", dialect.ServerLoad(3, 0, 8)),
+            ("3,0,8,nan", dialect.ServerLoad(3, 0, 8)),
+            ("3,0,8,", dialect.ServerLoad(3, 0, 8)),
+            ("3,0,8,99999999999999999999", dialect.ServerLoad(3, 0, 8)),
+            ("3,0", None),
+            ("3,0,8,140,1", None),
+        ],
+    )
+    def test_the_time_that_work_takes_is_decoded(self, text, load):
+        head = httpclient.ResponseHead(200, [("x-server-load", text)])
+        assert self.platform_dialect.decode_answer(head).load == load
+
     @pytest.mark.parametrize(
         ("text", "limit_per_s"),
         [
--- a/tests/test_streaming.py
+++ b/tests/test_streaming.py
@@ -43,7 +43,8 @@
     """The parts of a request's state that relaying uses; the deadline is far away."""
 
     def __init__(self, clock):
-        self.request = types.SimpleNamespace(method="POST")
+        self.request = types.SimpleNamespace(method="POST", attempt="a")
+        self.route = types.SimpleNamespace(max_gap_s=0.0)
         self.deadline_at = clock.monotonic() + 60.0
         self.first_event_at = 0.0
         self.last_event_at = 0.0
@@ -63,7 +64,7 @@
 class Sender:
     """Takes every server that ends an answer for alive."""
 
-    view = None
+    view = types.SimpleNamespace(paces=None)
 
     def record_heard(self, reply):
         return
@@ -71,7 +72,10 @@
     async def confirm_end(self, reply):
         return
 
-    async def abandon(self, reply):
+    def record_events(self, reply):
+        return
+
+    async def abandon(self, reply, error=None):
         return
 
 
@@ -87,7 +91,7 @@
         record=messages.DirectoryRecord("s", address="10.0.0.1:80"),
         head=types.SimpleNamespace(headers=[("content-type", "text/event-stream")]),
         connection=ScriptedConnection(parts),
-        reservation=types.SimpleNamespace(mark_answer_begun=lambda: None),
+        tokens_to_read=0,
     )
     exchange = Exchange()
     curio.run(forwarder._relay_events, exchange, relayedrun.Run(Context(core.clock), reply))
@@ -142,6 +146,38 @@
         curio.run(scenario)
 
 
+class LeavingExchange:
+    """A caller that leaves before its answer begins."""
+
+    async def start(self, status, headers):
+        raise exceptions.HttpError("caller left", "write", "caller")
+
+
+# Guards against a request that counts as in flight for ever.
+def test_an_answer_whose_caller_left_before_its_head_is_given_up(monkeypatch):
+    from ebonywheel import clock
+
+    core = types.SimpleNamespace(clock=clock.SystemClock())
+    sender = Sender()
+    forwarder = streaming.StreamForwarder(core, sender, None, CrashReporter(), None)
+    reply = types.SimpleNamespace(
+        record=messages.DirectoryRecord("s"), head=types.SimpleNamespace(status=200, headers=[])
+    )
+    abandoned = []
+
+    async def start_run(context):
+        return reply
+
+    async def abandon(reply, error=None):
+        abandoned.append(reply)
+
+    monkeypatch.setattr(forwarder, "_start_run", start_run)
+    monkeypatch.setattr(sender, "abandon", abandon, raising=False)
+    with pytest.raises(exceptions.HttpError):
+        curio.run(forwarder.forward, LeavingExchange(), Context(core.clock))
+    assert abandoned == [reply]
+
+
 class Copies:
     """A copy that may, or may not, be gone on at."""
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -7,7 +7,17 @@
 import h11
 import pytest
 
-from ebonywheel import control, engineclient, http, httpclient, messages, metrics, sockets, turns
+import netbench
+from ebonywheel import (
+    callerconnection,
+    control,
+    engineclient,
+    httpclient,
+    messages,
+    metrics,
+    sockets,
+    turns,
+)
 
 BLOCK = b"x" * 65536
 
@@ -101,6 +111,34 @@
     assert max(counts) < 3 * min(counts)
 
 
+# Guards against a deadline that passes while its task is ready to run, and is forgotten as the task
+# leaves a timeout of its own without having waited.
+def test_a_deadline_ends_a_loop_of_short_timeouts_that_never_waits():
+    ended = []
+
+    async def read(sock):
+        while True:
+            async with curio.timeout_after(10.0):
+                await sock.recv(65536)
+            if turns.current.is_over(sock):
+                await turns.give_way()
+
+    async def read_until_deadline():
+        with pytest.raises(curio.TaskTimeout):
+            async with curio.timeout_after(0.1):
+                await read(sockets.Socket(Endless()))
+        ended.append(1)
+
+    async def run():
+        tasks = [await curio.spawn(read_until_deadline) for _ in range(6)]
+        await curio.sleep(1.0)
+        for task in tasks:
+            await task.cancel()
+
+    curio.run(run, activations=[turns.Monitor(1.0)], selector=turns.Selector())
+    assert len(ended) == 6
+
+
 # Guards against parsers that go through thousands of parts of one read without a pause.
 @pytest.mark.parametrize("method", ["http", "httpclient"])
 def test_small_parts_of_one_read_are_bounded_too(method):
@@ -117,7 +155,7 @@
             await connection.response(1.0)
             await connection.body(10.0, 10_000)
         else:
-            connection = http.ServerConnection(Server(), sock, "peer", None)
+            connection = callerconnection.CallerConnection(Server(), sock, "peer", None)
             connection.conn.receive_data(b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: ")
             connection.conn.receive_data(b"chunked\r\n\r\n")
             await connection.read_request()
@@ -143,7 +181,9 @@
 
 
 class Server:
-    limits = http.ServerLimits(10_000)
+    limits = callerconnection.ServerLimits(10_000)
+    account = netbench.make_core().callers
+    check_head = None
 
 
 def test_an_engine_stream_parses_a_bounded_number_of_chunks_at_once():
