--- a/src/ebonywheel/directory.py
+++ b/src/ebonywheel/directory.py
@@ -80,6 +80,7 @@
         previous = self.entries.get(record.server)
         if previous is not None and not _is_newer(record, previous.record):
             return False
+        record = self._with_known_software(record)
         now = self.clock.monotonic()
         reported_at = now - record.age_ms / 1000
         if not record.gone and self._has_left(record, reported_at, now):
@@ -96,6 +97,13 @@
             return False
         return leave.concerns(record, reported_at)
 
+    def _with_known_software(self, record: messages.DirectoryRecord) -> messages.DirectoryRecord:
+        """Return a record with the software's version that an earlier build did not pass on."""
+        entry = self.entries.get(record.server)
+        if record.software or entry is None or entry.record.born_ms != record.born_ms:
+            return record
+        return msgspec.structs.replace(record, software=entry.record.software)
+
     def leave(self, server: str, arrived_at: float) -> bool:
         """Mark the known incarnation of a server as gone; return whether that is a change.
 
--- a/src/ebonywheel/gateway/moves.py
+++ b/src/ebonywheel/gateway/moves.py
@@ -37,7 +37,7 @@
 RETRY_PAUSE_S = 0.05
 # Runs that stay at a server whose version gets no more requests are planned for again after this
 # time. Each plan asks the server for a report.
-VERSION_CHANGE_RETRY_S = 3.0
+VERSION_CHANGE_RETRY_S = 0.5
 
 
 class ShutdownNotice(msgspec.Struct):
--- a/src/ebonywheel/gateway/rollouts.py
+++ b/src/ebonywheel/gateway/rollouts.py
@@ -5,6 +5,7 @@
 the share without knowing of each other.
 """
 
+import collections
 import collections.abc
 import math
 import random
@@ -16,6 +17,8 @@
 # How long a version that was heard of later than another one waits for news of its roll-out. A host
 # without a leader for longer is out of touch, and an order cannot be accepted either.
 MAX_NEWS_WAIT_S = 10.0
+# Versions heard of within this time were in the first answer to a host that has just started.
+AT_ONCE_S = 0.5
 # A host that has heard of no other version in this time knows of all servers: they report every
 # 1.2 s, and a control host that has just started knows of none.
 ALONE_S = 5.0
@@ -65,13 +68,23 @@
         only_target: Whether no server of another version was left when a request was last to be
             sent while traffic shifts; the target then needs no lease.
         evidence: What this host has seen of it.
+        replaces_nothing: Whether the only servers known at the order had the target's version.
     """
 
-    __slots__ = ("view", "known_since", "exposure", "reachable", "only_target", "evidence")
-
-    def __init__(self, view: messages.RolloutView, now: float):
+    __slots__ = (
+        "view",
+        "known_since",
+        "exposure",
+        "reachable",
+        "only_target",
+        "evidence",
+        "replaces_nothing",
+    )
+
+    def __init__(self, view: messages.RolloutView, now: float, known_versions: set[str]):
         self.view = view
         self.known_since = now
+        self.replaces_nothing = known_versions == {view.target}
         self.exposure = Exposure()
         self.reachable = False
         self.only_target = False
@@ -143,7 +156,13 @@
             known is None or known.view.index != view.index or known.view.phase != view.phase
         )
         if known is None or known.view.index != view.index:
-            self.by_service[view.service] = Rollout(view, self.core.clock.monotonic())
+            versions = {
+                entry.record.software
+                for entry in self.directory.live()
+                if entry.record.service == view.service
+            }
+            now = self.core.clock.monotonic()
+            self.by_service[view.service] = Rollout(view, now, versions)
         else:
             known.view = view
         self.core.log.info(
@@ -246,7 +265,8 @@
     def _is_alone(self, rollout: Rollout) -> bool:
         """Return whether no server of another version than the target was heard of for long."""
         service = rollout.view.service
-        if self.core.clock.monotonic() - rollout.known_since < ALONE_S or not self.has_lease():
+        known_s = self.core.clock.monotonic() - rollout.known_since
+        if not rollout.replaces_nothing and (known_s < ALONE_S or not self.has_lease()):
             return False
         return not any(
             entry.record.service == service and not rollout.is_target(entry.record)
@@ -264,15 +284,29 @@
         heard_at = {
             version: self.heard_at.get((service, version), float("-inf")) for version in versions
         }
-        first_at = min(heard_at.values())
+        first = self._first_heard(candidates, heard_at)
         return [
             candidate
             for candidate in candidates
-            if (at := heard_at[candidate.record.software]) == first_at
-            or at < max(self.asked_at, self.share.confirmed_at - NEWS_S)
+            if candidate.record.software == first
+            or (at := heard_at[candidate.record.software])
+            <= max(self.asked_at, self.share.confirmed_at - NEWS_S)
             or now - at > MAX_NEWS_WAIT_S
         ]
 
+    def _first_heard(self, candidates: list[balance.Candidate], heard_at: dict[str, float]) -> str:
+        """Return the version heard of first; that of most servers if several were heard of at once.
+
+        A host that has just started hears of all of them at once.
+        """
+        first_at = min(heard_at.values())
+        counts = collections.Counter(
+            candidate.record.software
+            for candidate in candidates
+            if heard_at[candidate.record.software] - first_at < AT_ONCE_S
+        )
+        return counts.most_common(1)[0][0]
+
     # -- requests --------------------------------------------------------------------------
 
     def record_chosen(self, record: messages.DirectoryRecord) -> None:
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -20,6 +20,10 @@
 VERSION_STEP = "check version"
 
 
+# Errors by which a time limit around a request ends it.
+TIMEOUTS = (curio.TaskTimeout, curio.TimeoutCancellationError)
+
+
 class Reply(msgspec.Struct):
     """An answer whose head has been read, but not yet its body.
 
@@ -120,9 +124,11 @@
             if connection is not None:
                 await connection.close()
             raise
-        except BaseException:
+        except BaseException as error:
             reservation.release()
-            if observation is not None:
+            if observation is not None and isinstance(error, TIMEOUTS):
+                observation.record_failure(self.core.clock.monotonic())
+            elif observation is not None:
                 # Its caller did not wait any longer.
                 observation.record_answer(self.core.clock.monotonic())
             if connection is not None:
--- a/src/ebonywheel/rollouts.py
+++ b/src/ebonywheel/rollouts.py
@@ -31,6 +31,10 @@
 LEASE_PART = 0.4
 
 
+# Time after which a leader has heard of all servers that report: they do so every 1.2 s.
+ALL_REPORTED_S = 3.0
+
+
 class Leading:
     """A roll-out as the present leader follows it.
 
@@ -41,13 +45,23 @@
         logged_at: When a decision was logged last, monotonic seconds.
         logged_action: The action that was logged.
         versions: Versions of the service's servers that were known at any time.
+        began_at: When this leader began to follow it, monotonic seconds.
     """
 
-    __slots__ = ("index", "judge", "shared_at", "logged_at", "logged_action", "versions")
+    __slots__ = (
+        "index",
+        "judge",
+        "shared_at",
+        "logged_at",
+        "logged_action",
+        "versions",
+        "began_at",
+    )
 
-    def __init__(self, index: int, judge: rolloutjudge.Judge):
+    def __init__(self, index: int, judge: rolloutjudge.Judge, now: float):
         self.index = index
         self.judge = judge
+        self.began_at = now
         self.shared_at = float("-inf")
         self.logged_at = float("-inf")
         self.logged_action = ""
@@ -117,7 +131,9 @@
         followed = self.leading.get(service)
         if followed is None or followed.index != record.index:
             judge = rolloutjudge.Judge(self.bounds, record.duration_ms / MS_PER_S)
-            followed = self.leading[service] = Leading(record.index, judge)
+            followed = self.leading[service] = Leading(
+                record.index, judge, self.core.clock.monotonic()
+            )
         followed.versions |= self._versions(service)
         decision = followed.judge.decide(self._moment(service, record))
         command = self._command(service, record, followed, decision)
@@ -172,12 +188,16 @@
                 )
             case rolloutjudge.COMPLETE | rolloutjudge.ROLL_BACK:
                 completed = decision.action == rolloutjudge.COMPLETE
+                reason = decision.reason
+                if not completed and self._replaces_nothing(followed, record):
+                    # A roll-back would leave the service without a server.
+                    completed, reason = True, "there was no server of another version"
                 return commands.EndRollout(
                     actor=actor,
                     service=service,
                     rollout=record.index,
                     completed=completed,
-                    reason=decision.reason,
+                    reason=reason,
                     replaced=sorted(followed.versions - {record.target}) if completed else [],
                 )
         return None
@@ -191,6 +211,11 @@
             return False
         return self.core.clock.monotonic() - followed.shared_at >= SHARE_INTERVAL_S
 
+    def _replaces_nothing(self, followed: Leading, record: statedata.RolloutRecord) -> bool:
+        """Return whether this leader has known servers of the target for long, and no others."""
+        followed_s = self.core.clock.monotonic() - followed.began_at
+        return followed_s >= ALL_REPORTED_S and followed.versions == {record.target}
+
     def _versions(self, service: str) -> set[str]:
         return {
             entry.record.software
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -154,3 +154,13 @@
         decoded = codec.decode_body(header, frame[codec.HEADER.size :])
         assert msgspec.structs.asdict(decoded)["out"] == ["puget"]
         assert decoded.records[0].draining
+
+
+def test_a_record_of_an_earlier_build_keeps_the_known_software():
+    """A control host of an earlier build passes records on without the software's version."""
+    known = directory.Directory(clock.ManualClock())
+    known.observe(messages.DirectoryRecord("s", 1, 1, software="v2"))
+    known.observe(messages.DirectoryRecord("s", 1, 2))
+    assert known.entries["s"].record.software == "v2"
+    known.observe(messages.DirectoryRecord("s", 2, 1))
+    assert known.entries["s"].record.software == ""
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -159,6 +159,17 @@
         host.update()
         assert set(host.versions()) == {"v1", "v2"}
 
+    def test_an_order_to_the_only_version_takes_no_server_away(self):
+        host = Host(versions=("v2",) * 3)
+        host.order()
+        assert set(host.versions()) == {"v2"}
+
+    def test_a_host_that_hears_of_all_versions_at_once_takes_the_usual_one(self):
+        """Until the leader has answered: the list of servers begins with the new version."""
+        host = Host(versions=("v2", "v1", "v1", "v1"))
+        host.view.rollouts.asked_at = host.view.rollouts.share.confirmed_at = float("-inf")
+        assert set(host.versions()) == {"v1"}
+
 
 class TestLease:
     @pytest.mark.parametrize(("phase", "share"), [("proving", 0.5), ("shifting", 1.0)])
@@ -282,7 +293,7 @@
         host.order()
         observed = host.view.rollouts.observe_sent(host.records[3], "r", True, False)
         head = dialect.AnswerHead(status, "", not_run, None, None, [])
-        reply = sender.Reply(host.records[3], None, head, None, 0.0, observed)
+        reply = sender.Reply(host.records[3], None, head, None, 0.0, observation=observed)
         sender.Sender(host.view.core, host.view, None)._observe_head(reply, is_stream)
         counts = observed.counts
         assert (counts.answers, counts.failures, len(counts.waiting)) == expected
