Tests: stand-ins of a replica state its lease; the known index of an order is computed in one place

Change: the stand-in of test_crashes has no lease; ordersequence.known_index replaces a method of the host. Measured: test_crashes, test_ordersequence, test_control_faults pass.

--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -220,7 +220,7 @@
         self, service: str, target: str, duration_ms: int
     ) -> commands.AnyOutcome:
         """Order that a service's traffic be moved to a version; raises like `publish_routing`."""
-        known_index = self._known_index()
+        known_index = ordersequence.known_index(self.pauses.earliest_arrival())
         command = commands.StartRollout(
             actor="operator",
             service=service,
@@ -252,11 +252,8 @@
 
     async def submit_order(self, command: commands.Command) -> messages.SubmitReply:
         """Propose an operator's command that has just been received; raises like `submit`."""
-        return await self.submit(messages.Submit(commands.encode(command), self._known_index()))
-
-    def _known_index(self) -> int:
-        """Return the log index that this host knew when what it reads now arrived."""
-        return max(ordersequence.FIRST_INDEX, self.pauses.earliest_arrival().known_index)
+        known_index = ordersequence.known_index(self.pauses.earliest_arrival())
+        return await self.submit(messages.Submit(commands.encode(command), known_index))
 
     async def read_routing(self) -> messages.RoutingReply:
         """Return routing content at least as new as any acknowledged before the call.
--- a/src/ebonywheel/ordersequence.py
+++ b/src/ebonywheel/ordersequence.py
@@ -16,6 +16,7 @@
     commands,
     exceptions,
     orderstate,
+    pauses,
     replica,
     rolloutstate,
     state,
@@ -28,6 +29,11 @@
 FIRST_INDEX = 1
 
 
+def known_index(arrival: pauses.Arrival) -> int:
+    """Return the log index that a host knew when what it reads now arrived, for `propose`."""
+    return max(FIRST_INDEX, arrival.known_index)
+
+
 class Target(msgspec.Struct, frozen=True):
     """What an order is for, as the replicated state has it.
 
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -127,7 +127,9 @@
         self.outcomes = []
         replicated_clock = types.SimpleNamespace(now_ms=lambda: int(self.clock.now * 1000))
         proposals = types.SimpleNamespace(replicated_clock=replicated_clock)
-        consensus = types.SimpleNamespace(members=[], on_applied=[], proposals=proposals)
+        consensus = types.SimpleNamespace(
+            members=[], on_applied=[], proposals=proposals, has_lease=lambda: False
+        )
         core = types.SimpleNamespace(clock=self.clock, log=Log())
         self.watch_server = watchserver.WatchServer(core, consensus, self.state_machine)
         self.leader = permits.Permits(self.clock, lambda step: None)
