--- a/src/ebonywheel/gateway/crossing.py
+++ b/src/ebonywheel/gateway/crossing.py
@@ -14,7 +14,7 @@
 from ebonywheel.gateway import balance
 
 # Share of the requests that leave while the gain is as long as the route's target. Loads from other
-# data centres are up to 0.5 s old; with twice this share the flow would swing.
+# data centres are up to 0.5 s old, so hosts answer a gain in proportion: all at once would swing.
 SHARE_AT_TARGET = 1.0
 UPDATE_INTERVAL_S = 0.1
 # Load up to which a data centre takes others' requests; the rest is kept for its own callers.
@@ -23,7 +23,6 @@
 STRAINED_LOAD = 0.8
 BYTES_PER_MEGABYTE = 1_000_000
 
-
 # Service and target time, in seconds.
 Key = tuple[str, float]
 
--- a/src/ebonywheel/gateway/starts.py
+++ b/src/ebonywheel/gateway/starts.py
@@ -26,11 +26,7 @@
         line: Requests that wait for a place at a server.
     """
 
-    def __init__(
-        self,
-        core: kernel.Kernel,
-        entry_view: view.EntryView,
-    ):
+    def __init__(self, core: kernel.Kernel, entry_view: view.EntryView):
         self.core = core
         self.view = entry_view
         self.line = line.Line(core, entry_view)
@@ -58,9 +54,7 @@
         return candidate
 
     def _choose(
-        self,
-        context: inflight.RequestContext,
-        bounds: places.Places,
+        self, context: inflight.RequestContext, bounds: places.Places
     ) -> balance.Candidate | None:
         prompt = context.request.prompt
         requirements = balance.Requirements(
