--- a/review/parts2.py
+++ b/review/parts2.py
@@ -756,3 +756,35 @@
             self.record(f"{self.name} will send its answer to {attempt} a second time, late")
             channel.late = sent + b"0\r\n\r\n"
         return True
+
+
+class PlainServer(Server):
+    """A server whose requests have one answer each.
+
+    Attributes:
+        ran: Attempts that it has run, with the time.
+        work_s: How long one takes.
+    """
+
+    work_s = 0.06
+
+    def __init__(self, *arguments, **named):
+        super().__init__(*arguments, **named)
+        self.ran = []
+
+    async def handle(self, channel, method, target, headers, body):
+        if target == "/healthz":
+            channel.answer(200, "", b"", [("X-Instance-Id", self.name)])
+        elif self.expected(channel, headers):
+            attempt = headers.get("x-attempt-id", "")
+            self.ran.append((attempt, time.monotonic()))
+            self.record(f"{self.name} runs {attempt}")
+            await asyncio.sleep(self.work_s)
+            channel.answer(
+                200,
+                attempt,
+                f"done {attempt}".encode(),
+                [("X-Response-Stamp", f"stamp-{attempt}"), ("X-Server-Load", "1,0,6")],
+            )
+        await channel.writer.drain()
+        return True
