--- a/review/parts2.py
+++ b/review/parts2.py
@@ -23,6 +23,9 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 ZONES = {"lulea-a": "norrland", "uppsala-a": "mellan", "lund-a": "syd"}
 HOST = "wuny96.example"
+# A process claims its loopback addresses by a socket that is bound to this port until it ends.
+CLAIM_PORT = 9463
+CLAIMS = []
 KEY = "xd9dnn2ctnfzs989anu6"
 BOUNDS = {
     "seed-lag-s": 3,
@@ -101,13 +104,17 @@
     random.shuffle(numbers)
     for number in numbers:
         prefix = f"127.{number}"
+        claim = socket.socket()
         try:
+            claim.bind((f"{prefix}.0.1", CLAIM_PORT))
             for ip in (f"{prefix}.1.1", f"{prefix}.2.1"):
                 for port in (9464, 9465):
                     with socket.socket() as probe:
                         probe.bind((ip, port))
         except OSError:
+            claim.close()
             continue
+        CLAIMS.append(claim)
         return prefix
     raise CannotRunError("no free loopback addresses")
 
