--- a/review/parts2.py
+++ b/review/parts2.py
@@ -291,7 +291,7 @@
                 await asyncio.sleep(0.1)
 
 
-def manifest(version, routes, services):
+def manifest(version, routes, services, max_header_bytes=16384):
     """Return a manifest as the operator sends it."""
     return json.dumps(
         {
@@ -299,7 +299,7 @@
             "routes": routes,
             "services": services,
             "limits": {
-                "max-header-bytes": 16384,
+                "max-header-bytes": max_header_bytes,
                 "max-body-bytes": 4194304,
                 "header-timeout-ms": 3000,
                 "idle-timeout-ms": 15000,
