--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,10 @@
-"""A new version adds a streaming route; its requests name no numbers of tokens."""
+"""A control host acknowledges a server's leave and is lost; the leave is lost with it."""
 
 import asyncio
+import os
 import pathlib
+import signal
+import socket
 import sys
 import time
 
@@ -9,81 +12,103 @@
 
 import parts2 as parts
 
-REQUESTS = 40
-PIECES = 5
-CONFIG_APPLY_S = 2.5
+DARK_S = 3.0
+DRAIN_S = 2.5
+STABLE_WINDOW_S = 4.0
+SERVES_ON_S = 11.0
+ROUNDS = 6
 
 
-class EventServer(parts.PlainServer):
-    """A plain server that answers requests on streaming routes with some events."""
+def leave(system, server, control):
+    """Send a server's leave to a control host, which is killed as soon as the ack begins to arrive.
 
-    async def handle(self, channel, method, target, headers, body):
-        if not target.startswith("/watch/") or not self.expected(channel, headers):
-            return await super().handle(channel, method, target, headers, body)
-        attempt = headers.get("x-attempt-id", "")
-        self.ran.append((attempt, time.monotonic()))
-        self.record(f"{self.name} runs {attempt}")
-        channel.writer.write(
-            (f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: {attempt}\r\n"
-             f"X-Response-Stamp: stamp-{attempt}\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
-        for number in range(1, PIECES + 1):
-            await asyncio.sleep(0.02)
-            piece = f"id: {number}\ndata: piece {number} of {attempt}\n\n".encode()
-            channel.writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
-            await channel.writer.drain()
-        channel.writer.write(b"0\r\n\r\n")
-        await channel.writer.drain()
-        return True
+    Returns:
+        The status, and the time of the ack.
+    """
+    request = (f"DELETE /api/instances/{server.name} HTTP/1.1\r\nHost: {control.ip}\r\n"
+               "Content-Length: 0\r\n\r\n").encode()
+    pid = control.process.pid
+    with socket.create_connection((control.ip, system.control_port), timeout=1.0) as channel:
+        channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        channel.setblocking(False)
+        ends_at = time.monotonic() + 1.0
+        channel.sendall(request)
+        while time.monotonic() < ends_at:
+            try:
+                answer = channel.recv(4096)
+            except BlockingIOError:
+                continue
+            if parts.TROUBLE:
+                os.kill(pid, signal.SIGKILL)
+            return int(answer.split(b" ")[1]), time.monotonic()
+    return 0, time.monotonic()
+
+
+async def play(system, record, number):
+    """Have a server leave once; return whether it got no request too late."""
+    leaving = parts.PlainServer(system, record, f"i-leaving-{number}", "wuno96b", "lulea-a")
+    await leaving.start()
+    await leaving.register()
+    await asyncio.sleep(4.5)
+    consumer = parts.Consumer(system, record)
+    answer = await consumer.request("POST", "/book/1", f"before-{number}", deadline_ms=2000)
+    if answer.status != 200 or not leaving.ran:
+        raise parts.CannotRunError(f"status {answer.status} before the leave")
+
+    leaving.reporter.cancel()
+    await asyncio.sleep(0.3)
+    control = system.controls[1]
+    status, acked_at = await asyncio.get_running_loop().run_in_executor(
+        None, leave, system, leaving, control)
+    record(f"{control.name} acknowledges that {leaving.name} leaves: {status}"
+           f"{', and is killed' if parts.TROUBLE else ''}")
+    if status != 200:
+        raise parts.CannotRunError(f"status {status} for the leave")
+    in_touch_at = acked_at + DRAIN_S
+    if parts.TROUBLE:
+        control.process.wait()
+        await asyncio.sleep(DARK_S)
+        system.write_settings(control, bootstrap=False)
+        control.start()
+        record(f"{control.name} is started again")
+        in_touch_at = time.monotonic() + STABLE_WINDOW_S
+    await asyncio.sleep(in_touch_at + 0.3 - time.monotonic())
+    record("all machines are in touch from here on")
+    sent = 0
+    while time.monotonic() < acked_at + SERVES_ON_S:
+        answer = await consumer.request("POST", "/book/1", f"late-{number}-{sent:02}",
+                                        deadline_ms=2000)
+        if not answer.whole:
+            consumer.close()
+            consumer = parts.Consumer(system, record)
+        sent += 1
+        await asyncio.sleep(0.2)
+    consumer.close()
+    late = [attempt for attempt, at in leaving.ran if at > in_touch_at]
+    record(f"{leaving.name} ran {len(late)} of {sent} requests sent later than "
+           f"{in_touch_at - acked_at:.1f} s after the ack of its leave; it exits now")
+    await leaving.stop()
+    return not late
 
 
 async def case(record):
-    async with parts.System(record, ["lulea-a", "uppsala-a"]) as system:
-        services = [parts.ENGINE_SERVICE, parts.PLAIN_SERVICE]
-        first = [
-            parts.route("plan", "/plan/", "streaming", "dele69a", 39000, 1800),
-            parts.route("book", "/book/", "unsafe", "wuno96b", 2000, 400),
-        ]
-        added = parts.route("watch", "/watch/", "streaming", "wuno96b", 6000, 1500,
-                            **{"session-affinity": False})
-        await system.order_until_taken("PUT", "/api/config", parts.manifest(7, first, services))
-        servers = [parts.ModelServer(system, record, "i-model", "dele69a", "lulea-a"),
-                   *(EventServer(system, record, f"i-{zone}", "wuno96b", zone)
-                     for zone in parts.ZONES)]
-        for server in servers:
+    async with parts.System(record, ["lulea-a"]) as system:
+        content = parts.manifest(7, [
+            parts.route("book", "/book/", "unsafe", "wuno96b", 2000, 400,
+                        **{"allowed-regions": ["norrland"]}),
+        ], [parts.ENGINE_SERVICE, parts.PLAIN_SERVICE])
+        await system.order_until_taken("PUT", "/api/config", content)
+        for zone in ("uppsala-a", "lund-a"):
+            server = parts.PlainServer(system, record, f"i-{zone}", "wuno96b", zone)
             await server.start()
             await server.register()
         await system.wait_ready()
-        await asyncio.sleep(5.0)
-        if parts.TROUBLE:
-            await system.order_until_taken(
-                "PUT", "/api/config", parts.manifest(9, [*first, added], services))
-        # Until then any of the two versions may be in force; the core is calm all the while.
-        await asyncio.sleep(CONFIG_APPLY_S + 2.0)
-
-        asked, served = {}, {}
-        for number in range(REQUESTS):
-            kinds = ["plan", "book", "watch"] if parts.TROUBLE else ["plan", "book"]
-            for kind in kinds:
-                attempt = f"{kind}-{number:02}"
-                consumer = parts.Consumer(system, record, system.entries[number % 2])
-                headers = (("X-Model-Name", "m"), ("X-Token-Counts", "300,16"),
-                           ("X-Prompt-Prefix", f"5c1e07a2:48,aa{number:04x}:252"))
-                answer = await consumer.request(
-                    "POST", f"/{kind}/1", attempt, body=b"a request",
-                    headers=headers if kind == "plan" else (), deadline_ms=6000)
-                consumer.close()
-                asked[kind] = asked.get(kind, 0) + 1
-                stamped = answer.headers.get("x-response-stamp") == f"stamp-{attempt}"
-                if answer.status == 200 and answer.whole and stamped:
-                    served[kind] = served.get(kind, 0) + 1
-        share = {kind: served.get(kind, 0) / count for kind, count in asked.items()}
-        record(f"share of requests served, by route: {share}")
-        for server in servers:
-            await server.stop()
-    on_first = min(share["plan"], share["book"])
-    if on_first < 0.9:
-        raise parts.CannotRunError(f"only {on_first} of the requests on the first routes served")
-    return share.get("watch", 1.0) >= on_first / 4
+        held = True
+        for number in range(ROUNDS):
+            held = await play(system, record, number)
+            if not held:
+                break
+    return held
 
 
 parts.main(__file__, case)
