--- a/review/6/case.py
+++ b/review/6/case.py
@@ -25,8 +25,10 @@
             parts.ModelServer(system, record, f"i-{name}", "dele69a", "lulea-a")
             for name in ("first", "second")
         ]
+        keeping = []
         for server in (first, second):
             await server.start()
+            keeping.append(asyncio.create_task(server.keep_reports()))
         first.peers = second.peers = {first.address: first, second.address: second}
         content = parts.manifest(7, [
             parts.route("plan", "/plan/", "streaming", "dele69a", 39000, 1800),
@@ -56,26 +58,29 @@
         else:
             raise parts.CannotRunError(f"only {len(first.runs)} streams run")
 
-        consumer = parts.Consumer(system, record)
-        answered = 0
-        for number in range(LABELS + 6):
-            attempt = f"label-{number:02}"
-            if parts.TROUBLE and answered == LABELS - 1:
-                first.spoil = lambda other, last=attempt: other == last
-            answer = await consumer.request("POST", "/label/1", attempt,
-                                            headers=prompt(number, 200, 4, "bb"), deadline_ms=6000)
-            answered += answer.status == 200
-            if answered == LABELS:
-                break
-        else:
-            raise parts.CannotRunError(f"only {answered} short streams were answered")
-        consumer.close()
+        async def label(number):
+            consumer = parts.Consumer(system, record)
+            answer = await consumer.request(
+                "POST", "/label/1", f"label-{number:02}",
+                headers=prompt(number, 200, 4, "bb"), deadline_ms=6000)
+            consumer.close()
+            if answer.status != 200:
+                raise parts.CannotRunError(f"status {answer.status} for a short stream")
+
+        # Two at a time, the second a little later; the first of the last two is spoiled.
+        last = LABELS - 2
+        if parts.TROUBLE:
+            first.spoil = lambda attempt: attempt == f"label-{last:02}"
+        for number in range(0, LABELS, 2):
+            begun = asyncio.create_task(label(number))
+            await asyncio.sleep(0.05)
+            await asyncio.gather(begun, label(number + 1))
 
         await second.register()
         await asyncio.sleep(1.0)
         record("i-first is to be taken away and says so")
         first.leaves_at = asyncio.get_running_loop().time() + NOTICE_S
-        first.state = "draining"
+        first.state, first.leaving = "draining", True
         await first.report()
         await asyncio.sleep(NOTICE_S)
         record("i-first is gone")
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -57,6 +57,7 @@
 
     leaving.reporter.cancel()
     await asyncio.sleep(0.3)
+    leaving.leaving = True
     control = system.controls[1]
     status, acked_at = await asyncio.get_running_loop().run_in_executor(
         None, leave, system, leaving, control)
--- a/review/parts2.py
+++ b/review/parts2.py
@@ -486,6 +486,7 @@
 
     Attributes:
         state: The state that it reports, None before it registers and after it has left.
+        leaving: Whether it is leaving; then its responses say `Connection: close`, and it closes.
     """
 
     slots = 6
@@ -496,6 +497,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.state = None
+        self.leaving = False
         self.listener = None
         self.address = ""
         self.tasks = set()
@@ -555,7 +557,7 @@
         task = asyncio.current_task()
         self.tasks.add(task)
         self.writers.add(writer)
-        channel = Channel(reader, writer)
+        channel = Channel(reader, writer, self)
         try:
             while True:
                 line, headers = await read_head(reader)
@@ -564,6 +566,9 @@
                 channel.before_answer()
                 if not await self.handle(channel, method, target, headers, body):
                     return
+                if channel.ended:
+                    await writer.drain()
+                    return
         except (OSError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
             return
         finally:
@@ -588,11 +593,13 @@
 
     Attributes:
         late: Bytes of a second answer, sent where the next answer is expected.
+        ended: Whether a response on it has said that it closes.
     """
 
-    def __init__(self, reader, writer):
-        self.reader, self.writer = reader, writer
+    def __init__(self, reader, writer, server):
+        self.reader, self.writer, self.server = reader, writer, server
         self.late = b""
+        self.ended = False
 
     def before_answer(self):
         if self.late:
@@ -604,6 +611,9 @@
         if attempt:
             lines.append(f"X-Attempt-Id: {attempt}")
         lines += [f"{name}: {value}" for name, value in headers]
+        if self.server.leaving:
+            lines.append("Connection: close")
+            self.ended = True
         data = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
         self.writer.write(data)
         return data
@@ -653,12 +663,16 @@
         self.peers = {}
         self.leaves_at = None
         self.handles = 0
+        self.reports = []
         self.spoil = lambda attempt: False
 
     async def handle(self, channel, method, target, headers, body):
         if target == "/api/report":
             await asyncio.sleep(self.report_s)
-            self._answer_json(channel, 200, self._report_body())
+            body = self.reports[0] if self.reports else self._report_body()
+            if self.leaves_at is not None:
+                body["leaves_ms"] = max(0, int((self.leaves_at - time.monotonic()) * 1000))
+            self._answer_json(channel, 200, body)
         elif target == "/api/kv-move":
             await self._move(channel, json.loads(body))
         elif target.startswith("/api/kv-handle/"):
@@ -687,10 +701,15 @@
             "handles": len(self.copies),
             "runs": [[run.attempt, run.memory(), run.made, 1] for run in self.runs.values()],
         }
-        if self.leaves_at is not None:
-            body["leaves_ms"] = max(0, int((self.leaves_at - time.monotonic()) * 1000))
         return body
 
+    async def keep_reports(self):
+        """Keep what reports say as it was some hundred milliseconds ago."""
+        while True:
+            self.reports.append(self._report_body())
+            del self.reports[:-6]
+            await asyncio.sleep(0.1)
+
     async def _move(self, channel, call):
         run = self.runs.get(call["id"])
         target = self.peers[call["to"]]
@@ -740,6 +759,9 @@
             f"X-Attempt-Id: {attempt}",
             f"X-Response-Stamp: stamp-{attempt}",
         ]
+        if self.leaving:
+            head.append("Connection: close")
+            channel.ended = True
         sent = "\r\n".join(head).encode() + b"\r\n\r\n"
         channel.writer.write(sent)
         try:
