Engine calls: each has a connection of its own

Cause: requests and engine calls shared the pool of connections. An answer to an engine call names nothing, so a late copy of an earlier answer was taken for it: as a copy that was made, with status 200. The true answer stayed unread for the next copy call, which took the handle of another run. In the other direction the late copy of an engine call's answer was taken for the answer to the next request.

Change: `Sender.call_engine` opens a connection for each call and closes it after the answer. Nothing else was ever sent on it, so nothing late can arrive on it. Such calls are made only for runs that leave a server, and a server that leaves closes its connections anyway.

Ruled out: the order of copies at the server, and runs mixed up in the mover; the record shows the wrong handle in the answer that was read.

--- a/src/ebonywheel/gateway/pool.py
+++ b/src/ebonywheel/gateway/pool.py
@@ -72,18 +72,23 @@
                 idle.connection.start_next()
                 return idle.connection
             await idle.connection.close()
-        return await self._open(record, min(CONNECT_TIMEOUT_S, timeout_s))
+        return await self.open(record, timeout_s)
 
-    async def _open(
+    async def open(
         self, record: messages.DirectoryRecord, timeout_s: float
     ) -> httpclient.ClientConnection:
+        """Open a new connection to a server, within `CONNECT_TIMEOUT_S` at most.
+
+        Raises:
+            UpstreamError: The server cannot be reached.
+        """
         connection = httpclient.ClientConnection(
             record.address, allow_close_delimited=True, keep_alive=sockets.SHORT_KEEP_ALIVE
         )
         self.opened += 1
         began_at = self.clock.monotonic()
         try:
-            await connection.connect(timeout_s)
+            await connection.connect(min(CONNECT_TIMEOUT_S, timeout_s))
         except exceptions.UpstreamError as error:
             if self.observer is not None:
                 await self.observer.connect_failed(record, error)
@@ -97,7 +102,7 @@
     ) -> exceptions.UpstreamError | None:
         """Open a new connection to a server, which is kept for use; return why that failed."""
         try:
-            connection = await self._open(record, timeout_s)
+            connection = await self.open(record, timeout_s)
         except exceptions.UpstreamError as error:
             return error
         usable_until = self.clock.monotonic() + DEFAULT_KEEP_ALIVE_S - KEEP_ALIVE_MARGIN_S
--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -255,18 +255,19 @@
     ) -> tuple[int, bytes]:
         """Call an engine's management interface and return the status and body of the answer.
 
+        The answer does not say which call it answers, so each call has a connection of its own: on
+        a shared one, a late copy of an earlier answer would be taken for it.
+
         Raises:
             UpstreamError: No complete answer arrived.
         """
-        connection = await self.pool.acquire(record, timeout_s)
+        connection = await self.pool.open(record, timeout_s)
         try:
             headers = [("content-type", "application/json")] if call.body else []
             await connection.request(call.method, call.target, headers, call.body, timeout_s)
             head = await connection.response(timeout_s)
             body = await connection.body(timeout_s, MAX_ENGINE_ANSWER_BYTES)
-        except BaseException:
+        finally:
             async with curio.disable_cancellation():
                 await connection.close()
-            raise
-        await self.pool.release(record, connection, self.dialect.decode_answer(head).keep_alive_s)
         return head.status, body
--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -50,6 +50,7 @@
         body = self.read_body()
         received = Received(self, body)
         server = self.server.owner
+        server.before_answer(self)
         name = engine_call_name(self.path)
         if name is None:
             server.received.append(received)
@@ -179,6 +180,7 @@
         slots: Requests that it reports to run at once.
         version: Version of its software that it reports.
         script: Called with the handler and the request to answer it; tests replace it.
+        before_answer: Called with the handler before any answer; tests replace it.
     """
 
     def __init__(self, name, service, zone, version="v1"):
@@ -190,6 +192,7 @@
         self.dropped = []
         self.engine_calls = []
         self.script = answer_plainly
+        self.before_answer = lambda handler: None
         self.crashed = False
         self.slots = 24
         self.version = version
