A copy counts as made only if the answer names it

Cause: any status 200 counted as a complete copy; the handle, also an unreadable one, was not looked at.

--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -288,6 +288,14 @@
         assert self.platform_dialect.decode_copy(503, b'{"handle":"h"}').handle == "h"
         assert self.platform_dialect.decode_copy(404, b"").run_not_found
 
+    # Guards against a run that is handed over to a copy that nothing names, and is lost there,
+    # although an earlier copy could be used.
+    @pytest.mark.parametrize("body", [b"", b"{}", b"[]", b'{"handle":""}', b'{"handle":7}', b"{"])
+    def test_a_copy_without_a_handle_is_none(self, body):
+        result = self.platform_dialect.decode_copy(200, body)
+        assert not result.complete
+        assert not result.ends_run()
+
 
 @pytest.fixture
 def boot_file(tmp_path):
