Kept connections: none whose answers name no request

Servers of the users' platform name requests, so nobody was seen to be hit.

Change: such a connection is closed after the answer. After a refusal it is kept, as the late copy of a refusal was told apart before.

Evidence: test_a_connection_is_kept_only_if_its_answers_can_be_told_apart failed in 1 of 4 cases before. test_sender and the platform's contract, faulty answers, answers and kept connections pass (135 tests).

--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -232,7 +232,11 @@
             self.view.paces.observe_answer(reply.record, server_failed, work_s)
         if not server_failed and not reply.head.not_run:
             self.view.notices.record_answer_time(reply.record.service, elapsed_s)
-        await self.pool.release(reply.record, reply.connection, reply.head.keep_alive_s)
+        if reply.head.attempt or reply.head.not_run:
+            await self.pool.release(reply.record, reply.connection, reply.head.keep_alive_s)
+        else:
+            # A late copy of this answer could not be told from the answer to the next request.
+            await reply.connection.close()
 
     async def abandon(self, reply: Reply, error: BaseException | None = None) -> None:
         """Close the connection during an answer, which cancels the work at the server.
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -15,7 +15,17 @@
 
 
 class Pool:
+    """Records the connections that are kept."""
+
+    def __init__(self):
+        self.kept = []
+
     async def release(self, record, connection, keep_alive_s):
+        self.kept.append(connection)
+
+
+class Connection:
+    async def close(self):
         pass
 
 
@@ -42,12 +52,29 @@
 ):
     state = request_sender.view.state_of(RECORD)
     head = dialect.AnswerHead(status, "", not_run, None, None, [])
-    reply = sender.Reply(RECORD, None, head, inflight.Reservation(state, 0), 100.0)
+    reply = sender.Reply(RECORD, Connection(), head, inflight.Reservation(state, 0), 100.0)
     request_sender.core.clock.advance(ANSWER_S)
     curio.run(request_sender.finish, reply)
     assert request_sender.view.notices.answer_s.get("book") == expected
 
 
+# Guards against a late copy of an answer that names no request and is taken for the answer to the
+# next one. A refusal is told from the answer to a request that runs.
+@pytest.mark.parametrize(
+    ("attempt", "not_run", "kept"),
+    [("request", False, True), ("request", True, True), ("", True, True), ("", False, False)],
+)
+def test_a_connection_is_kept_only_if_its_answers_can_be_told_apart(
+    request_sender, attempt, not_run, kept
+):
+    head = dialect.AnswerHead(200, attempt, not_run, None, None, [])
+    state = request_sender.view.state_of(RECORD)
+    connection = Connection()
+    reply = sender.Reply(RECORD, connection, head, inflight.Reservation(state, 0), 100.0)
+    curio.run(request_sender.finish, reply)
+    assert request_sender.pool.kept == ([connection] if kept else [])
+
+
 class RepeatingServer:
     """A server that sends each answer a second time, where the next one on the connection is due.
 
