Control hosts pass on each other's withdrawals of servers

Cause: a control host tells the records that others received only to hosts that ask for them, and to the hosts that asked for them before: these were told a later position meanwhile, so that the record was never told once they asked for all, as its receiver was lost.

Change: a record by which a server begins to drain or leaves is told to every host that watches, whoever received it, once. Renewals of it are told as before.

--- a/src/ebonywheel/directory.py
+++ b/src/ebonywheel/directory.py
@@ -28,6 +28,8 @@
         direct: True when the backend server reported to this host.
         position: Position of the entry's last record; positions grow with each record.
         changed_position: Position of its last record that was more than a renewal.
+        withdrawn_position: Position at which the server was withdrawn, as it began to drain or
+            left; 0 while it takes requests.
     """
 
     record: messages.DirectoryRecord
@@ -36,6 +38,7 @@
     direct: bool
     position: int
     changed_position: int
+    withdrawn_position: int
 
 
 class Leave(msgspec.Struct, frozen=True):
@@ -127,7 +130,8 @@
 
         Args:
             seen: The position.
-            relayed: Whether to include records that other control hosts received.
+            relayed: Whether to include records that other control hosts received. Withdrawals are
+                always included, as the host that received one may be lost.
             changes_only: Whether to leave out records that were only renewed since.
         """
         records = []
@@ -135,7 +139,8 @@
             if entry.position <= seen:
                 break
             renewed_only = entry.changed_position <= seen
-            if (entry.direct or relayed) and not (changes_only and renewed_only):
+            told = entry.direct or relayed or entry.withdrawn_position > seen
+            if told and not (changes_only and renewed_only):
                 records.append(msgspec.structs.replace(entry.record, age_ms=self._age_ms(entry)))
         return records[::-1]
 
@@ -190,8 +195,18 @@
         changed_position = self.position if changed else previous.changed_position
         same = previous is not None and previous.record.born_ms == record.born_ms
         known_since = previous.known_since if same else self.clock.monotonic()
+        withdrawn_position = 0
+        if record.gone or record.draining:
+            withdrawn_before = same and previous.withdrawn_position
+            withdrawn_position = withdrawn_before or self.position
         self.entries[record.server] = DirectoryEntry(
-            record, received_at, known_since, direct, self.position, changed_position
+            record,
+            received_at,
+            known_since,
+            direct,
+            self.position,
+            changed_position,
+            withdrawn_position,
         )
 
     def _age_ms(self, entry: DirectoryEntry) -> int:
