Watches: news that came between two requests of a host is answered at once, too

What callers saw: requests to a server that had begun to drain, up to half a second longer than needed.

Cause: news that takes work away from a server wakes the watches that wait. A host whose next request was on its way at that moment waited for the whole wait time, though its request named an older position.

Change: a request from before the last such news is answered without a wait.

--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -72,6 +72,7 @@
 
     Attributes:
         directory: Backend servers known here.
+        urgent_position: Position up to which all hosts are to hear of it at once.
         uses: Work in flight by entry host.
         limits: What servers stated about their limits to any entry host.
         paces: What the entry hosts saw of how servers answer.
@@ -97,6 +98,7 @@
         self.replica = consensus
         self.state_machine = state_machine
         self.directory = directory.Directory(core.clock)
+        self.urgent_position = 0
         self.uses: dict[str, HostUses] = {}
         self.limits = statedlimits.StatedLimits(core.clock)
         self.paces = serverpaces.ServerPaces(core.clock)
@@ -123,7 +125,7 @@
             directory.log_change(self.core.log, stored)
             left_before = stored.gone and not record.gone
             if left_before or (direct and directory.restricts(record, previous)):
-                await self.wake()
+                await self._wake_for_directory()
 
     async def leave(self, server: str, arrived_at: float) -> None:
         """Mark a backend server as gone for good, by a leave that may have come at a given time."""
@@ -131,7 +133,11 @@
         if self.directory.leave(server, arrived_at):
             self.core.log.info("server_left", server=server)
             if not previous.draining:
-                await self.wake()
+                await self._wake_for_directory()
+
+    async def _wake_for_directory(self) -> None:
+        self.urgent_position = self.directory.position
+        await self.wake()
 
     def _known_record(self, server: str) -> messages.DirectoryRecord | None:
         entry = self.directory.entries.get(server)
@@ -200,7 +206,8 @@
     def _has_newer_state(self, request: messages.WatchRequest) -> bool:
         routing = self.state_machine.data.routing
         return (
-            routing.index > request.routing_index
+            request.seen < self.urgent_position
+            or routing.index > request.routing_index
             or routing.out_index > request.out_index
             or self._has_newer_quarantine(request)
             or self._has_newer_rollouts(request)
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -8,6 +8,7 @@
 from ebonywheel import clock, configuration, messages, statedata, watchserver
 
 OTHERS = ("control-2", "control-3", "control-4", "control-5")
+DRAINING = messages.DirectoryRecord("s", 1, 2, draining=True)
 
 
 class Log:
@@ -36,6 +37,22 @@
     return created
 
 
+# Guards against news that takes work away from a server and waits for half a second, as it came
+# between a host's requests.
+def test_a_request_that_lacks_a_withdrawal_is_answered_at_once(server):
+    curio.run(server.observe, DRAINING, True)
+    request = messages.WatchRequest(host="entry-1", epoch=server.epoch, seen=1, wait_ms=2000)
+
+    async def answer_s():
+        began_at = server.core.clock.monotonic()
+        reply = await server.watch(request)
+        return reply, server.core.clock.monotonic() - began_at
+
+    reply, seconds = curio.run(answer_s)
+    assert [record.draining for record in reply.records] == [True]
+    assert seconds < 0.5
+
+
 # Guards against a withdrawal that no host passes on, as the one that received it is lost: hosts
 # that ask for relayed records only from then on had been told a later position.
 @pytest.mark.parametrize("withdrawal", [{"draining": True}, {"gone": True}])
