A server's withdrawal is acknowledged once a majority of the control hosts hold it

Cause: a leave went into the memory of the control host that received it, which answered at once. Lost in the moment of the answer, it had told nobody, and a server that has left reports no more. A report by which a server begins to drain was acknowledged in the same way; that one is sent again after some time.

Change: the answer to a leave, and to a report of a server that drains, waits until a majority of the voting control hosts hold it. Their watches show what they hold: each request names the last position received. Further reports of a withdrawal that is held, and all reports of servers in service, are answered at once.

Cost: one round trip to the nearest other control hosts for each withdrawal, and nothing on disk.

--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -22,6 +22,7 @@
     orders,
     ordersequence,
     pauses,
+    peerview,
     permits,
     program,
     queries,
@@ -86,7 +87,7 @@
         self.rollouts = rollouts.Rollouts(
             core, self.replica, self.state_machine, self.watches, loaded.rollout
         )
-        self.watcher = watcher.Watcher(core, PeerView(core, self.watches), core.host.link)
+        self.watcher = watcher.Watcher(core, peerview.PeerView(core, self.watches), core.host.link)
         self.member_manager = membermanager.MemberManager(core, self.replica)
         self.permits = permits.Permits(core.clock, self.replica.require_lease)
         self.admin = admin.Admin(core, loaded.operators, self)
@@ -235,16 +236,27 @@
         await self._await_read_index()
         return self.state_machine.data.rollouts.get(service)
 
+    async def report(self, record: messages.DirectoryRecord) -> None:
+        """Take a backend server's report.
+
+        Raises:
+            UnknownOutcomeError: The server drains, and too few control hosts hold that in time.
+        """
+        await self.watches.observe(record, direct=True)
+        await self.watches.wait_held(record.server)
+
     async def leave(self, server: str) -> None:
         """Mark a backend server as gone; the call names no incarnation.
 
         Raises:
             NotRunError: The call may have arrived before the incarnation that is known now.
+            UnknownOutcomeError: Too few control hosts hold the leave in time.
         """
         arrived_at = self.pauses.earliest_arrival().at
         if self.watches.directory.known_since(server) > arrived_at:
             raise exceptions.NotRunError("the server has started anew", "leave", server)
         await self.watches.leave(server, arrived_at)
+        await self.watches.wait_held(server)
 
     async def _submit_command(self, command: commands.Command) -> commands.AnyOutcome:
         reply = await self.submit_order(command)
@@ -322,36 +334,6 @@
             self.replica.form(members)
 
 
-class PeerView:
-    """Receives the other control hosts' records of backend servers."""
-
-    def __init__(self, core: kernel.Kernel, watches: watchserver.WatchServer):
-        self.core = core
-        self.watches = watches
-
-    def watch_request(self, nearest: bool) -> messages.WatchRequest:
-        """Return this control host's watch request; it needs no load from the nearest."""
-        routing = self.watches.state_machine.data.routing
-        return messages.WatchRequest(
-            host=self.core.host.name, routing_index=routing.index, out_index=routing.out_index
-        )
-
-    def distance(self, data_centre: str) -> float:
-        """Return the same distance for all, as this host asks all for the same."""
-        return 0.0
-
-    async def update(
-        self,
-        request: messages.WatchRequest,
-        reply: messages.WatchReply,
-        connection: link.Link,
-        asked_at: float,
-    ) -> None:
-        """Add the records that another control host received."""
-        for record in reply.records:
-            await self.watches.observe(record, direct=False)
-
-
 Extension = typing.Callable[[ControlHost], typing.Awaitable[None]]
 
 
--- a/src/ebonywheel/watchserver.py
+++ b/src/ebonywheel/watchserver.py
@@ -24,6 +24,7 @@
     serverpaces,
     state,
     statedlimits,
+    withdrawals,
 )
 
 MAX_WAIT_MS = 2000
@@ -72,6 +73,7 @@
 
     Attributes:
         directory: Backend servers known here.
+        holders: What the other control hosts hold of it.
         urgent_position: Position up to which all hosts are to hear of it at once.
         uses: Work in flight by entry host.
         limits: What servers stated about their limits to any entry host.
@@ -98,6 +100,7 @@
         self.replica = consensus
         self.state_machine = state_machine
         self.directory = directory.Directory(core.clock)
+        self.holders = withdrawals.Holders(core, consensus)
         self.urgent_position = 0
         self.uses: dict[str, HostUses] = {}
         self.limits = statedlimits.StatedLimits(core.clock)
@@ -135,6 +138,18 @@
             if not previous.draining:
                 await self._wake_for_directory()
 
+    async def wait_held(self, server: str) -> None:
+        """Wait until a server's withdrawal, if it was withdrawn, outlives the loss of this host.
+
+        Raises:
+            UnknownOutcomeError: Too few control hosts hold it in time.
+        """
+        entry = self.directory.entries.get(server)
+        if entry is not None and entry.withdrawn_position:
+            if entry.withdrawn_position > self.urgent_position:
+                await self._wake_for_directory()
+            await self.holders.wait(entry)
+
     async def _wake_for_directory(self) -> None:
         self.urgent_position = self.directory.position
         await self.wake()
@@ -159,6 +174,8 @@
             self.uses[request.host].relay_host = _relay_host(request, peer)
         if request.evidence:
             self.evidence.merge(request, self.state_machine.data.rollouts)
+        if peer is not None:
+            await self.holders.observe(request, peer, self.epoch)
         if request.epoch == self.epoch and not self._has_newer_state(request):
             await self._wait(request)
         return self._reply(request)
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -1,6 +1,7 @@
 """Orders of operators and leaves of servers that wait in a control host that stands still."""
 
 import contextlib
+import json
 import signal
 import socket
 import time
@@ -161,6 +162,66 @@
         server.close()
 
 
+@contextlib.contextmanager
+def stopped(nodes):
+    """Stop processes, and let them go on at the end."""
+    for node in nodes:
+        node.process.send_signal(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        for node in nodes:
+            node.process.send_signal(signal.SIGCONT)
+
+
+# Guards against a withdrawal that is acknowledged while one host alone knows of it: the loss of
+# that host undid it, and a server that had left got requests until it ended.
+@pytest.mark.parametrize("method", ["DELETE", "PUT"])
+def test_a_withdrawal_is_acknowledged_only_once_another_host_holds_it(system, method):
+    server = platformserver.PlatformServer(f"i-withdrawn-{method}", "book", "yakima-a")
+    path = f"/api/instances/{server.name}"
+    node, *others = system.controls
+
+    def withdraw():
+        body = server.next_report("draining") if method == "PUT" else None
+        return system.call_control(method, path, body, node, timeout=OPERATOR_PATIENCE_S)[0]
+
+    try:
+        system.announce(server)
+        time.sleep(FOLLOWERS_LAG_S)
+        with stopped(others):
+            assert withdraw() in (0, 503)
+        platformsystem.wait_for(lambda: withdraw() == 200, "the withdrawal")
+    finally:
+        order(system, "DELETE", path)
+        server.close()
+
+
+# Guards against the same, as seen by callers.
+@pytest.mark.parametrize("method", ["DELETE", "PUT"])
+def test_a_withdrawal_outlives_the_host_that_acknowledged_it(system, method):
+    for number in range(3):
+        server = platformserver.PlatformServer(f"i-lost-{method}-{number}", "book", "yakima-a")
+        path = f"/api/instances/{server.name}"
+        node = system.controls[number]
+        try:
+            system.announce(server)
+            body = json.dumps(server.next_report("draining")).encode() if method == "PUT" else b""
+            with waiting_call(node, method, path, body) as sock:
+                assert status_of(sock) == 200
+                node.process.kill()
+            node.process.wait()
+            time.sleep(DRAIN_S)
+            before = len(server.received)
+            assert system.request("POST", "/book/1").status == 503
+            assert len(server.received) == before
+        finally:
+            node.write_settings(system.seeds, False)
+            node.start()
+            order(system, "DELETE", path)
+            server.close()
+
+
 # Guards against a leave that is acknowledged by a control host that has not heard of its server
 # yet, and is told to nobody.
 @pytest.mark.parametrize("again", [False, True], ids=["new", "started anew"])
--- a/tests/test_withdrawals.py
+++ b/tests/test_withdrawals.py
@@ -1,11 +1,11 @@
-"""Withdrawals of servers, as control hosts pass them on, without a network."""
+"""Withdrawals of servers that are acknowledged once other control hosts hold them, unnetworked."""
 
 import types
 
 import curio
 import pytest
 
-from ebonywheel import clock, configuration, messages, statedata, watchserver
+from ebonywheel import clock, configuration, exceptions, link, messages, statedata, watchserver
 
 OTHERS = ("control-2", "control-3", "control-4", "control-5")
 DRAINING = messages.DirectoryRecord("s", 1, 2, draining=True)
@@ -37,6 +37,74 @@
     return created
 
 
+async def ask(server, host, seen, role="control", epoch=None):
+    """Send a watch request that names a position, and return the reply."""
+    epoch = server.epoch if epoch is None else epoch
+    request = messages.WatchRequest(host=host, epoch=epoch, seen=seen)
+    return await server.watch(request, link.PeerInfo(role, host, "puget-a"))
+
+
+async def withdraw(server, asking):
+    """Withdraw the server; return whether that is held once some hosts have asked."""
+    await server.observe(DRAINING, True)
+    waiting = await curio.spawn(server.wait_held, "s")
+    for arguments in asking:
+        await ask(server, **arguments)
+    try:
+        await waiting.join()
+    except curio.TaskError as error:
+        assert isinstance(error.__cause__, exceptions.UnknownOutcomeError)
+        return False
+    return True
+
+
+def holding(host, **fields):
+    return {"host": host, "seen": 2, **fields}
+
+
+# Guards against a withdrawal that is acknowledged and lost with the host that acknowledged it: a
+# server that has left got requests until it ended.
+@pytest.mark.parametrize(
+    ("asking", "held"),
+    [
+        ([], False),
+        ([holding("control-2")], False),
+        ([holding("control-2"), holding("control-2")], False),
+        ([holding("control-2"), holding("control-3")], True),
+        ([holding("control-2"), holding("control-3", seen=1)], False),
+        ([holding("control-2"), holding("control-3", epoch=7)], False),
+        ([holding("control-2"), holding("learner")], False),
+        ([holding("control-2"), holding("stranger")], False),
+        ([holding("control-2"), holding("control-3", role="entry")], False),
+        # A host that starts anew has forgotten what it held.
+        ([holding("control-2"), holding("control-2", epoch=0), holding("control-3")], False),
+        ([holding("control-1"), holding("control-2")], False),
+    ],
+)
+def test_a_withdrawal_is_held_by_a_majority_of_voters(server, asking, held):
+    assert curio.run(withdraw, server, asking) == held
+
+
+def test_a_report_of_a_server_in_service_waits_for_nobody(server):
+    curio.run(server.observe, messages.DirectoryRecord("s", 1, 2), True)
+    curio.run(server.wait_held, "s")
+
+
+def test_a_further_report_of_a_held_withdrawal_waits_for_nobody(server):
+    assert curio.run(withdraw, server, [holding("control-2"), holding("control-3")])
+    curio.run(server.observe, messages.DirectoryRecord("s", 1, 3, draining=True), True)
+    curio.run(server.leave, "s", server.core.clock.monotonic())
+    curio.run(server.wait_held, "s")
+
+
+def test_a_server_that_is_withdrawn_again_is_waited_for(server):
+    assert curio.run(withdraw, server, [holding("control-2"), holding("control-3")])
+    curio.run(server.observe, messages.DirectoryRecord("s", 1, 3), True)
+    curio.run(server.observe, messages.DirectoryRecord("s", 1, 4, draining=True), True)
+    with pytest.raises(exceptions.UnknownOutcomeError):
+        curio.run(server.wait_held, "s")
+
+
 # Guards against news that takes work away from a server and waits for half a second, as it came
 # between a host's requests.
 def test_a_request_that_lacks_a_withdrawal_is_answered_at_once(server):
