Leaves: control hosts are asked for what they know before a leave is acknowledged

What callers saw: requests to a server that left right after its first report, if the leave and the report came to different control hosts and the one that acknowledged the leave was lost.

Change: a leave is noted, all other control hosts are asked once for what they have received, and then a majority must hold the result as for any withdrawal. A server that no host knows is acknowledged as gone only if all hosts answered; else the answer is 503.

Cost: one more round trip for each leave, to all control hosts at the same time, 0.2 s at most.

--- a/src/ebonywheel/control.py
+++ b/src/ebonywheel/control.py
@@ -249,13 +249,18 @@
         """Mark a backend server as gone; the call names no incarnation.
 
         Raises:
-            NotRunError: The call may have arrived before the incarnation that is known now.
+            NotRunError: A control host that did not answer may know the server, or the call may
+                have arrived before the incarnation that is known now.
             UnknownOutcomeError: Too few control hosts hold the leave in time.
         """
         arrived_at = self.pauses.earliest_arrival().at
         if self.watches.directory.known_since(server) > arrived_at:
             raise exceptions.NotRunError("the server has started anew", "leave", server)
         await self.watches.leave(server, arrived_at)
+        # It may be the leave of a server that has reported to other control hosts only.
+        all_answered = await self.watcher.refresh()
+        if not all_answered and server not in self.watches.directory.entries:
+            raise exceptions.NotRunError("only other hosts may know the server", "leave", server)
         await self.watches.wait_held(server)
 
     async def _submit_command(self, command: commands.Command) -> commands.AnyOutcome:
--- a/src/ebonywheel/watcher.py
+++ b/src/ebonywheel/watcher.py
@@ -17,6 +17,8 @@
 NEAREST_WAIT_MS = 100
 # Time allowed for an answer beyond the wait: two one-way delays of 12 ms and a busy control host.
 ANSWER_MARGIN_S = 1.0
+# Time for the answers when all control hosts are asked at once: two one-way delays and a busy host.
+REFRESH_TIMEOUT_S = 0.2
 # Pause after a failed watch request. After a power failure of all hosts, control hosts restart some
 # tenths of a second after the others.
 RETRY_S = 0.1
@@ -135,6 +137,36 @@
                 error = caught
         raise error
 
+    async def refresh(self) -> bool:
+        """Ask all control hosts for what they have received, and apply it.
+
+        Returns:
+            Whether all of them answered within `REFRESH_TIMEOUT_S`.
+        """
+        asked = list(self.positions.values())
+        answered = 0
+        async with curio.ignore_after(REFRESH_TIMEOUT_S), curio.TaskGroup() as group:
+            for position in asked:
+                if position.connected:
+                    await group.spawn(self._refresh(position))
+            async for task in group:
+                answered += task.result
+        return answered == len(asked)
+
+    async def _refresh(self, position: WatchPosition) -> bool:
+        request = self.view.watch_request(nearest=False)
+        request.epoch, request.seen = position.epoch, position.seen
+        asked_at = self.core.clock.monotonic()
+        try:
+            reply = await position.connection.call(request, ANSWER_MARGIN_S)
+            await self.view.update(request, reply, position.connection, asked_at)
+        except Exception as error:
+            # Its watch meets the same error, and deals with it.
+            name = position.connection.name
+            self.core.log.info("refresh_failed", peer=name, error=repr(error))
+            return False
+        return True
+
     async def _watch(self, address: str, position: WatchPosition) -> None:
         connection = position.connection = link.Link(self.core, f"control:{address}", address)
         try:
--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -249,3 +249,44 @@
             assert len(server.received) == before
         finally:
             server.close()
+
+
+# Guards against the same leave, once acknowledged, that is lost with that control host.
+@pytest.mark.parametrize("again", [False, True], ids=["new", "started anew"])
+def test_a_leave_right_after_the_start_outlives_its_host(system, again):
+    first, other = system.controls[1:3]
+    name = f"i-brief-lost-{again}"
+    path = f"/api/instances/{name}"
+    server = platformserver.PlatformServer(name, "book", "yakima-a")
+    try:
+        if again:
+            system.announce(server)
+            order(system, "DELETE", path)
+            time.sleep(1.0)
+            server.born, server.sequence = int(time.time() * 1000), 0
+        assert system.call_control("PUT", path, server.next_report(), first)[0] == 200
+        if again:
+            time.sleep(0.2)
+        with waiting_call(other, "DELETE", path) as sock:
+            assert status_of(sock) == 200
+            other.process.kill()
+        time.sleep(DRAIN_S)
+        before = len(server.received)
+        assert system.request("POST", "/book/1").status == 503
+        assert len(server.received) == before
+    finally:
+        other.process.wait()
+        other.write_settings(system.seeds, False)
+        other.start()
+        order(system, "DELETE", path)
+        server.close()
+
+
+# Guards against a leave that is acknowledged though a host out of reach may know the server.
+def test_a_leave_of_an_unknown_server_needs_an_answer_of_all_hosts(system):
+    path = "/api/instances/i-unknown"
+    platformsystem.wait_for(
+        lambda: system.call_control("DELETE", path)[0] == 200, "the leave of an unknown server"
+    )
+    with stopped(system.controls[2:]):
+        assert system.call_control("DELETE", path, timeout=OPERATOR_PATIENCE_S)[0] == 503
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -3,8 +3,9 @@
 import types
 
 import curio
+import pytest
 
-from ebonywheel import kernel, messages, settings, watcher
+from ebonywheel import exceptions, kernel, messages, settings, watcher
 
 
 class View:
@@ -67,3 +68,41 @@
 
     curio.run(run)
     assert (position.connected, view.taken) == (True, [2])
+
+
+class OddLink(Link):
+    """Answers after a time, or not at all."""
+
+    def __init__(self, error=None, delay_s=0.0):
+        super().__init__()
+        self.error = error
+        self.delay_s = delay_s
+
+    async def call(self, message, timeout_s):
+        await curio.sleep(self.delay_s)
+        if self.error is not None:
+            raise self.error
+        return await super().call(message, timeout_s)
+
+
+# Guards against a host that takes what it knows for all that is known, though another control host
+# did not tell what it knows.
+@pytest.mark.parametrize(
+    ("links", "all_answered", "taken"),
+    [
+        ([], True, 0),
+        ([Link(), Link()], True, 2),
+        ([Link(), None], False, 1),
+        ([OddLink(exceptions.LinkError("closed", "read", "control")), Link()], False, 1),
+        ([OddLink(delay_s=5.0), Link()], False, 1),
+    ],
+)
+def test_a_refresh_tells_whether_all_have_answered(links, all_answered, taken):
+    host = settings.HostSettings("control-1", "puget", "", "", "")
+    view = View(None)
+    watched = watcher.Watcher(kernel.Kernel("control", host, b""), view)
+    for number, scripted in enumerate(links):
+        position = watched.positions[f"control-{number}"] = watcher.WatchPosition(0.0)
+        position.connection, position.connected = scripted, scripted is not None
+    assert curio.run(watched.refresh) == all_answered
+    assert len(view.taken) == taken
