Tests: a control host that a test killed serves again before the next one begins

Change: the host is started again only if it was killed, and the test waits until it serves. No check is changed.

--- a/tests/test_platform_orders.py
+++ b/tests/test_platform_orders.py
@@ -174,6 +174,28 @@
             node.process.send_signal(signal.SIGCONT)
 
 
+@contextlib.contextmanager
+def started_again(system, node):
+    """Start a control host again at the end, if it was killed, and wait until it serves."""
+    try:
+        yield
+    finally:
+        if node.process.poll() is not None:
+            node.write_settings(system.seeds, False)
+            node.start()
+            platformsystem.wait_for(
+                lambda: system.call_control("GET", "/api/config", node=node)[0] == 200, node.name
+            )
+
+
+def kill_once_acknowledged(node, method, path, body=b""):
+    """Send a call to a control host, and kill the host as soon as the call is acknowledged."""
+    with waiting_call(node, method, path, body) as sock:
+        assert status_of(sock) == 200
+        node.process.kill()
+    node.process.wait()
+
+
 # Guards against a withdrawal that is acknowledged while one host alone knows of it: the loss of
 # that host undid it, and a server that had left got requests until it ended.
 @pytest.mark.parametrize("method", ["DELETE", "PUT"])
@@ -200,26 +222,22 @@
 # Guards against the same, as seen by callers.
 @pytest.mark.parametrize("method", ["DELETE", "PUT"])
 def test_a_withdrawal_outlives_the_host_that_acknowledged_it(system, method):
-    for number in range(3):
+    for number, node in enumerate(system.controls):
         server = platformserver.PlatformServer(f"i-lost-{method}-{number}", "book", "yakima-a")
         path = f"/api/instances/{server.name}"
-        node = system.controls[number]
-        try:
-            system.announce(server)
-            body = json.dumps(server.next_report("draining")).encode() if method == "PUT" else b""
-            with waiting_call(node, method, path, body) as sock:
-                assert status_of(sock) == 200
-                node.process.kill()
-            node.process.wait()
-            time.sleep(DRAIN_S)
-            before = len(server.received)
-            assert system.request("POST", "/book/1").status == 503
-            assert len(server.received) == before
-        finally:
-            node.write_settings(system.seeds, False)
-            node.start()
-            order(system, "DELETE", path)
-            server.close()
+        with started_again(system, node):
+            try:
+                system.announce(server)
+                report = server.next_report("draining")
+                body = json.dumps(report).encode() if method == "PUT" else b""
+                kill_once_acknowledged(node, method, path, body)
+                time.sleep(DRAIN_S)
+                before = len(server.received)
+                assert system.request("POST", "/book/1").status == 503
+                assert len(server.received) == before
+            finally:
+                order(system, "DELETE", path)
+                server.close()
 
 
 # Guards against a leave that is acknowledged by a control host that has not heard of its server
@@ -258,28 +276,24 @@
     name = f"i-brief-lost-{again}"
     path = f"/api/instances/{name}"
     server = platformserver.PlatformServer(name, "book", "yakima-a")
-    try:
-        if again:
-            system.announce(server)
+    with started_again(system, other):
+        try:
+            if again:
+                system.announce(server)
+                order(system, "DELETE", path)
+                time.sleep(1.0)
+                server.born, server.sequence = int(time.time() * 1000), 0
+            assert system.call_control("PUT", path, server.next_report(), first)[0] == 200
+            if again:
+                time.sleep(0.2)
+            kill_once_acknowledged(other, "DELETE", path)
+            time.sleep(DRAIN_S)
+            before = len(server.received)
+            assert system.request("POST", "/book/1").status == 503
+            assert len(server.received) == before
+        finally:
             order(system, "DELETE", path)
-            time.sleep(1.0)
-            server.born, server.sequence = int(time.time() * 1000), 0
-        assert system.call_control("PUT", path, server.next_report(), first)[0] == 200
-        if again:
-            time.sleep(0.2)
-        with waiting_call(other, "DELETE", path) as sock:
-            assert status_of(sock) == 200
-            other.process.kill()
-        time.sleep(DRAIN_S)
-        before = len(server.received)
-        assert system.request("POST", "/book/1").status == 503
-        assert len(server.received) == before
-    finally:
-        other.process.wait()
-        other.write_settings(system.seeds, False)
-        other.start()
-        order(system, "DELETE", path)
-        server.close()
+            server.close()
 
 
 # Guards against a leave that is acknowledged though a host out of reach may know the server.
