Soak: servers leave without draining, and the host that acknowledges it is lost

Half of the servers that are replaced send their leave and report no more; the control host that acknowledged it is killed. The promise is the one for servers that drain, with the same margin. Draws are of their own, so the other faults of a seed stay.

--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -102,6 +102,8 @@
 
     Attributes:
         engines: The runs of all engines.
+        drained_at: When a control host acknowledged that it drains or leaves, None before.
+        has_left: Whether it reports no more.
         limit: Limit that it states, None for none.
         rejecting: Whether it rejects all requests.
     """
@@ -116,6 +118,7 @@
         self.proxy = Proxy(self.address)
         self.address = self.proxy.address
         self.drained_at = None
+        self.has_left = False
         self.limit = None
         self.script = self.stream if service == "plan" else self.answer_once
 
@@ -279,7 +282,8 @@
     def run(self):
         while not self.stopping.wait(REPORT_INTERVAL_S):
             for server in [*self.servers, *self.others]:
-                self.report(server)
+                if not server.has_left:
+                    self.report(server)
 
     def report(self, server):
         """Report a server's state to one control host; return whether it was acknowledged."""
@@ -290,14 +294,21 @@
         )
         return status == 200
 
-    def drain(self, server, meanwhile):
-        """Report a server as draining until that is acknowledged, and call `meanwhile` as often."""
-        report = server.next_report("draining")
+    def withdraw(self, server, meanwhile, leaves):
+        """Report a server as draining, or send its leave, and call `meanwhile`, until acknowledged.
+
+        Returns:
+            The host that acknowledged it, None if the soak ended before.
+        """
+        report = None if leaves else server.next_report("draining")
+        server.has_left = leaves
         while not self.stopping.is_set():
             node = self.random.choice(self.system.controls)
             path = f"/api/instances/{server.name}"
-            if self.system.call_control("PUT", path, report, node)[0] == 200:
+            method = "DELETE" if leaves else "PUT"
+            if self.system.call_control(method, path, report, node)[0] == 200:
                 server.drained_at = time.monotonic()
-                return
+                return node
             meanwhile()
             time.sleep(0.2)
+        return None
--- a/tests/soak/trouble.py
+++ b/tests/soak/trouble.py
@@ -31,6 +31,7 @@
     world.exit_stack.callback(server.close)
     server.address = f"127.0.0.1:{port}"
     server.drained_at = None
+    server.has_left = False
     return server
 
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -26,6 +26,8 @@
 # Share of the faults beside which a host is stopped, and of these stops those of entry hosts.
 STOP_SHARE = 0.25
 STOPPED_ENTRY_SHARE = 0.75
+# Share of the servers that are replaced which leave without draining.
+LEAVE_SHARE = 0.5
 MAX_STOPS = 2
 # Callers that go on calling an entry host, over kept and new connections, until it has ended.
 CROWD = 30
@@ -51,6 +53,7 @@
         # Its own draws, so that the faults of a seed stay as they are.
         self.sums_random = random.Random(f"{seed} sums")
         self.stops_random = random.Random(f"{seed} stops")
+        self.leaves_random = random.Random(f"{seed} leaves")
         self.seed = seed
         self.ledger = promises.Ledger()
         self.engines = engines.Engines(self.ledger)
@@ -350,7 +353,10 @@
             server.limit = None
 
     def drain_server(self, service="", draws=None):
-        """Replace a server, if one runs: the new one starts first; the old one is still checked."""
+        """Replace a server, if one runs: the new one starts first; the old one is still checked.
+
+        It drains, or leaves and reports no more; then the host that acknowledged the leave is lost.
+        """
         ready = [
             server
             for server in self.reporter.servers
@@ -361,5 +367,8 @@
             return
         server = (draws or self.random).choice(ready)
         self.add_server(server.service, draws)
+        leaves = self.leaves_random.random() < LEAVE_SHARE
         # All control hosts may be paused.
-        self.reporter.drain(server, lambda: self.end_faults(time.monotonic()))
+        node = self.reporter.withdraw(server, lambda: self.end_faults(time.monotonic()), leaves)
+        if leaves and node is not None:
+            self.kill(node)
