--- a/review/parts3.py
+++ b/review/parts3.py
@@ -290,6 +290,7 @@
         self.process = None
         self.stopped = False
         self.starts = 0
+        self.lock = threading.Lock()
 
     def start(self):
         """Start the process and watch it."""
@@ -297,6 +298,11 @@
         threading.Thread(target=self._keep_running, daemon=True).start()
 
     def _spawn(self):
+        with self.lock:
+            if not self.stopped:
+                self._spawn_process()
+
+    def _spawn_process(self):
         arguments = {
             "service": self.service,
             "zone": self.zone,
@@ -320,9 +326,10 @@
 
     def stop(self):
         """End the process for good."""
-        self.stopped = True
-        if self.process.poll() is None:
-            self.process.kill()
+        with self.lock:
+            self.stopped = True
+            if self.process.poll() is None:
+                self.process.kill()
         self.process.wait()
 
 
