A run goes on at its copy only once nothing shows that its server runs

A server that leaves, at its limit of connections, spoils the stream of a run that has been copied. The entry host sent the request to the copy's server within milliseconds, while the server before worked on it for 5 s and its other streams went on arriving at the same host.

Cause: Copies.stop took the first call whose connection failed for the end of the server, and a failed probe after 3 s as well. A server at its limit refuses connections, too, and a lost packet makes one time out.

Change: gateway/liveness.py judges by all that the host knows: successors at the address or id, bytes over other connections, reports, whether the server drained before it left, and for how long all attempts failed. The stop call is repeated until the engine confirms it or that judgement is reached, for 4.5 s; then the stream breaks off visibly. Log lines run_taken_for_ended and run_not_stopped hold the evidence, and `ebonywheel explain` names the latter.

tests/test_copies.py demanded the fault in two rows: a single refused call counted as a crash ("crashed"), and a failed probe after a silent call as "out of reach". They are replaced by rows that ask for repeated failures without a sign of life, and by rows in which the server accepts calls again.

--- a/src/ebonywheel/explain.py
+++ b/src/ebonywheel/explain.py
@@ -14,6 +14,7 @@
 # Server and routing changes this long before a request began may have caused its outcome.
 CONTEXT_WINDOW_MS = 10_000
 MOVE_EVENTS = ("run_copied", "run_resumed", "move_failed", "copy_failed")
+NOT_STOPPED_EVENT = "run_not_stopped"
 CONTEXT_EVENTS = (
     "server_changed",
     "server_crashed",
@@ -179,6 +180,12 @@
 
 
 def _explain_broken(request_lines: list[LogLine], context: list[LogLine]) -> str:
+    not_stopped = [line for line in request_lines if line["event"] == NOT_STOPPED_EVENT]
+    if not_stopped:
+        return (
+            f"its server {not_stopped[-1]['server']} did not confirm that it stopped the run, "
+            "and may have worked on"
+        )
     departures = [line for line in context if line.get("gone") or line.get("draining")]
     moves = [line for line in request_lines if line["event"] in MOVE_EVENTS]
     crashes = [line for line in context if line["event"] == "server_crashed"]
--- a/src/ebonywheel/gateway/copies.py
+++ b/src/ebonywheel/gateway/copies.py
@@ -3,13 +3,17 @@
 import curio
 
 from ebonywheel import exceptions, kernel, messages
-from ebonywheel.gateway import dialect, inflight, relayedrun, sender
+from ebonywheel.gateway import dialect, inflight, liveness, relayedrun, sender
 
 # Timeout of one copy: about as long as the notice of an engine that shuts down.
 COPY_TIMEOUT_S = 3.0
-# How long an engine is asked to stop a run, over all calls.
-STOP_TIMEOUT_S = 3.0
+# How long an engine is asked to stop a run, over all calls; time to notice that it does not report
+# any more.
+STOP_TIMEOUT_S = 4.5
+# Pause before the next call to stop a run that is being copied, and to an engine that accepts no
+# connection.
 STOP_RETRY_S = 0.05
+CONNECT_RETRY_S = 0.2
 # A run that has been stopped goes on at its copy, though the copy's server was taken out of service
 # or began to shut down meanwhile, if it was in service this long ago. Hosts have to act on such a
 # change within 2.5 s of its acknowledgement.
@@ -24,6 +28,7 @@
         self.core = core
         self.sender = request_sender
         self.view = request_sender.view
+        self.liveness = liveness.Liveness(core, self.view)
 
     async def make(
         self, run: relayedrun.Run, record: messages.DirectoryRecord, stop: bool
@@ -50,29 +55,45 @@
     async def stop(self, run: relayedrun.Run) -> bool:
         """Have the engine of a run that broke off stop it; return whether the run has ended there.
 
-        Some engines work on after their connection is closed. One that accepts no connection has
-        crashed or is out of reach. What the run has made since it was copied is copied, too; if
-        that fails, the copy before remains.
+        Some engines work on after their connection is closed, and take no further one while they
+        are at their limit. What the run has made since it was copied is copied, too; if that fails,
+        the copy before remains.
         """
+        attempts = liveness.FailedAttempts()
         remaining_s = run.context.deadline_at - self.core.clock.monotonic()
         async with curio.ignore_after(max(0.0, min(STOP_TIMEOUT_S, remaining_s))):
             while not run.stopped:
-                try:
-                    copy_result, copy = await self._call(run, run.copy.record, stop=True)
-                except exceptions.UpstreamError as error:
-                    self.core.log.warning("stop_failed", request=run.attempt(), error=error)
-                    if error.step == "connect":
-                        return True
-                else:
-                    run.stopped = copy_result.ends_run()
-                    if copy is not None:
-                        run.replace_copy(copy)
-                if not run.stopped:
-                    # An earlier copy of it may be in progress.
-                    await curio.sleep(STOP_RETRY_S)
-        if run.stopped:
-            return True
-        return await self.sender.pool.probe(run.record, sender.PROBE_TIMEOUT_S) is not None
+                await self._call_stop(run, attempts)
+                if run.stopped:
+                    return True
+                if self.liveness.has_ended(run.record, attempts):
+                    self._log_end(run, "run_taken_for_ended", attempts)
+                    return True
+                # An earlier copy of it may be in progress.
+                await curio.sleep(STOP_RETRY_S if attempts.since is None else CONNECT_RETRY_S)
+        if not run.stopped:
+            self._log_end(run, "run_not_stopped", attempts)
+        return run.stopped
+
+    async def _call_stop(self, run: relayedrun.Run, attempts: liveness.FailedAttempts) -> None:
+        try:
+            copy_result, copy = await self._call(run, run.copy.record, stop=True)
+        except exceptions.UpstreamError as error:
+            self.core.log.warning("stop_failed", request=run.attempt(), error=error)
+            attempts.record(error, self.core.clock.monotonic())
+            return
+        attempts.clear()
+        run.stopped = copy_result.ends_run()
+        if copy is not None:
+            run.replace_copy(copy)
+
+    def _log_end(self, run: relayedrun.Run, event: str, attempts: liveness.FailedAttempts) -> None:
+        self.core.log.warning(
+            event,
+            request=run.attempt(),
+            server=run.record.server,
+            **self.liveness.describe(run.record, attempts),
+        )
 
     def is_usable(self, copy: relayedrun.Copy) -> bool:
         """Return whether a run may go on at its copy."""
--- a/tests/platformserver.py
+++ b/tests/platformserver.py
@@ -177,6 +177,7 @@
         dropped: Handles of the copies that were dropped.
         engine_calls: Method and name of each engine call.
         crashed: True once the server has crashed.
+        state: State that it reports all the time, where a test lets it.
         slots: Requests that it reports to run at once.
         version: Version of its software that it reports.
         script: Called with the handler and the request to answer it; tests replace it.
@@ -197,12 +198,17 @@
         self.slots = 24
         self.version = version
         self.sequence = 0
+        self.state = "ready"
         self.born = int(time.time() * 1000)
         self.runs = []
-        self.http = QuietServer(("127.0.0.1", 0), Handler)
-        self.http.owner = self
+        self.http = self._listen(0)
         self.address = f"127.0.0.1:{self.http.server_address[1]}"
-        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+
+    def _listen(self, port):
+        listener = QuietServer(("127.0.0.1", port), Handler)
+        listener.owner = self
+        threading.Thread(target=listener.serve_forever, daemon=True).start()
+        return listener
 
     def next_report(self, state="ready"):
         """Return the next report of the server to a control host."""
@@ -234,12 +240,22 @@
         """Return the answer to the call that copies a run; tests replace it."""
         return 200, {"handle": f"handle-{body['id']}", "made": 0}
 
-    def crash(self):
-        """End as a process does that dies: refuse connections and close the open ones."""
-        self.crashed = True
+    def refuse_connections(self):
+        """Refuse new connections, as a server at its limit does, and keep the open ones."""
         # A shutdown refuses connections at once; a close alone waits for the thread that polls.
         self.http.socket.shutdown(socket.SHUT_RDWR)
         self.http.socket.close()
+
+    def accept_connections(self):
+        """Accept connections again."""
+        connections = self.http.connections
+        self.http = self._listen(self.http.server_address[1])
+        self.http.connections |= connections
+
+    def crash(self):
+        """End as a process does that dies: refuse connections and close the open ones."""
+        self.crashed = True
+        self.refuse_connections()
         for connection in list(self.http.connections):
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -3,10 +3,11 @@
 import types
 
 import curio
+import msgspec
 import pytest
 
-from ebonywheel import clock, exceptions, messages
-from ebonywheel.gateway import balance, copies, dialect, inflight, relayedrun
+from ebonywheel import clock, directory, exceptions, messages
+from ebonywheel.gateway import balance, copies, dialect, inflight, liveness, relayedrun
 
 SOURCE = messages.DirectoryRecord("source", address="10.0.0.1:80")
 DESTINATION = messages.DirectoryRecord("destination", address="10.0.0.2:80")
@@ -16,28 +17,29 @@
 NO_SUCH_RUN = dialect.CopyResult(False, "", True)
 SILENT = exceptions.UpstreamError("no answer in time", "wait", SOURCE.address, True, timed_out=True)
 REFUSED = exceptions.UpstreamError("connection refused", "connect", SOURCE.address)
+REFUSED.__cause__ = ConnectionRefusedError()
+UNREACHED = exceptions.UpstreamError("no connection in time", "connect", timed_out=True)
 
 
 class Sender:
     """Gives the scripted results of calls, after doing something to the run meanwhile.
 
     Attributes:
-        accepts: Whether the engine accepts connections.
         in_service: Whether the servers are in service.
         dropped: Handles of the copies that were dropped.
     """
 
-    def __init__(self, results, meanwhile=lambda: None, accepts=True):
+    def __init__(self, results, meanwhile=lambda: None):
         self.results = list(results)
         self.meanwhile = meanwhile
-        self.accepts = accepts
         self.dropped = []
         self.state = balance.ServerState()
         self.in_service = True
         self.view = types.SimpleNamespace(
-            state_of=lambda record: self.state, remains_in_service=lambda record: self.in_service
+            state_of=lambda record: self.state,
+            remains_in_service=lambda record: self.in_service,
+            directory=directory.Directory(clock.SystemClock()),
         )
-        self.pool = types.SimpleNamespace(probe=self.probe)
         self.dialect = types.SimpleNamespace(
             copy_call=lambda attempt, address, stop: "copy",
             decode_copy=lambda status, body: body,
@@ -54,20 +56,19 @@
             raise result
         return 200, result
 
-    async def probe(self, record, timeout_s):
-        return None if self.accepts else REFUSED
 
-
-def make_copies(sender):
+def make_copies(sender, time_source=None):
     ignore = types.SimpleNamespace(info=lambda *a, **f: None, warning=lambda *a, **f: None)
-    return copies.Copies(types.SimpleNamespace(clock=clock.ManualClock(), log=ignore), sender)
+    time_source = time_source or clock.ManualClock()
+    return copies.Copies(types.SimpleNamespace(clock=time_source, log=ignore), sender)
 
 
 def make_run(sender):
     request = types.SimpleNamespace(
         method="POST", attempt="attempt", prompt=dialect.Prompt(3_000, 800)
     )
-    context = types.SimpleNamespace(request=request, deadline_at=clock.ManualClock().now + 10)
+    deadline_at = max(clock.ManualClock().now, clock.SystemClock().monotonic()) + 10
+    context = types.SimpleNamespace(request=request, deadline_at=deadline_at)
     reply = types.SimpleNamespace(record=SOURCE, head=types.SimpleNamespace(headers=[]))
     run = relayedrun.Run(context, reply)
     reservation = inflight.Reservation(sender.state, 1, requests=0)
@@ -101,19 +102,37 @@
     assert sender.state.tokens == (run.copy.reservation.tokens)
 
 
+def report(sender, record, age_s, **fields):
+    """Let a server have reported some time ago."""
+    record = msgspec.structs.replace(record, age_ms=int(age_s * 1000), **fields)
+    sender.view.directory.observe(record)
+
+
+@pytest.fixture
+def short_times(monkeypatch):
+    """Let a server count as ended after some tenths of a second."""
+    monkeypatch.setattr(copies, "STOP_TIMEOUT_S", 0.6)
+    monkeypatch.setattr(copies, "CONNECT_RETRY_S", 0.02)
+    monkeypatch.setattr(liveness, "MIN_FAILING_S", 0.1)
+    monkeypatch.setattr(liveness, "MAX_UNHEARD_S", 0.2)
+    monkeypatch.setattr(balance, "MAX_REPORT_AGE_S", 0.3)
+
+
 # Guards against a run that goes on at its copy while the engine before works on it.
 @pytest.mark.parametrize(
-    ("results", "accepts", "stopped", "handle"),
+    ("results", "stopped", "handle"),
     [
-        ([DONE], True, True, "new"),
-        ([NO_ROOM], True, True, "old"),
-        ([NO_SUCH_RUN], True, True, "old"),
-        ([IN_PROGRESS, IN_PROGRESS, DONE], True, True, "new"),
-        ([SILENT, NO_SUCH_RUN], True, True, "old"),
-        ([REFUSED], False, True, "old"),
-        ([SILENT], False, True, "old"),
-        ([SILENT], True, False, "old"),
-        ([IN_PROGRESS], True, False, "old"),
+        ([DONE], True, "new"),
+        ([NO_ROOM], True, "old"),
+        ([NO_SUCH_RUN], True, "old"),
+        ([IN_PROGRESS, IN_PROGRESS, DONE], True, "new"),
+        ([SILENT, NO_SUCH_RUN], True, "old"),
+        ([REFUSED, REFUSED, DONE], True, "new"),
+        ([UNREACHED, UNREACHED, DONE], True, "new"),
+        ([REFUSED], True, "old"),
+        ([SILENT, UNREACHED], True, "old"),
+        ([SILENT], False, "old"),
+        ([IN_PROGRESS], False, "old"),
     ],
     ids=[
         "stopped",
@@ -121,21 +140,44 @@
         "ended before",
         "copied at first",
         "silent at first",
+        "at its limit at first",
+        "a lost packet at first",
         "crashed",
         "out of reach",
         "silent",
         "never",
     ],
 )
-def test_a_run_that_broke_off_is_stopped(monkeypatch, results, accepts, stopped, handle):
-    monkeypatch.setattr(copies, "STOP_TIMEOUT_S", 0.3)
-    sender = Sender(results, accepts=accepts)
+def test_a_run_that_broke_off_is_stopped(short_times, results, stopped, handle):
+    sender = Sender(results)
+    report(sender, SOURCE, 60.0)
+    report(sender, DESTINATION, 0.0)
     run = make_run(sender)
-    assert curio.run(make_copies(sender).stop, run) == stopped
+    made = make_copies(sender, clock.SystemClock())
+    assert curio.run(made.stop, run) == stopped
     assert run.copy.handle == handle
     assert sender.state.tokens == run.copy.reservation.tokens
 
 
+# Guards against a run that goes on at its copy while the engine before, which refuses connections
+# at its limit, works on it. A late report delays the decision, which comes too late then.
+@pytest.mark.parametrize("sign", ["events of other runs", "reports"])
+def test_a_run_at_a_server_that_refuses_connections_but_shows_life_is_not_resumed(
+    short_times, sign
+):
+    def show_life():
+        if sign == "reports":
+            report(sender, SOURCE, 0.0, sequence=sender.view.directory.position + 1)
+        else:
+            sender.state.heard_at = clock.SystemClock().monotonic()
+
+    sender = Sender([REFUSED], show_life)
+    report(sender, SOURCE, 60.0 if sign != "reports" else 0.0)
+    report(sender, DESTINATION, 0.0)
+    run = make_run(sender)
+    assert not curio.run(make_copies(sender, clock.SystemClock()).stop, run)
+
+
 # Guards against a second call to an engine that has stopped the run in a planned hand-over.
 def test_a_run_that_was_handed_over_is_not_stopped_again():
     sender = Sender([DONE])
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -68,6 +68,14 @@
         )
         assert "could not be moved" in text and "503" in text
 
+    def test_stream_whose_server_did_not_stop_its_run(self):
+        text = cause(
+            log_line("server_changed", 3_500, server="s1", gone=False, draining=True),
+            log_line("run_not_stopped", 8_000, request="r1", server="s1", refused=True),
+            final_line("broken: closed", servers="s1"),
+        )
+        assert "s1 did not confirm" in text
+
     def test_stream_whose_server_crashed(self):
         crash = log_line("server_crashed", 3_500, server="s1", requests=2, at_beginning=1)
         assert "s1 crashed" in cause(crash, final_line("broken: closed", servers="s1"))
--- a/tests/test_platform_streams.py
+++ b/tests/test_platform_streams.py
@@ -337,3 +337,97 @@
     assert engine.ended_at[source.name] < engine.began_at[other.name] + 0.4
     # The run must not be moved again, off the server that it goes on at.
     assert other.moves == []
+
+
+# Guards against a run that goes on at its copy while the server before, which is at its limit of
+# connections and refuses further ones, works on it.
+def test_a_run_does_not_go_on_while_its_server_works_on_it_at_its_limit(system, start_server):
+    at_limit_s = 0.6
+    servers = [start_server(), start_server()]
+
+    def spoil(handler):
+        server = handler.server.owner
+        server.refuse_connections()
+        threading.Timer(at_limit_s, server.accept_connections).start()
+        spoil_framing(handler)
+
+    engine = WorkingEngine(spoil)
+    for server in servers:
+        server.script, server.move = engine.script, engine.move
+    answer = system.send("POST", "/plan/1", headers=PLAN_HEADERS).getresponse()
+    start = answer.read(len(b"id: 1\ndata: 1\n\n"))
+    source = next(server for server in servers if server.received)
+    other = next(server for server in servers if server is not source)
+    system.announce(source, "draining")
+    events = [b"id: %d\ndata: %d\n\n" % (number, number) for number in range(1, 9)]
+    assert start + answer.read() == b"".join(events)
+    assert engine.ended_at[source.name] < engine.began_at[other.name] + 0.4
+
+
+class ReportingServers:
+    """Lets servers report all the time, as long as they run."""
+
+    def __init__(self, system, servers):
+        self.system = system
+        self.servers = servers
+        self.ended = threading.Event()
+        self.thread = threading.Thread(target=self.report, daemon=True)
+
+    def __enter__(self):
+        self.thread.start()
+
+    def __exit__(self, *exc):
+        self.ended.set()
+        self.thread.join()
+
+    def report(self):
+        while not self.ended.wait(1.0):
+            for server in self.servers:
+                if not server.crashed:
+                    path = f"/api/instances/{server.name}"
+                    self.system.call_control("PUT", path, server.next_report(server.state))
+
+
+# A crashed server does not report any more; what it did before it crashed goes on at the copy.
+def test_a_run_goes_on_once_its_server_is_known_to_have_crashed(system, start_server):
+    servers = [start_server(), start_server()]
+    engine = WorkingEngine(lambda handler: handler.server.owner.crash())
+    engine.WORKS_ON_S = 0.0
+    for server in servers:
+        server.script, server.move = engine.script, engine.move
+    with ReportingServers(system, servers):
+        answer = system.send("POST", "/plan/1", headers=PLAN_HEADERS).getresponse()
+        start = answer.read(len(b"id: 1\ndata: 1\n\n"))
+        source = next(server for server in servers if server.received)
+        source.state = "draining"
+        system.announce(source, "draining")
+        events = [b"id: %d\ndata: %d\n\n" % (number, number) for number in range(1, 9)]
+        assert start + answer.read() == b"".join(events)
+
+
+# Guards against a run that goes on at its copy, as its server has refused connections for seconds.
+def test_a_run_does_not_go_on_while_its_server_refuses_connections_but_reports(
+    system, start_server
+):
+    servers = [start_server(), start_server()]
+
+    def spoil(handler):
+        handler.server.owner.refuse_connections()
+        spoil_framing(handler)
+
+    engine = WorkingEngine(spoil)
+    engine.WORKS_ON_S = 8.0
+    for server in servers:
+        server.script, server.move = engine.script, engine.move
+    with ReportingServers(system, servers):
+        answer = system.send("POST", "/plan/1", headers=PLAN_HEADERS).getresponse()
+        start = answer.read(len(b"id: 1\ndata: 1\n\n"))
+        source = next(server for server in servers if server.received)
+        other = next(server for server in servers if server is not source)
+        source.state = "draining"
+        system.announce(source, "draining")
+        with pytest.raises(http.client.IncompleteRead):
+            answer.read()
+        assert start
+        assert other.name not in engine.began_at
+        engine.stopped.set()
