A stopped run is sent to its copy again while that server refuses connections

Callers: a stream that was handed over by plan broke off at once if the server that holds its copy refused one connection, as a server beyond max-connections does.

Cause: the refused connection was taken for a server that is gone, though nothing had been sent.

Change: the run is sent again every 0.1 s for 2 s, while the copy may be used and nothing was sent.

--- a/src/ebonywheel/gateway/streaming.py
+++ b/src/ebonywheel/gateway/streaming.py
@@ -30,6 +30,10 @@
 STALL_TIMEOUT_S = 10.0
 # How long a stopped run waits for its second copy to complete.
 HAND_OVER_TIMEOUT_S = 3.0
+# How long a server that holds a copy may accept no connection, as one at its limit does. Copies are
+# kept for some seconds.
+COPY_CONNECT_TIMEOUT_S = 2.0
+COPY_CONNECT_RETRY_S = 0.1
 
 
 class StreamForwarder:
@@ -264,7 +268,7 @@
             raise error
         resume = dialect.Resume(copy.source, copy.handle, run.splitter.last_id)
         run.replace_copy(None)
-        reply = await self._send(run.context, copy.record, resume)
+        reply = await self._send_to_copy(run, copy, resume)
         if reply.head.status != STATUS_OK:
             await self._discard_answer(run.context, reply)
             raise exceptions.UpstreamError(
@@ -283,6 +287,32 @@
         )
         run.continue_with(reply)
 
+    async def _send_to_copy(
+        self, run: relayedrun.Run, copy: relayedrun.Copy, resume: dialect.Resume
+    ) -> sender.Reply:
+        """Send a run to the server that holds its copy, once that accepts a connection.
+
+        Raises:
+            UpstreamError: The server accepts none in time, or did not answer.
+        """
+        context = run.context
+        latest_at = self.core.clock.monotonic() + COPY_CONNECT_TIMEOUT_S
+        latest_at = min(latest_at, context.deadline_at)
+        while True:
+            try:
+                return await self._send(context, copy.record, resume)
+            except exceptions.UpstreamError as error:
+                in_time = self.core.clock.monotonic() < latest_at
+                if error.sent or not in_time or not self.copies.is_usable(copy):
+                    raise
+                self.core.log.info(
+                    "copy_not_reached",
+                    request=run.attempt(),
+                    server=copy.record.server,
+                    error=error,
+                )
+            await curio.sleep(COPY_CONNECT_RETRY_S)
+
     async def _may_resume(self, run: relayedrun.Run) -> bool:
         """Return whether a run that broke off may be sent to another server."""
         if not run.stopped:
--- a/tests/test_platform_streams.py
+++ b/tests/test_platform_streams.py
@@ -364,6 +364,32 @@
     assert engine.ended_at[source.name] < engine.began_at[other.name] + 0.4
 
 
+# Guards against a run that is stopped for a hand-over and then broken off, as the server that holds
+# its copy is at its limit of connections and refuses the first ones.
+def test_a_stopped_run_waits_for_a_copy_at_a_server_at_its_limit(system, start_server):
+    at_limit_s = 0.6
+    servers = [start_server(), start_server()]
+    # A server that stops a run closes its stream without an end.
+    engine = WorkingEngine(lambda handler: setattr(handler, "close_connection", True))
+
+    def move(body):
+        if body.get("last"):
+            other.refuse_connections()
+            threading.Timer(at_limit_s, other.accept_connections).start()
+        return engine.move(body)
+
+    for server in servers:
+        server.script, server.move = engine.script, move
+    answer = system.send("POST", "/plan/1", headers=PLAN_HEADERS).getresponse()
+    start = answer.read(len(b"id: 1\ndata: 1\n\n"))
+    source = next(server for server in servers if server.received)
+    other = next(server for server in servers if server is not source)
+    system.announce(source, "draining")
+    events = [b"id: %d\ndata: %d\n\n" % (number, number) for number in range(1, 9)]
+    assert start + answer.read() == b"".join(events)
+    assert engine.ended_at[source.name] < engine.began_at[other.name] + 0.4
+
+
 class ReportingServers:
     """Lets servers report all the time, as long as they run."""
 
