The end of an answer without a length is confirmed though its server refuses a connection at first

Callers got 502, or a stream that broke off after its last event, for a whole answer whose server was at its limit of connections when it ended.

Cause: one refused connection after the end counted as a crash of the server.

Change: the server is asked for a connection every 0.1 s for 1 s. A crashed one is not back that soon.

Evidence: test_an_answer_whose_server_is_at_its_limit_is_complete failed on the parent's sources (a stream and a booking, 2 of 2) and passes now, beside the unchanged tests of crashed servers.

--- a/src/ebonywheel/gateway/sender.py
+++ b/src/ebonywheel/gateway/sender.py
@@ -12,6 +12,10 @@
 WRITE_TIMEOUT_S = 5.0
 # Time for a new connection that shows that a server still runs.
 PROBE_TIMEOUT_S = 0.5
+# A server at its limit refuses connections for a while; one that crashed accepts none within this
+# time, as it takes longer to start again.
+CONFIRM_TIMEOUT_S = 1.0
+CONFIRM_RETRY_S = 0.1
 # Answers of engines to report and copy calls have a few kilobytes.
 MAX_ENGINE_ANSWER_BYTES = 256 * 1024
 # Lowest status that counts as a failure of the server.
@@ -200,14 +204,16 @@
         """
         if not reply.connection.close_delimited:
             return
-        error = await self.pool.probe(reply.record, PROBE_TIMEOUT_S)
-        if error is not None:
-            raise exceptions.UpstreamError(
-                "server went away at the end of an answer without a length",
-                "confirm end",
-                reply.record.address,
-                True,
-            ) from error
+        latest_at = self.core.clock.monotonic() + CONFIRM_TIMEOUT_S
+        while (error := await self.pool.probe(reply.record, PROBE_TIMEOUT_S)) is not None:
+            if self.core.clock.monotonic() >= latest_at:
+                raise exceptions.UpstreamError(
+                    "server went away at the end of an answer without a length",
+                    "confirm end",
+                    reply.record.address,
+                    True,
+                ) from error
+            await curio.sleep(CONFIRM_RETRY_S)
 
     def record_heard(self, reply: Reply) -> None:
         """Record that a part of an answer has arrived."""
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import socket
+import threading
 
 import pytest
 
@@ -95,6 +96,25 @@
         else:
             assert answer.status == 502
 
+    # Guards against a whole answer that looks cut off, as its server is at its limit of connections
+    # for a moment and refuses the one that shows that it lives.
+    @pytest.mark.parametrize("path", ["/plan/1", "/book/1"])
+    def test_an_answer_whose_server_is_at_its_limit_is_complete(self, system, start_server, path):
+        server = start_server("plan" if path == "/plan/1" else "book")
+
+        def script(handler, received):
+            server.refuse_connections()
+            threading.Timer(0.4, server.accept_connections).start()
+            if path == "/plan/1":
+                handler.start_stream(chunked=False)
+            else:
+                handler.start_answer_without_length()
+            handler.wfile.write(EVENTS)
+
+        server.script = script
+        answer = system.request("POST", path, headers=PLAN_HEADERS)
+        assert (answer.status, answer.content) == (200, EVENTS)
+
     def test_an_answer_whose_server_lives_is_complete(self, system, start_server):
         server = start_server()
 
