--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -27,20 +27,34 @@
     Attributes:
         mode: What happens to bytes that arrive: one of `MODES`.
         intact_from: From when connections count as intact, infinite while they are disturbed.
+        closed: Whether it has been closed for good.
     """
 
     def __init__(self, target):
         self.target = target
         self.mode = "pass"
         self.intact_from = 0.0
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.closed = False
+        self.listen(0)
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self.accept, daemon=True).start()
 
-    def accept(self):
+    def listen(self, port):
+        self.listener = socket.create_server(("127.0.0.1", port))
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
+
+    def refuse(self):
+        """Refuse further connections, as a server at its limit does, and keep the open ones."""
+        end_at_once(self.listener)
+
+    def accept_again(self):
+        """Accept connections again, unless it does or was closed meanwhile."""
+        if not self.closed and self.listener.fileno() == -1:
+            self.listen(int(self.address.rpartition(":")[2]))
+
+    def accept(self, listener):
         while True:
             try:
-                caller, _ = self.listener.accept()
+                caller, _ = listener.accept()
             except OSError:
                 return
             threading.Thread(target=self.connect, args=(caller,), daemon=True).start()
@@ -87,6 +101,7 @@
         return self.mode == "silent" or (self.mode == "one way" and not forward)
 
     def close(self):
+        self.closed = True
         end_at_once(self.listener)
 
 
