Soak: engines come to their limit of connections just as they spoil an answer

In place of a moment soon after the begin of a drain, which hardly meets a copied run. Half of the spoilt answers of copied runs now come with a refusal of further connections for 0.3 to 2.5 s.

--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -15,6 +15,9 @@
 SILENCE_POLL_S = 0.02
 REPORT_INTERVAL_S = 0.4
 MODES = ("pass", "delay", "reset", "silent", "one way")
+# How long a server is at its limit of connections, and with which share of the spoilt answers.
+AT_LIMIT_S = (0.3, 2.5)
+AT_LIMIT_SHARE = 0.5
 # Start of the ids of parts under which servers crash.
 CRASHING_PART = "bad"
 # The same of the paths of lookups.
@@ -129,6 +132,7 @@
         self.ledger = runs.ledger
         self.random = random.Random(f"{seed} {name}")
         self.spoils = random.Random(f"{seed} {name} spoils")
+        self.limits = random.Random(f"{seed} {name} limits")
         self.rejecting = False
         self.proxy = Proxy(self.address)
         self.address = self.proxy.address
@@ -142,6 +146,13 @@
         at = time.monotonic() if at is None else at
         return not self.crashed and at >= self.proxy.intact_from
 
+    def come_to_limit(self):
+        """Refuse further connections for a while."""
+        self.proxy.refuse()
+        timer = threading.Timer(self.limits.uniform(*AT_LIMIT_S), self.proxy.accept_again)
+        timer.daemon = True
+        timer.start()
+
     def receive(self, handler, received):
         """Record a request that arrives; return its id and the fields of its answer."""
         request = received.headers["x-attempt-id"]
@@ -249,6 +260,8 @@
                     return
                 if spoilt and run.copied.is_set():
                     self.ledger.broke_off(run.request)
+                    if self.limits.random() < AT_LIMIT_SHARE:
+                        self.come_to_limit()
                     handler.wfile.write(b"these bytes are no part of an answer\r\n")
                     run.stopped.wait(engines.WORKS_ON_S)
                     handler.close_early()
--- a/tests/soak/trouble.py
+++ b/tests/soak/trouble.py
@@ -4,7 +4,6 @@
 import random
 import signal
 import socket
-import threading
 import time
 
 import floods
@@ -21,11 +20,8 @@
 FLOOD_PATH = "/flood/small-chunks"
 # Share of the faults beside which one of these strikes.
 SHARE = 0.4
-# How long an engine is at its limit of connections, and beside which share of the faults one is.
-AT_LIMIT_S = (0.3, 2.5)
+# Share of the faults beside which an engine comes to its limit of connections.
 AT_LIMIT_SHARE = 0.3
-# How long after the begin of a drain an engine comes to its limit.
-FULL_AFTER_S = (0.0, 0.6)
 
 
 def start_flood_server(world):
@@ -53,7 +49,7 @@
         """Begin one of the faults now and then; return what it is called."""
         if self.limits.random() < AT_LIMIT_SHARE:
             engines = [server for server in self.world.reporter.servers if server.service == "plan"]
-            self.fill_engine(self.limits.choice(engines))
+            self.limits.choice(engines).come_to_limit()
         if self.random.random() >= SHARE:
             return None
         faults = [self.pause_control, self.reject_and_kill, self.flood, self.drain_engine]
@@ -96,24 +92,8 @@
             time.sleep(KILL_INTERVAL_S)
 
     def drain_engine(self):
-        """Replace an engine, whose runs are moved; the answers of some are spoilt meanwhile.
-
-        Half of the engines come to their limit of connections then.
-        """
-        engine = self.world.drain_server("plan", self.random)
-        if engine is not None and self.limits.random() < 0.5:
-            self.fill_engine(engine, self.limits.uniform(*FULL_AFTER_S))
-
-    def fill_engine(self, engine, after_s=0.0):
-        """Have an engine refuse connections for a while, as one at its limit does."""
-        at_limit_s = self.limits.uniform(*AT_LIMIT_S)
-        for delay_s, action in (
-            (after_s, engine.proxy.refuse),
-            (after_s + at_limit_s, engine.proxy.accept_again),
-        ):
-            timer = threading.Timer(delay_s, action)
-            timer.daemon = True
-            timer.start()
+        """Replace an engine, whose runs are moved; the answers of some are spoilt meanwhile."""
+        self.world.drain_server("plan", self.random)
 
     def flood(self):
         """Have callers flood a host: with requests, bodies, or answers that never end."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -353,9 +353,7 @@
             server.limit = None
 
     def drain_server(self, service="", draws=None):
-        """Replace a server, if one runs, and return it: the new one starts first.
-
-        The old one is still checked.
+        """Replace a server, if one runs: the new one starts first; the old one is still checked.
 
         It drains, or leaves and reports no more; then the host that acknowledged the leave is lost.
         """
@@ -366,7 +364,7 @@
             if not service or server.service == service
         ]
         if not ready:
-            return None
+            return
         server = (draws or self.random).choice(ready)
         self.add_server(server.service, draws)
         leaves = self.leaves_random.random() < LEAVE_SHARE
@@ -374,4 +372,3 @@
         node = self.reporter.withdraw(server, lambda: self.end_faults(time.monotonic()), leaves)
         if leaves and node is not None:
             self.kill(node)
-        return server
