--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -160,7 +160,7 @@
 
 
 # Guards against a run that goes on at its copy while the engine before, which refuses connections
-# at its limit, works on it. A late report delays the decision, which comes too late then.
+# at its limit, works on it.
 @pytest.mark.parametrize("sign", ["events of other runs", "reports"])
 def test_a_run_at_a_server_that_refuses_connections_but_shows_life_is_not_resumed(
     short_times, sign
