Soak: find the host that relayed a request in any host's log

Cause: the soak reads the relaying host from the asked host's line "request". entry-3 was flooded with requests of unknown paths, whose lines are of the same kind, and left the line of c5-11 out.

Change: hosts that logged that they chose a server for the request count, too. entry-1's log has that line. The check asks for no less: an answer is still owed unless a host that passed it on was disturbed.

Evidence: test_a_relay_that_was_killed_is_found_in_any_log; its row "logged by the relaying host" failed before this change, the two others passed.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -133,7 +133,7 @@
         """Check the requests without an answer that were noted long enough ago."""
         while self.unanswered and self.unanswered[0][0] + ARRIVAL_MARGIN_S <= now:
             broke_at, request, node, calm, error = self.unanswered.popleft()
-            if self.ledger.is_owed_answer(request, node, calm, broke_at):
+            if self.ledger.is_owed_answer(request, node, calm, broke_at, self.world.system.entries):
                 promise = "an answer to each request passed on"
                 if calm:
                     promise = "a planned stop cuts nothing"
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -96,7 +96,7 @@
         with self.lock:
             self.broken_off.add(request)
 
-    def is_owed_answer(self, request, node, calm, at):
+    def is_owed_answer(self, request, node, calm, at, entries):
         """Return whether a request that a host has passed on is owed a complete answer.
 
         Args:
@@ -105,6 +105,7 @@
             calm: True if nothing was disturbed; otherwise the hosts that it passed must have been
                 without a fault, and the servers and their connections sound.
             at: When its answer broke off, monotonic seconds.
+            entries: All entry hosts.
         """
         reached = self.arrivals.get(request)
         if not reached or request in self.broken_off:
@@ -112,7 +113,9 @@
         return calm or (
             self.disturbances.has_no_fault(node.name, at)
             and all(server.is_sound(at) for server in reached)
-            and all(self.disturbances.has_no_fault(name, at) for name in relays(request, node))
+            and all(
+                self.disturbances.has_no_fault(name, at) for name in relays(request, node, entries)
+            )
         )
 
     def is_in_touch(self, request):
@@ -145,7 +148,14 @@
         return sum(count for name, count in self.outcomes.items() if name.endswith(": 200"))
 
 
-def relays(request, node):
-    """Return the names of other hosts that sent a request to servers, as a host has logged them."""
-    entries = [entry for entry in node.events("request") if entry["request"] == request]
-    return {entry["relayed_by"] for entry in entries if entry["relayed_by"]}
+def relays(request, node, entries):
+    """Return the names of other hosts that sent a request to servers, as any host has logged them.
+
+    The host that was asked may have left out the line of the request, among those of a flood.
+    """
+    logged = [entry for entry in node.events("request") if entry["request"] == request]
+    names = {entry["relayed_by"] for entry in logged if entry["relayed_by"]}
+    for other in entries:
+        if any(entry["request"] == request for entry in other.events("server_chosen")):
+            names.add(other.name)
+    return names - {node.name}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,7 +5,7 @@
 import pytest
 
 import soak.__main__
-from soak import sums
+from soak import promises, sums
 
 # Shortest run in which most kinds of faults strike.
 MINUTES = 0.35
@@ -27,6 +27,36 @@
     assert faulty == list(range(101, int(ended_at)))
 
 
+class LoggedHost:
+    """An entry host of which only its log is known."""
+
+    role = "entry"
+
+    def __init__(self, name, **entries):
+        self.name = name
+        self.entries = entries
+
+    def events(self, name):
+        return [{"request": "c1-1", **entry} for entry in self.entries.get(name, [])]
+
+
+# Guards against a breach that is no breach, as the host that was asked left out its line of the
+# request among those of a flood, while the host that it relayed the request to was killed.
+@pytest.mark.parametrize(
+    ("request_lines", "choices", "owed"),
+    [([{"relayed_by": "entry-2"}], [], False), ([], [{}], False), ([], [], True)],
+    ids=["logged by the asked host", "logged by the relaying host", "not relayed"],
+)
+def test_a_relay_that_was_killed_is_found_in_any_log(request_lines, choices, owed):
+    asked = LoggedHost("entry-1", request=request_lines, server_chosen=[{}])
+    relaying = LoggedHost("entry-2", server_chosen=choices)
+    ledger = promises.Ledger()
+    ledger.arrived("c1-1", types.SimpleNamespace(is_sound=lambda at=None: True))
+    ledger.disturbances.begin(relaying)
+    now = sums.time.monotonic()
+    assert ledger.is_owed_answer("c1-1", asked, False, now, [asked, relaying]) is owed
+
+
 # 131: SIGHUP right after the start of all control hosts ended them.
 @pytest.mark.parametrize("seed", [1, 131])
 def test_no_promise_is_broken(tmp_path, seed):
