Soak: excuse a host that only chose a server no more where the asked host says who relayed

The line of the asked host decides again; choices count only where it is missing.

Evidence: the row "chosen for, but served by the asked host" failed before this change; all four pass now.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -149,13 +149,16 @@
 
 
 def relays(request, node, entries):
-    """Return the names of other hosts that sent a request to servers, as any host has logged them.
+    """Return the names of other hosts that sent a request to servers, as they have been logged.
 
-    The host that was asked may have left out the line of the request, among those of a flood.
+    The host that was asked may have left out the line of the request, among those of a flood. Only
+    then do the hosts count that chose a server for it, as some of them may have sent nothing.
     """
     logged = [entry for entry in node.events("request") if entry["request"] == request]
-    names = {entry["relayed_by"] for entry in logged if entry["relayed_by"]}
-    for other in entries:
-        if any(entry["request"] == request for entry in other.events("server_chosen")):
-            names.add(other.name)
-    return names - {node.name}
+    if logged:
+        return {entry["relayed_by"] for entry in logged if entry["relayed_by"]}
+    return {
+        other.name
+        for other in entries
+        if any(entry["request"] == request for entry in other.events("server_chosen"))
+    } - {node.name}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -44,8 +44,18 @@
 # request among those of a flood, while the host that it relayed the request to was killed.
 @pytest.mark.parametrize(
     ("request_lines", "choices", "owed"),
-    [([{"relayed_by": "entry-2"}], [], False), ([], [{}], False), ([], [], True)],
-    ids=["logged by the asked host", "logged by the relaying host", "not relayed"],
+    [
+        ([{"relayed_by": "entry-2"}], [], False),
+        ([], [{}], False),
+        ([], [], True),
+        ([{"relayed_by": ""}], [{}], True),
+    ],
+    ids=[
+        "logged by the asked host",
+        "logged by the relaying host",
+        "not relayed",
+        "chosen for, but served by the asked host",
+    ],
 )
 def test_a_relay_that_was_killed_is_found_in_any_log(request_lines, choices, owed):
     asked = LoggedHost("entry-1", request=request_lines, server_chosen=[{}])
